--- /dev/null
+++ b/include/ospreystage/address.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ospreystage {
+
+/// Network endpoint of a process: an IP number and a port.
+struct address {
+    std::string host; ///< Numeric IPv4 address.
+    std::uint16_t port = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(host, port);
+    }
+    friend auto operator<=>(const address&, const address&) = default;
+};
+
+/// Formats as `host:port`.
+[[nodiscard]] std::string to_string(const address& endpoint);
+
+/// Parses `host:port`; returns nothing if the form is wrong.
+[[nodiscard]] std::optional<address> parse_address(const std::string& text);
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/messages.hpp
@@ -0,0 +1,370 @@
+#pragma once
+
+#include <ospreystage/address.hpp>
+#include <ospreystage/ids.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// Version of the protocol between the system's own processes.
+inline constexpr std::uint16_t protocol_version = 1;
+
+/// Generates the cereal member from the fields in wire order.
+#define OSPREYSTAGE_FIELDS(...)                                                \
+    template <typename Archive>                                                \
+    void serialize(Archive& archive) {                                         \
+        archive(__VA_ARGS__);                                                  \
+    }
+
+// ---- Connections -----------------------------------------------------------
+
+/// Role of a process.
+enum class process_role : std::uint8_t { entry, agent };
+
+/// First message on every connection, from the side that opened it.
+struct hello {
+    std::string token; ///< Cluster token from the settings.
+    process_id sender;
+    process_role role = process_role::entry;
+    /// Counts the sender's connections to this peer; orders that arrive on a
+    /// connection with a lower number than the latest are void.
+    std::uint64_t epoch = 0;
+    OSPREYSTAGE_FIELDS(token, sender, role, epoch)
+};
+
+/// Answer to `hello`.
+struct hello_reply {
+    process_id sender;
+    /// Attempts of the peer's incarnation that this process has started;
+    /// every other attempt sent on earlier epochs is sealed: it never runs.
+    std::vector<attempt_id> started;
+    OSPREYSTAGE_FIELDS(sender, started)
+};
+
+/// Application heartbeat, sent in both directions on every connection.
+struct heartbeat {
+    std::uint64_t sequence = 0;
+    OSPREYSTAGE_FIELDS(sequence)
+};
+
+// ---- Requests: entry to agent ---------------------------------------------
+
+/// Orders an agent to run one attempt.
+struct run_order {
+    attempt_id attempt;
+    process_id agent; ///< Incarnation that the entry means; others refuse.
+    std::string organisation;
+    std::string service;
+    std::string request_class;
+    std::string method; ///< HTTP method for plain services.
+    std::string path;   ///< HTTP path towards the back end.
+    std::string content_type;
+    std::string body;
+    digest version; ///< Engine services: version that must answer.
+    std::uint32_t priority = 0;
+    std::uint32_t deadline_ms = 0; ///< Time left when sent.
+    std::uint32_t skip_tokens = 0; ///< Tokens the caller already has (resume).
+    bool stream = false;
+    bool non_idempotent = false;
+    std::string idempotency_key;
+    OSPREYSTAGE_FIELDS(attempt, agent, organisation, service, request_class,
+                       method, path, content_type, body, version, priority,
+                       deadline_ms, skip_tokens, stream, non_idempotent,
+                       idempotency_key)
+};
+
+/// Why an agent did not run an attempt.
+enum class refusal : std::uint8_t {
+    wrong_incarnation,
+    version_not_held,
+    overloaded,
+    leaving,
+    expired,
+    stale_epoch,
+    sealed,
+    back_end_unreachable,
+    not_in_force,
+};
+
+/// The attempt did not run and never will: the agent has sealed it.
+struct run_refused {
+    attempt_id attempt;
+    refusal reason = refusal::overloaded;
+    std::uint32_t retry_after_ms = 0;
+    OSPREYSTAGE_FIELDS(attempt, reason, retry_after_ms)
+};
+
+/// First part of an answer.
+struct answer_begin {
+    attempt_id attempt;
+    std::uint16_t status = 0; ///< HTTP status of the back end.
+    std::string content_type;
+    digest version; ///< Version that answers, empty for plain services.
+    OSPREYSTAGE_FIELDS(attempt, status, content_type, version)
+};
+
+/// Next part of an answer; `index` counts from 0 without gaps.
+struct answer_part {
+    attempt_id attempt;
+    std::uint32_t index = 0;
+    std::string data;
+    OSPREYSTAGE_FIELDS(attempt, index, data)
+};
+
+/// The answer is whole: `parts` parts were sent.
+struct answer_end {
+    attempt_id attempt;
+    std::uint32_t parts = 0;
+    OSPREYSTAGE_FIELDS(attempt, parts)
+};
+
+/// The attempt started and its outcome is not known.
+struct run_failed {
+    attempt_id attempt;
+    std::string detail;
+    OSPREYSTAGE_FIELDS(attempt, detail)
+};
+
+/// Asks the agent to seal an attempt that has not started.
+///
+/// Answered by `run_refused` (sealed) or `seal_failed` (it has started).
+struct seal_order {
+    attempt_id attempt;
+    OSPREYSTAGE_FIELDS(attempt)
+};
+
+/// The attempt could not be sealed because it has started.
+struct seal_failed {
+    attempt_id attempt;
+    OSPREYSTAGE_FIELDS(attempt)
+};
+
+/// The caller went away: the agent may stop generating.
+struct cancel_order {
+    attempt_id attempt;
+    OSPREYSTAGE_FIELDS(attempt)
+};
+
+/// Load and contents of one backend_server as its agent last saw them.
+struct load_report {
+    process_id agent;
+    std::string service;
+    std::uint32_t running = 0;  ///< Attempts in the engine.
+    std::uint32_t queued = 0;   ///< Attempts waiting at the agent.
+    std::uint32_t capacity = 0; ///< Attempts the engine runs at once.
+    std::uint32_t age_ms = 0;   ///< Age of the engine's own figures.
+    bool leaving = false;
+    std::vector<digest> versions;        ///< Versions that may be asked for.
+    std::vector<std::uint64_t> prefixes; ///< Hashes of cached prompt prefixes.
+    OSPREYSTAGE_FIELDS(agent, service, running, queued, capacity, age_ms,
+                       leaving, versions, prefixes)
+};
+
+// ---- Claims of idempotency keys: entry to witness --------------------------
+
+/// Key of a non-idempotent request, scoped to its organisation.
+struct claim_key {
+    std::string organisation;
+    std::string key;
+    OSPREYSTAGE_FIELDS(organisation, key)
+    friend auto operator<=>(const claim_key&, const claim_key&) = default;
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash state, const claim_key& id) {
+        return Hash::combine(std::move(state), id.organisation, id.key);
+    }
+};
+
+/// What a witness remembers of a key.
+struct claim_record {
+    claim_key key;
+    digest body;        ///< Digest of the request; a reuse with another body
+                        ///< is refused.
+    attempt_id attempt; ///< The only attempt that may run.
+    std::uint32_t age_ms = 0;
+    OSPREYSTAGE_FIELDS(key, body, attempt, age_ms)
+};
+
+/// Asks a witness to record `record.attempt` as the owner of its key.
+struct claim_request {
+    claim_record record;
+    process_id witness; ///< Incarnation that the entry means.
+    OSPREYSTAGE_FIELDS(record, witness)
+};
+
+/// A witness's vote: the record that it now holds for the key.
+struct claim_reply {
+    claim_record held;
+    attempt_id asked; ///< Attempt of the request that this answers.
+    process_id witness;
+    bool recovering = false; ///< The witness may not vote yet.
+    /// Newest incarnation of each other witness that this one has answered a
+    /// recovery for; a vote of an older incarnation does not count.
+    std::vector<process_id> known;
+    OSPREYSTAGE_FIELDS(held, asked, witness, recovering, known)
+};
+
+/// Takes back a claim whose attempt was never dispatched.
+struct claim_release {
+    claim_key key;
+    attempt_id attempt;
+    OSPREYSTAGE_FIELDS(key, attempt)
+};
+
+/// A restarted witness asks another for the records they share.
+struct recover_request {
+    process_id witness;
+    OSPREYSTAGE_FIELDS(witness)
+};
+
+/// Answer to `recover_request`, in pages.
+struct recover_reply {
+    process_id sender;
+    process_id witness; ///< Asker's incarnation.
+    bool recovering = false;
+    bool last = true;
+    std::vector<claim_record> records;
+    OSPREYSTAGE_FIELDS(sender, witness, recovering, last, records)
+};
+
+// ---- Configuration and membership ------------------------------------------
+
+/// Highest revision that a witness holds, as last heard.
+struct held_revision {
+    process_id witness;
+    std::uint64_t number = 0;
+    OSPREYSTAGE_FIELDS(witness, number)
+    friend bool operator==(const held_revision&,
+                           const held_revision&) = default;
+};
+
+/// State of a member as its peers see it.
+enum class member_state : std::uint8_t { alive, suspect, leaving, dead };
+
+/// What is known of one process of the fleet.
+struct member {
+    process_id id;
+    process_role role = process_role::entry;
+    std::string vm;
+    std::string data_centre;
+    std::string region;
+    address peer; ///< Port of the system's own protocol (TCP and UDP).
+    address http; ///< Port of the HTTP interface.
+    member_state state = member_state::alive;
+    bool listed_leaving = false; ///< The platform's list says leaving.
+    std::uint64_t in_force = 0;  ///< Revision in force there.
+    std::uint32_t counter = 0;   ///< Grows with every change by its owner.
+    OSPREYSTAGE_FIELDS(id, role, vm, data_centre, region, peer, http, state,
+                       listed_leaving, in_force, counter)
+    friend bool operator==(const member&, const member&) = default;
+};
+
+/// Datagram of the failure detector; carries rumours with it.
+struct gossip_ping {
+    process_id sender;
+    std::uint64_t sequence = 0;
+    process_id on_behalf_of;    ///< Set for an indirect probe.
+    std::string target;         ///< Member to probe indirectly, or empty.
+    std::uint64_t document = 0; ///< Highest revision the sender has.
+    std::vector<held_revision> held;
+    std::vector<member> members;
+    OSPREYSTAGE_FIELDS(sender, sequence, on_behalf_of, target, document, held,
+                       members)
+};
+
+/// Answer to `gossip_ping`.
+struct gossip_ack {
+    process_id sender;
+    std::uint64_t sequence = 0;
+    std::string target; ///< Member whose answer this relays, or empty.
+    std::uint64_t document = 0;
+    std::vector<held_revision> held;
+    std::vector<member> members;
+    OSPREYSTAGE_FIELDS(sender, sequence, target, document, held, members)
+};
+
+/// Asks a peer for its whole view of members, held revisions and document.
+struct sync_request {
+    process_id sender;
+    std::uint64_t document = 0; ///< Highest revision that the sender has.
+    OSPREYSTAGE_FIELDS(sender, document)
+};
+
+/// Answer to `sync_request`.
+struct sync_reply {
+    process_id sender;
+    bool recovered = false; ///< False: started with nothing, has not caught up.
+    std::uint64_t document = 0;
+    std::string json; ///< Document, empty if the asker is as new.
+    std::vector<held_revision> held;
+    std::vector<member> members;
+    OSPREYSTAGE_FIELDS(sender, recovered, document, json, held, members)
+};
+
+/// Carries a newer document to a peer at once.
+struct document_push {
+    process_id sender;
+    std::uint64_t document = 0;
+    std::string json;
+    std::vector<held_revision> held;
+    OSPREYSTAGE_FIELDS(sender, document, json, held)
+};
+
+// ---- Distribution of weights: agent to agent -------------------------------
+
+/// Tells a peer which chunks of a version the sender has.
+struct chunk_have {
+    process_id sender;
+    digest version;
+    std::uint32_t chunks = 0;         ///< Number of chunks, 0: no manifest yet.
+    std::vector<std::uint8_t> bitmap; ///< Bit i of byte i/8; empty if all.
+    bool complete = false;
+    OSPREYSTAGE_FIELDS(sender, version, chunks, bitmap, complete)
+};
+
+/// Asks for the manifest of a version.
+struct manifest_request {
+    digest version;
+    OSPREYSTAGE_FIELDS(version)
+};
+
+/// Answer to `manifest_request`; `json` is empty if it is not held.
+struct manifest_reply {
+    digest version;
+    std::string json;
+    OSPREYSTAGE_FIELDS(version, json)
+};
+
+/// Asks for one chunk.
+struct chunk_request {
+    digest version;
+    std::uint32_t index = 0;
+    OSPREYSTAGE_FIELDS(version, index)
+};
+
+/// One chunk; empty data means that the sender does not have it.
+struct chunk_data {
+    digest version;
+    std::uint32_t index = 0;
+    std::string data;
+    OSPREYSTAGE_FIELDS(version, index, data)
+};
+
+#undef OSPREYSTAGE_FIELDS
+
+/// Every message of the system's own protocol.
+///
+/// The order is the wire format: new alternatives go to the end.
+using message =
+    std::variant<hello, hello_reply, heartbeat, run_order, run_refused,
+                 answer_begin, answer_part, answer_end, run_failed, seal_order,
+                 seal_failed, cancel_order, load_report, claim_request,
+                 claim_reply, claim_release, recover_request, recover_reply,
+                 gossip_ping, gossip_ack, sync_request, sync_reply,
+                 document_push, chunk_have, manifest_request, manifest_reply,
+                 chunk_request, chunk_data>;
+
+} // namespace ospreystage
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
