--- /dev/null
+++ b/include/ospreystage/kernel.hpp
@@ -0,0 +1,212 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <typeindex>
+#include <utility>
+
+namespace ospreystage {
+
+/// Addresses a timer of the kernel.
+enum class timer_id : std::uint64_t {};
+
+/// Micro-kernel of a process: services by name, their queues and one thread.
+///
+/// Every service runs on the thread that calls `run`, so that services need
+/// no locks of their own. Other threads hand work over with `post` or `call`.
+///
+///     kernel core;
+///     core.add("router", std::make_unique<router>(core));
+///     core.post("router", [&] { core.find<router>("router").refresh(); });
+///     core.run();
+class kernel {
+  public:
+    using task = std::function<void()>;
+    using descriptor_handler = std::function<void(std::uint32_t events)>;
+
+    // ---- Construction ------------------------------------------------------
+
+    kernel();
+    ~kernel();
+    kernel(const kernel&) = delete;
+    kernel& operator=(const kernel&) = delete;
+
+    /// Adds a service; it must have `nlohmann::json dump() const`.
+    ///
+    /// Only before `run`. Throws `std::logic_error` if the name is taken.
+    template <typename Service>
+    Service& add(const std::string& name, std::unique_ptr<Service> service);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Finds a service by name; throws `std::logic_error` if there is none or
+    /// it has another type.
+    template <typename Service>
+    [[nodiscard]] Service& find(const std::string& name) const;
+
+    /// Finds a service by name, or returns null.
+    template <typename Service>
+    [[nodiscard]] Service* find_if(const std::string& name) const;
+
+    /// Returns the state of every service and queue (kernel thread).
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Work --------------------------------------------------------------
+
+    /// Queues work for a service; may be called from any thread.
+    void post(const std::string& service, task work);
+
+    /// Runs `body` on the kernel thread and waits for its value.
+    ///
+    /// Returns nothing if the kernel stops first. Not for the kernel thread.
+    template <typename Body>
+    auto call(const std::string& service, Body body)
+        -> std::optional<decltype(body())>;
+
+    /// Runs work once after `delay` (kernel thread).
+    timer_id after(const std::string& service, std::chrono::nanoseconds delay,
+                   task work);
+
+    /// Runs work every `period` (kernel thread).
+    void every(const std::string& service, std::chrono::nanoseconds period,
+               task work);
+
+    /// Cancels a timer that has not fired (kernel thread).
+    void cancel(timer_id timer);
+
+    // ---- Descriptors -------------------------------------------------------
+
+    /// Calls `handler` when the descriptor has one of the epoll `events`.
+    void watch(int descriptor, std::uint32_t events,
+               descriptor_handler handler);
+
+    /// Changes the epoll events of a watched descriptor.
+    void rewatch(int descriptor, std::uint32_t events);
+
+    /// Forgets a descriptor; the caller closes it.
+    void unwatch(int descriptor);
+
+    // ---- Life cycle --------------------------------------------------------
+
+    /// Runs until `stop`.
+    void run();
+
+    /// Ends `run`; may be called from any thread and from signal handlers.
+    void stop() noexcept;
+
+  private:
+    struct service_record {
+        std::shared_ptr<void> object;
+        std::type_index type;
+        std::function<nlohmann::json()> dump;
+        std::uint64_t tasks = 0;
+        std::chrono::nanoseconds busy{};
+        std::chrono::nanoseconds longest{};
+    };
+    struct queued_task {
+        std::string service;
+        task work;
+    };
+    struct timer_record {
+        timer_id id;
+        std::string service;
+        task work;
+    };
+
+    void insert(const std::string& name, service_record record);
+    [[nodiscard]] const service_record*
+    record_of(const std::string& name) const;
+    void execute(const std::string& service, const task& work);
+    void run_queue();
+    void run_timers();
+    [[nodiscard]] int wait_milliseconds() const;
+    void wake() noexcept;
+
+    std::map<std::string, service_record> services_;
+    std::multimap<instant, timer_record> timers_;
+    absl::flat_hash_map<std::uint64_t,
+                        std::multimap<instant, timer_record>::iterator>
+        timer_index_;
+    absl::flat_hash_map<int, std::shared_ptr<descriptor_handler>> watched_;
+    std::uint64_t next_timer_ = 1;
+    int epoll_ = -1;
+    int wake_ = -1;
+    std::atomic<bool> stopping_{false};
+
+    mutable absl::Mutex mutex_;
+    std::deque<queued_task> queue_ ABSL_GUARDED_BY(mutex_);
+    bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+template <typename Service>
+Service& kernel::add(const std::string& name,
+                     std::unique_ptr<Service> service) {
+    std::shared_ptr<Service> shared = std::move(service);
+    Service& reference = *shared;
+    insert(name, {shared, std::type_index(typeid(Service)),
+                  [&reference] { return reference.dump(); }});
+    return reference;
+}
+
+template <typename Service>
+Service* kernel::find_if(const std::string& name) const {
+    const service_record* record = record_of(name);
+    if (record == nullptr)
+        return nullptr;
+    if (record->type != std::type_index(typeid(Service)))
+        throw std::logic_error("service " + name + " has another type");
+    return static_cast<Service*>(record->object.get());
+}
+
+template <typename Service>
+Service& kernel::find(const std::string& name) const {
+    Service* service = find_if<Service>(name);
+    if (service == nullptr)
+        throw std::logic_error("no service " + name);
+    return *service;
+}
+
+template <typename Body>
+auto kernel::call(const std::string& service, Body body)
+    -> std::optional<decltype(body())> {
+    using value_type = decltype(body());
+    struct shared_state {
+        absl::Notification done;
+        std::optional<value_type> value;
+    };
+    auto state = std::make_shared<shared_state>();
+    // The guard notifies also when the kernel drops the task unrun.
+    struct guard {
+        std::shared_ptr<shared_state> state;
+        explicit guard(std::shared_ptr<shared_state> shared)
+            : state(std::move(shared)) {}
+        guard(const guard&) = delete;
+        guard& operator=(const guard&) = delete;
+        ~guard() { state->done.Notify(); }
+    };
+    auto notify = std::make_shared<guard>(state);
+    post(service, [notify, body = std::move(body)]() mutable {
+        notify->state->value = body();
+        notify.reset();
+    });
+    notify.reset();
+    state->done.WaitForNotification();
+    return std::move(state->value);
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/network.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <ospreystage/address.hpp>
+#include <ospreystage/error.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/messages.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace ospreystage {
+
+/// Addresses an open TCP connection of the `network` service.
+enum class connection_id : std::uint64_t {};
+
+/// Frames over TCP and datagrams over UDP; knows nothing of their meaning.
+///
+/// Runs on the kernel thread. A broken frame closes its connection only.
+class network {
+  public:
+    /// Receives what happens on connections.
+    struct callbacks {
+        std::function<void(connection_id, bool outgoing)> opened;
+        std::function<void(connection_id, message)> received;
+        std::function<void(connection_id, const std::string& reason)> closed;
+        std::function<void(const address& from, message)> datagram;
+    };
+
+    // ---- Construction ------------------------------------------------------
+
+    explicit network(kernel& core);
+    ~network();
+    network(const network&) = delete;
+    network& operator=(const network&) = delete;
+
+    /// Sets the receiver of all events; call it once before `listen`.
+    void set_callbacks(callbacks handlers);
+
+    /// Listens on TCP and UDP; an address in use is an error.
+    [[nodiscard]] leaf::result<void> listen(const address& local);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Bytes queued and not yet taken by the operating system.
+    [[nodiscard]] std::size_t pending_bytes(connection_id connection) const;
+
+    /// Bytes sent on all connections and datagrams since the start.
+    [[nodiscard]] std::uint64_t sent_bytes() const noexcept;
+
+    /// Bytes received on all connections and datagrams since the start.
+    [[nodiscard]] std::uint64_t received_bytes() const noexcept;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Starts to connect; `opened` or `closed` follows.
+    connection_id connect(const address& remote);
+
+    /// Queues a message; returns false if the connection is gone or has more
+    /// than `max_pending_bytes` queued (it is closed then).
+    bool send(connection_id connection, const message& value);
+
+    /// Closes without a `closed` callback.
+    void close(connection_id connection);
+
+    /// Sends one datagram; it may get lost.
+    void send_datagram(const address& remote, const message& value);
+
+    /// Queue limit of one connection in bytes.
+    static constexpr std::size_t max_pending_bytes = 24 * 1024 * 1024;
+
+  private:
+    struct connection_record {
+        int descriptor = -1;
+        bool connecting = false;
+        std::string label;
+        std::string input;
+        std::string output;
+        std::size_t written = 0;
+    };
+
+    void accept_all();
+    void add_connection(int descriptor, connection_id id, bool connecting,
+                        std::string label);
+    void on_events(connection_id id, std::uint32_t events);
+    void finish_connect(connection_id id);
+    void read_all(connection_id id);
+    void deliver_frames(connection_id id);
+    void flush(connection_id id);
+    void drop(connection_id id, const std::string& reason);
+    void read_datagrams();
+
+    kernel& core_;
+    callbacks handlers_;
+    absl::flat_hash_map<std::uint64_t, connection_record> connections_;
+    std::uint64_t next_connection_ = 1;
+    std::uint64_t sent_bytes_ = 0;
+    std::uint64_t received_bytes_ = 0;
+    int listener_ = -1;
+    int datagrams_ = -1;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/kernel.cpp
@@ -0,0 +1,217 @@
+#include <ospreystage/kernel.hpp>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr int max_wait_ms = 1000;
+constexpr std::size_t events_per_wait = 256;
+
+} // namespace
+
+kernel::kernel()
+    : epoll_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (epoll_ < 0 || wake_ < 0)
+        throw std::runtime_error("cannot create the kernel's descriptors");
+    epoll_event request{};
+    request.events = EPOLLIN;
+    request.data.fd = wake_;
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &request);
+}
+
+kernel::~kernel() {
+    std::deque<queued_task> dropped;
+    {
+        const absl::MutexLock lock(&mutex_);
+        stopped_ = true;
+        dropped.swap(queue_);
+    }
+    dropped.clear();
+    timers_.clear();
+    watched_.clear();
+    // Services may use each other while they are destroyed in any order, so
+    // none of them may call into the kernel from its destructor.
+    services_.clear();
+    close(wake_);
+    close(epoll_);
+}
+
+void kernel::insert(const std::string& name, service_record record) {
+    if (!services_.emplace(name, std::move(record)).second)
+        throw std::logic_error("service " + name + " exists twice");
+}
+
+const kernel::service_record* kernel::record_of(const std::string& name) const {
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+nlohmann::json kernel::dump() const {
+    nlohmann::json state;
+    for (const auto& [name, record] : services_) {
+        nlohmann::json& entry = state["services"][name];
+        entry["tasks"] = record.tasks;
+        entry["busy_us"] = record.busy / microseconds(1);
+        entry["longest_us"] = record.longest / microseconds(1);
+        entry["state"] = record.dump();
+    }
+    state["timers"] = timers_.size();
+    const absl::MutexLock lock(&mutex_);
+    state["queued"] = queue_.size();
+    return state;
+}
+
+void kernel::post(const std::string& service, task work) {
+    {
+        const absl::MutexLock lock(&mutex_);
+        if (stopped_)
+            return;
+        queue_.push_back({service, std::move(work)});
+    }
+    wake();
+}
+
+timer_id kernel::after(const std::string& service,
+                       std::chrono::nanoseconds delay, task work) {
+    const timer_id id{next_timer_++};
+    const instant due = steady::now() + delay;
+    const auto position =
+        timers_.emplace(due, timer_record{id, service, std::move(work)});
+    timer_index_.emplace(static_cast<std::uint64_t>(id), position);
+    return id;
+}
+
+void kernel::every(const std::string& service, std::chrono::nanoseconds period,
+                   task work) {
+    after(service, period, [this, service, period, work = std::move(work)] {
+        work();
+        every(service, period, work);
+    });
+}
+
+void kernel::cancel(timer_id timer) {
+    const auto found = timer_index_.find(static_cast<std::uint64_t>(timer));
+    if (found == timer_index_.end())
+        return;
+    timers_.erase(found->second);
+    timer_index_.erase(found);
+}
+
+void kernel::watch(int descriptor, std::uint32_t events,
+                   descriptor_handler handler) {
+    epoll_event request{};
+    request.events = events;
+    request.data.fd = descriptor;
+    watched_[descriptor] =
+        std::make_shared<descriptor_handler>(std::move(handler));
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, descriptor, &request);
+}
+
+void kernel::rewatch(int descriptor, std::uint32_t events) {
+    epoll_event request{};
+    request.events = events;
+    request.data.fd = descriptor;
+    epoll_ctl(epoll_, EPOLL_CTL_MOD, descriptor, &request);
+}
+
+void kernel::unwatch(int descriptor) {
+    epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, nullptr);
+    watched_.erase(descriptor);
+}
+
+void kernel::run() {
+    std::array<epoll_event, events_per_wait> ready{};
+    while (!stopping_.load(std::memory_order_acquire)) {
+        const int count =
+            epoll_wait(epoll_, ready.data(), static_cast<int>(ready.size()),
+                       wait_milliseconds());
+        for (int index = 0; index < count; ++index) {
+            const epoll_event& event = ready[static_cast<std::size_t>(index)];
+            if (event.data.fd == wake_) {
+                std::uint64_t value = 0;
+                [[maybe_unused]] const auto bytes =
+                    read(wake_, &value, sizeof(value));
+                continue;
+            }
+            const auto found = watched_.find(event.data.fd);
+            if (found == watched_.end())
+                continue;
+            const std::shared_ptr<descriptor_handler> handler = found->second;
+            (*handler)(event.events);
+        }
+        run_queue();
+        run_timers();
+    }
+    const absl::MutexLock lock(&mutex_);
+    stopped_ = true;
+    queue_.clear();
+}
+
+void kernel::stop() noexcept {
+    stopping_.store(true, std::memory_order_release);
+    wake();
+}
+
+void kernel::execute(const std::string& service, const task& work) {
+    const instant started = steady::now();
+    work();
+    const auto spent = steady::now() - started;
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return;
+    found->second.tasks += 1;
+    found->second.busy += spent;
+    found->second.longest =
+        std::max<std::chrono::nanoseconds>(found->second.longest, spent);
+}
+
+void kernel::run_queue() {
+    std::deque<queued_task> batch;
+    {
+        const absl::MutexLock lock(&mutex_);
+        batch.swap(queue_);
+    }
+    for (queued_task& entry : batch) {
+        execute(entry.service, entry.work);
+        entry.work = nullptr;
+    }
+}
+
+void kernel::run_timers() {
+    const instant now = steady::now();
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        timer_record due = std::move(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+        timer_index_.erase(static_cast<std::uint64_t>(due.id));
+        execute(due.service, due.work);
+    }
+}
+
+int kernel::wait_milliseconds() const {
+    {
+        const absl::MutexLock lock(&mutex_);
+        if (!queue_.empty())
+            return 0;
+    }
+    if (timers_.empty())
+        return max_wait_ms;
+    const auto left =
+        std::chrono::ceil<milliseconds>(timers_.begin()->first - steady::now());
+    return static_cast<int>(
+        std::clamp<std::int64_t>(left.count(), 0, max_wait_ms));
+}
+
+void kernel::wake() noexcept {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto bytes = write(wake_, &one, sizeof(one));
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/network.cpp
@@ -0,0 +1,354 @@
+#include <ospreystage/codec.hpp>
+#include <ospreystage/network.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <optional>
+#include <vector>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr std::size_t read_bytes = 256 * 1024;
+constexpr int listen_backlog = 512;
+constexpr int datagram_buffer_bytes = 1024 * 1024;
+
+std::optional<sockaddr_in> to_socket_address(const address& endpoint) {
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.host.c_str(), &result.sin_addr) != 1)
+        return std::nullopt;
+    return result;
+}
+
+address from_socket_address(const sockaddr_in& raw) {
+    std::array<char, INET_ADDRSTRLEN> host{};
+    inet_ntop(AF_INET, &raw.sin_addr, host.data(), host.size());
+    return {host.data(), ntohs(raw.sin_port)};
+}
+
+int open_socket(int type) {
+    return socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+void set_option(int descriptor, int level, int name, int value) {
+    setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+std::string system_message() {
+    return std::strerror(errno);
+}
+
+bool bind_to(int descriptor, const sockaddr_in& local) {
+    return bind(descriptor, reinterpret_cast<const sockaddr*>(&local),
+                sizeof(local)) == 0;
+}
+
+} // namespace
+
+network::network(kernel& core) : core_(core) {}
+
+network::~network() {
+    for (auto& [id, record] : connections_)
+        ::close(record.descriptor);
+    if (listener_ >= 0)
+        ::close(listener_);
+    if (datagrams_ >= 0)
+        ::close(datagrams_);
+}
+
+void network::set_callbacks(callbacks handlers) {
+    handlers_ = std::move(handlers);
+}
+
+leaf::result<void> network::listen(const address& local) {
+    const auto raw = to_socket_address(local);
+    if (!raw)
+        return fail(error_code::invalid_argument, "network.listen",
+                    to_string(local), "not a numeric IPv4 address");
+    listener_ = open_socket(SOCK_STREAM);
+    set_option(listener_, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (!bind_to(listener_, *raw) || ::listen(listener_, listen_backlog) != 0)
+        return fail(error_code::unavailable, "network.listen", to_string(local),
+                    system_message());
+    datagrams_ = open_socket(SOCK_DGRAM);
+    set_option(datagrams_, SOL_SOCKET, SO_RCVBUF, datagram_buffer_bytes);
+    if (!bind_to(datagrams_, *raw))
+        return fail(error_code::unavailable, "network.listen", to_string(local),
+                    system_message());
+    core_.watch(listener_, EPOLLIN, [this](std::uint32_t) { accept_all(); });
+    core_.watch(datagrams_, EPOLLIN,
+                [this](std::uint32_t) { read_datagrams(); });
+    return {};
+}
+
+std::size_t network::pending_bytes(connection_id connection) const {
+    const auto found =
+        connections_.find(static_cast<std::uint64_t>(connection));
+    if (found == connections_.end())
+        return 0;
+    return found->second.output.size() - found->second.written;
+}
+
+std::uint64_t network::sent_bytes() const noexcept {
+    return sent_bytes_;
+}
+
+std::uint64_t network::received_bytes() const noexcept {
+    return received_bytes_;
+}
+
+nlohmann::json network::dump() const {
+    nlohmann::json state;
+    state["sent_bytes"] = sent_bytes_;
+    state["received_bytes"] = received_bytes_;
+    state["connections"] = connections_.size();
+    return state;
+}
+
+connection_id network::connect(const address& remote) {
+    const connection_id id{next_connection_++};
+    const std::string label = to_string(remote);
+    const auto raw = to_socket_address(remote);
+    const int descriptor = open_socket(SOCK_STREAM);
+    const bool started =
+        raw && descriptor >= 0 &&
+        (::connect(descriptor, reinterpret_cast<const sockaddr*>(&*raw),
+                   sizeof(*raw)) == 0 ||
+         errno == EINPROGRESS);
+    if (!started) {
+        const std::string reason = system_message();
+        if (descriptor >= 0)
+            ::close(descriptor);
+        core_.post("network",
+                   [this, id, reason] { handlers_.closed(id, reason); });
+        return id;
+    }
+    add_connection(descriptor, id, true, label);
+    return id;
+}
+
+bool network::send(connection_id connection, const message& value) {
+    const auto found =
+        connections_.find(static_cast<std::uint64_t>(connection));
+    if (found == connections_.end())
+        return false;
+    connection_record& record = found->second;
+    if (record.output.size() - record.written > max_pending_bytes) {
+        drop(connection, "send queue is full");
+        return false;
+    }
+    const bool idle = record.output.empty();
+    record.output += encode_frame(value);
+    if (idle && !record.connecting)
+        flush(connection);
+    return true;
+}
+
+void network::close(connection_id connection) {
+    const auto found =
+        connections_.find(static_cast<std::uint64_t>(connection));
+    if (found == connections_.end())
+        return;
+    core_.unwatch(found->second.descriptor);
+    ::close(found->second.descriptor);
+    connections_.erase(found);
+}
+
+void network::send_datagram(const address& remote, const message& value) {
+    const auto raw = to_socket_address(remote);
+    const std::string payload = encode_payload(value);
+    if (!raw || payload.size() > max_datagram_bytes)
+        return;
+    const auto sent =
+        sendto(datagrams_, payload.data(), payload.size(), 0,
+               reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
+    if (sent > 0)
+        sent_bytes_ += static_cast<std::uint64_t>(sent);
+}
+
+void network::accept_all() {
+    for (;;) {
+        sockaddr_in raw{};
+        socklen_t size = sizeof(raw);
+        const int descriptor =
+            accept4(listener_, reinterpret_cast<sockaddr*>(&raw), &size,
+                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+            return;
+        const connection_id id{next_connection_++};
+        add_connection(descriptor, id, false,
+                       to_string(from_socket_address(raw)));
+        handlers_.opened(id, false);
+    }
+}
+
+void network::add_connection(int descriptor, connection_id id, bool connecting,
+                             std::string label) {
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    connection_record record;
+    record.descriptor = descriptor;
+    record.connecting = connecting;
+    record.label = std::move(label);
+    connections_.emplace(static_cast<std::uint64_t>(id), std::move(record));
+    core_.watch(descriptor, connecting ? EPOLLOUT : EPOLLIN,
+                [this, id](std::uint32_t events) { on_events(id, events); });
+}
+
+void network::on_events(connection_id id, std::uint32_t events) {
+    const auto found = connections_.find(static_cast<std::uint64_t>(id));
+    if (found == connections_.end())
+        return;
+    if (found->second.connecting) {
+        finish_connect(id);
+        return;
+    }
+    if ((events & EPOLLOUT) != 0U)
+        flush(id);
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0U)
+        read_all(id);
+}
+
+void network::finish_connect(connection_id id) {
+    connection_record& record = connections_.at(static_cast<std::uint64_t>(id));
+    int status = 0;
+    socklen_t size = sizeof(status);
+    getsockopt(record.descriptor, SOL_SOCKET, SO_ERROR, &status, &size);
+    if (status != 0) {
+        drop(id, std::strerror(status));
+        return;
+    }
+    record.connecting = false;
+    core_.rewatch(record.descriptor, EPOLLIN);
+    handlers_.opened(id, true);
+    flush(id);
+}
+
+void network::read_all(connection_id id) {
+    static thread_local std::vector<char> buffer(read_bytes);
+    const auto found = connections_.find(static_cast<std::uint64_t>(id));
+    if (found == connections_.end())
+        return;
+    const auto count =
+        recv(found->second.descriptor, buffer.data(), buffer.size(), 0);
+    if (count == 0) {
+        drop(id, "closed by the peer");
+        return;
+    }
+    if (count < 0) {
+        if (errno != EAGAIN && errno != EINTR)
+            drop(id, system_message());
+        return;
+    }
+    received_bytes_ += static_cast<std::uint64_t>(count);
+    found->second.input.append(buffer.data(), static_cast<std::size_t>(count));
+    deliver_frames(id);
+}
+
+void network::deliver_frames(connection_id id) {
+    std::size_t offset = 0;
+    for (;;) {
+        const auto found = connections_.find(static_cast<std::uint64_t>(id));
+        if (found == connections_.end())
+            return;
+        connection_record& record = found->second;
+        const std::string_view rest =
+            std::string_view(record.input).substr(offset);
+        if (rest.size() < frame_header_bytes) {
+            record.input.erase(0, offset);
+            return;
+        }
+        error failure;
+        const auto header = value_or_error(
+            [&] { return decode_header(rest, record.label); }, failure);
+        if (!header) {
+            drop(id, to_string(failure));
+            return;
+        }
+        const std::size_t whole = frame_header_bytes + header->length;
+        if (rest.size() < whole) {
+            record.input.erase(0, offset);
+            return;
+        }
+        auto value = value_or_error(
+            [&] {
+                return decode_payload(
+                    rest.substr(frame_header_bytes, header->length),
+                    record.label);
+            },
+            failure);
+        if (!value) {
+            drop(id, to_string(failure));
+            return;
+        }
+        offset += whole;
+        handlers_.received(id, std::move(*value));
+    }
+}
+
+void network::flush(connection_id id) {
+    const auto found = connections_.find(static_cast<std::uint64_t>(id));
+    if (found == connections_.end())
+        return;
+    connection_record& record = found->second;
+    while (record.written < record.output.size()) {
+        const auto count =
+            ::send(record.descriptor, record.output.data() + record.written,
+                   record.output.size() - record.written, MSG_NOSIGNAL);
+        if (count < 0) {
+            if (errno == EAGAIN || errno == EINTR) {
+                core_.rewatch(record.descriptor, EPOLLIN | EPOLLOUT);
+                return;
+            }
+            drop(id, system_message());
+            return;
+        }
+        record.written += static_cast<std::size_t>(count);
+        sent_bytes_ += static_cast<std::uint64_t>(count);
+    }
+    record.output.clear();
+    record.written = 0;
+    core_.rewatch(record.descriptor, EPOLLIN);
+}
+
+void network::drop(connection_id id, const std::string& reason) {
+    close(id);
+    // Posted, so that a caller of `send` is not re-entered.
+    core_.post("network", [this, id, reason] { handlers_.closed(id, reason); });
+}
+
+void network::read_datagrams() {
+    static thread_local std::vector<char> buffer(max_datagram_bytes);
+    for (;;) {
+        sockaddr_in raw{};
+        socklen_t size = sizeof(raw);
+        const auto count = recvfrom(datagrams_, buffer.data(), buffer.size(), 0,
+                                    reinterpret_cast<sockaddr*>(&raw), &size);
+        if (count < 0)
+            return;
+        received_bytes_ += static_cast<std::uint64_t>(count);
+        const address from = from_socket_address(raw);
+        error ignored;
+        auto value = value_or_error(
+            [&] {
+                return decode_payload(
+                    {buffer.data(), static_cast<std::size_t>(count)},
+                    to_string(from));
+            },
+            ignored);
+        if (value)
+            handlers_.datagram(from, std::move(*value));
+    }
+}
+
+} // namespace ospreystage
