--- a/include/ospreystage/rollout.hpp
+++ b/include/ospreystage/rollout.hpp
@@ -119,8 +119,11 @@
 validate(const rollout_document& document);
 
 /// A field that differs between two documents.
+///
+/// Items of lists are addressed by their name (a traffic rule by its
+/// organisation), not by their position: `/deployments/desk-7b-v2/priority`.
 struct rollout_change {
-    std::string field;  ///< JSON pointer.
+    std::string field;  ///< JSON pointer with names in place of positions.
     std::string before; ///< JSON text, empty if absent.
     std::string after;  ///< JSON text, empty if absent.
 
