--- /dev/null
+++ b/include/ospreystage/impl/table_reader.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <ospreystage/address.hpp>
+#include <ospreystage/clock.hpp>
+#include <ospreystage/error.hpp>
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ospreystage::impl {
+
+/// Reads the keys of one TOML table and remembers the first fault.
+///
+/// A fault names file, line and key. After a fault every read returns its
+/// fallback, so that a reader can be written without checks in between.
+class table_reader {
+  public:
+    /// `table` may be null: every key is missing then.
+    table_reader(const toml::table* table, std::string path,
+                 const std::string& file, std::optional<error>& fault);
+
+    // ---- Values ------------------------------------------------------------
+
+    /// Reads a string; without a fallback the key must be there, not empty.
+    [[nodiscard]] std::string text(const char* key,
+                                   std::optional<std::string> fallback = {});
+
+    /// Reads a string that must be one of `choices`.
+    [[nodiscard]] std::string choice(const char* key,
+                                     const std::vector<std::string>& choices,
+                                     std::optional<std::string> fallback = {});
+
+    /// Reads an integer within [least, most].
+    [[nodiscard]] std::uint64_t number(const char* key, std::uint64_t least,
+                                       std::uint64_t most,
+                                       std::uint64_t fallback);
+
+    /// Reads an integer of 32 bits.
+    [[nodiscard]] std::uint32_t number32(const char* key, std::uint32_t least,
+                                         std::uint32_t most,
+                                         std::uint32_t fallback);
+
+    /// Reads a boolean.
+    [[nodiscard]] bool flag(const char* key, bool fallback);
+
+    /// Reads a duration such as `"500ms"`, `"2s"` or `"10min"`.
+    [[nodiscard]] milliseconds duration(const char* key, milliseconds least,
+                                        milliseconds most,
+                                        milliseconds fallback);
+
+    /// Reads `"host:port"`.
+    [[nodiscard]] address endpoint(const char* key);
+
+    /// Reads an array of strings.
+    [[nodiscard]] std::vector<std::string> texts(const char* key);
+
+    /// Returns the tables of an array of tables.
+    [[nodiscard]] std::vector<table_reader> tables(const char* key);
+
+    /// Returns a sub-table; it may be missing.
+    [[nodiscard]] table_reader table(const char* key);
+
+    // ---- End ---------------------------------------------------------------
+
+    /// Reports the first key that was not read.
+    void finish();
+
+    /// Records a fault at `key`, unless there is one already.
+    void report(const char* key, const std::string& detail);
+
+  private:
+    [[nodiscard]] const toml::node* node(const char* key);
+    void report_at(const toml::source_region& where, const std::string& key,
+                   const std::string& detail);
+
+    const toml::table* table_;
+    std::string path_;
+    const std::string& file_;
+    std::optional<error>& fault_;
+    std::set<std::string> read_;
+};
+
+} // namespace ospreystage::impl
