--- /dev/null
+++ b/src/ctl.cpp
@@ -0,0 +1,157 @@
+#include <ospreystage/commands.hpp>
+#include <ospreystage/rollout.hpp>
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr seconds call_timeout{15};
+constexpr const char* base = "/admin/v1/rollout";
+
+/// Answer of an entry; `status` 0 means that there was none.
+struct reply {
+    int status = 0;
+    nlohmann::json body;
+    std::string text;
+};
+
+reply to_reply(const httplib::Result& result) {
+    reply out;
+    if (!result) {
+        out.text = httplib::to_string(result.error());
+        return out;
+    }
+    out.status = result->status;
+    out.text = result->body;
+    out.body = nlohmann::json::parse(result->body, nullptr, false);
+    return out;
+}
+
+httplib::Client make_client(const ctl_options& options) {
+    httplib::Client client(options.entry);
+    client.set_connection_timeout(call_timeout);
+    client.set_read_timeout(call_timeout);
+    client.set_bearer_token_auth(options.token.c_str());
+    return client;
+}
+
+reply get(const ctl_options& options, const std::string& path) {
+    return to_reply(make_client(options).Get(path.c_str()));
+}
+
+reply post(const ctl_options& options, const std::string& path,
+           const nlohmann::json& body) {
+    return to_reply(make_client(options).Post(path.c_str(), body.dump(),
+                                              "application/json"));
+}
+
+exit_code print(const reply& answer) {
+    if (answer.status == 0) {
+        std::cerr << "entry did not answer: " << answer.text << '\n';
+        return exit_code::unreachable;
+    }
+    const bool is_json = !answer.body.is_discarded();
+    (answer.status < 300 ? std::cout : std::cerr)
+        << (is_json ? answer.body.dump(2) : answer.text) << '\n';
+    if (answer.status == 202)
+        return exit_code::not_known;
+    if (answer.status < 300)
+        return exit_code::success;
+    return answer.status == 401 ? exit_code::usage : exit_code::refused;
+}
+
+std::optional<nlohmann::json> read_document(const std::string& file) {
+    std::ostringstream text;
+    const std::ifstream in(file);
+    if (!in) {
+        std::cerr << file << ": cannot be read\n";
+        return std::nullopt;
+    }
+    text << in.rdbuf();
+    auto document = nlohmann::json::parse(text.str(), nullptr, false);
+    if (document.is_discarded()) {
+        std::cerr << file << ": is not JSON\n";
+        return std::nullopt;
+    }
+    return document;
+}
+
+std::string new_operation_id() {
+    return fmt::format("ctl-{}", new_incarnation());
+}
+
+/// Returns the operation to use, and tells the operator its id up front.
+std::string operation_of(const ctl_options& options) {
+    const std::string id = options.operation_id.empty() ? new_operation_id()
+                                                        : options.operation_id;
+    std::cerr << "operation " << id << '\n';
+    return id;
+}
+
+exit_code post_document(const ctl_options& options, const std::string& path) {
+    const auto document = read_document(options.file);
+    if (!document)
+        return exit_code::usage;
+    return print(post(options, path, *document));
+}
+
+} // namespace
+
+exit_code ctl_validate(const ctl_options& options) {
+    return post_document(options, std::string(base) + "/validate");
+}
+
+exit_code ctl_diff(const ctl_options& options) {
+    return post_document(options, std::string(base) + "/diff");
+}
+
+exit_code ctl_apply(const ctl_options& options) {
+    const auto document = read_document(options.file);
+    if (!document)
+        return exit_code::usage;
+    return print(post(
+        options, base,
+        {{"operation_id", operation_of(options)}, {"document", *document}}));
+}
+
+exit_code ctl_operation(const ctl_options& options) {
+    return print(get(
+        options, fmt::format("{}/operations/{}", base, options.operation_id)));
+}
+
+exit_code ctl_status(const ctl_options& options) {
+    return print(get(options, fmt::format("{}/status", base)));
+}
+
+exit_code ctl_show(const ctl_options& options) {
+    if (options.number == 0)
+        return print(get(options, base));
+    return print(
+        get(options, fmt::format("{}/history/{}", base, options.number)));
+}
+
+exit_code ctl_history(const ctl_options& options) {
+    return print(get(options, fmt::format("{}/history", base)));
+}
+
+exit_code ctl_rollback(const ctl_options& options) {
+    return print(post(
+        options, fmt::format("{}/rollback", base),
+        {{"operation_id", operation_of(options)}, {"to", options.number}}));
+}
+
+exit_code ctl_dump(const ctl_options& options) {
+    return print(get(options, "/admin/v1/dump"));
+}
+
+} // namespace ospreystage
--- a/src/exchange_table.cpp
+++ b/src/exchange_table.cpp
@@ -4,10 +4,6 @@
 
 namespace ospreystage {
 
-const char* to_string(outcome value) noexcept {
-    return value == outcome::not_run ? "not-run" : "unknown";
-}
-
 request_id exchange_table::open() {
     const absl::MutexLock lock(&mutex_);
     const request_id id = next_id_++;
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,79 @@
+#include <ospreystage/http_server.hpp>
+
+#include <httplib.h>
+#include <openssl/crypto.h>
+
+#include <cstring>
+#include <ctime>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr std::time_t keep_alive_seconds = 5;
+constexpr std::size_t keep_alive_requests = 1000;
+constexpr const char* bearer = "Bearer ";
+
+} // namespace
+
+http_server::http_server(std::uint32_t threads)
+    : server_(std::make_unique<httplib::Server>()) {
+    server_->new_task_queue = [threads] {
+        return new httplib::ThreadPool(threads);
+    };
+    server_->set_tcp_nodelay(true);
+    server_->set_keep_alive_timeout(keep_alive_seconds);
+    server_->set_keep_alive_max_count(keep_alive_requests);
+    // The library's default sets SO_REUSEPORT, which would let two processes
+    // share an address in use.
+    server_->set_socket_options([](socket_t descriptor) {
+        const int on = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
+}
+
+http_server::~http_server() {
+    stop();
+}
+
+httplib::Server& http_server::routes() noexcept {
+    return *server_;
+}
+
+leaf::result<void> http_server::start(const address& local) {
+    if (!server_->bind_to_port(local.host.c_str(), local.port))
+        return fail(error_code::unavailable, "http.listen", to_string(local),
+                    "address in use or not available");
+    thread_ = std::thread([this] { server_->listen_after_bind(); });
+    return {};
+}
+
+void http_server::stop() {
+    if (!thread_.joinable())
+        return;
+    server_->stop();
+    thread_.join();
+}
+
+void answer_json(httplib::Response& response, int status,
+                 const nlohmann::json& body) {
+    response.status = status;
+    response.set_content(
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+        "application/json");
+}
+
+std::string bearer_token(const httplib::Request& request) {
+    const std::string value = request.get_header_value("Authorization");
+    if (!value.starts_with(bearer))
+        return "";
+    return value.substr(std::strlen(bearer));
+}
+
+bool has_token(const httplib::Request& request, const std::string& token) {
+    const std::string given = bearer_token(request);
+    return !token.empty() && given.size() == token.size() &&
+           CRYPTO_memcmp(given.data(), token.data(), token.size()) == 0;
+}
+
+} // namespace ospreystage
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,144 @@
+#include <ospreystage/commands.hpp>
+
 #include <CLI/CLI.hpp>
 
-#include <cstdio>
+#include <csignal>
+#include <functional>
+#include <iostream>
+
+using namespace ospreystage;
+
+namespace {
+
+using command = std::function<exit_code()>;
+
+constexpr const char* exit_codes =
+    "Exit codes: 0 done; 1 refused or invalid; 2 wrong arguments or "
+    "settings; 3 outcome not yet known; 4 the entry did not answer.";
+
+/// Loads settings for `role`; prints the fault and returns nothing otherwise.
+std::optional<settings> settings_for(const std::string& file,
+                                     process_role role) {
+    error failure;
+    auto value = value_or_error([&] { return load_settings(file); }, failure);
+    if (!value) {
+        std::cerr << failure.detail << '\n';
+        return std::nullopt;
+    }
+    if (value->process.role != role) {
+        std::cerr << file << ": process.role names the other role\n";
+        return std::nullopt;
+    }
+    return value;
+}
+
+void add_process(CLI::App& app, const char* name, const char* description,
+                 process_role role, exit_code (*run)(const settings&),
+                 command& chosen) {
+    CLI::App* sub = app.add_subcommand(name, description);
+    auto file = std::make_shared<std::string>();
+    sub->add_option("--settings", *file, "Settings file (TOML)")->required();
+    sub->callback([file, role, run, &chosen] {
+        chosen = [file, role, run] {
+            const auto configuration = settings_for(*file, role);
+            return configuration ? run(*configuration) : exit_code::usage;
+        };
+    });
+}
+
+void add_check(CLI::App& app, command& chosen) {
+    CLI::App* check = app.add_subcommand("check", "Check files without effect");
+    check->require_subcommand(1);
+    const auto add = [&](const char* name, const char* description,
+                         exit_code (*run)(const std::vector<std::string>&)) {
+        CLI::App* sub = check->add_subcommand(name, description);
+        auto files = std::make_shared<std::vector<std::string>>();
+        sub->add_option("files", *files, "Files to check")->required();
+        sub->callback([files, run, &chosen] {
+            chosen = [files, run] { return run(*files); };
+        });
+    };
+    add("settings", "Check settings files (TOML)", check_settings);
+    add("rollout", "Check rollout documents (JSON)", check_rollouts);
+}
+
+/// Adds one `ctl` subcommand that runs `run` on the shared options.
+CLI::App* add_call(CLI::App& parent, const char* name, const char* description,
+                   exit_code (*run)(const ctl_options&), ctl_options& options,
+                   command& chosen) {
+    CLI::App* sub = parent.add_subcommand(name, description);
+    sub->callback([run, &options, &chosen] {
+        chosen = [run, &options] { return run(options); };
+    });
+    return sub;
+}
+
+void add_rollout(CLI::App& ctl, ctl_options& options, command& chosen) {
+    CLI::App* rollout =
+        ctl.add_subcommand("rollout", "Read and change the rollout document");
+    rollout->require_subcommand(1);
+    const auto add = [&](const char* name, const char* description,
+                         exit_code (*run)(const ctl_options&)) {
+        return add_call(*rollout, name, description, run, options, chosen);
+    };
+    const auto needs_file = [&](CLI::App* sub) {
+        sub->add_option("file", options.file, "Rollout document (JSON)")
+            ->required();
+        return sub;
+    };
+    const auto takes_operation = [&](CLI::App* sub) {
+        sub->add_option("--operation", options.operation_id,
+                        "Operation id, to repeat an earlier call safely");
+        return sub;
+    };
+    needs_file(add("validate", "List what blocks a document", ctl_validate));
+    needs_file(add("diff", "Compare a file with what is in force", ctl_diff));
+    takes_operation(needs_file(add("apply", "Submit a document", ctl_apply)));
+    add("operation", "Ask what became of an operation", ctl_operation)
+        ->add_option("id", options.operation_id, "Operation id")
+        ->required();
+    add("status", "Show what is in force on each VM", ctl_status);
+    add("show", "Print a document", ctl_show)
+        ->add_option("--revision", options.number, "Revision; 0: in force");
+    add("history", "List accepted revisions", ctl_history);
+    takes_operation(
+        add("rollback", "Accept an earlier content again", ctl_rollback))
+        ->add_option("--to", options.number, "Revision to return to")
+        ->required();
+}
+
+void add_ctl(CLI::App& app, ctl_options& options, command& chosen) {
+    CLI::App* ctl = app.add_subcommand("ctl", "Operate a running system");
+    ctl->require_subcommand(1);
+    ctl->add_option("--entry", options.entry, "URL of any entry or agent");
+    ctl->add_option("--token", options.token, "Operator's token")
+        ->envname("OSPREYSTAGE_TOKEN");
+    add_rollout(*ctl, options, chosen);
+    add_call(*ctl, "dump", "Print a process's state", ctl_dump, options,
+             chosen);
+}
+
+} // namespace
 
 int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
     CLI::App app{"Weight distribution for bursts"};
     app.set_version_flag("--version", OSPREYSTAGE_VERSION);
-    CLI11_PARSE(app, argc, argv);
-    return 0;
+    app.require_subcommand(1);
+    app.footer(exit_codes);
+    command chosen;
+    ctl_options options;
+    add_process(app, "entry", "Run an entry", process_role::entry, run_entry,
+                chosen);
+    add_process(app, "agent", "Run an agent", process_role::agent, run_agent,
+                chosen);
+    add_check(app, chosen);
+    add_ctl(app, options, chosen);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        const int status = app.exit(problem);
+        return status == 0 ? 0 : static_cast<int>(exit_code::usage);
+    }
+    return static_cast<int>(chosen());
 }
