--- /dev/null
+++ b/tests/support/local_node.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <ospreystage/links.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace ospreystage::support {
+
+/// Settings of a minimal process that listens on loopback.
+[[nodiscard]] settings node_settings(const std::string& name,
+                                     std::uint16_t peer_port);
+
+/// Returns a free TCP port of loopback.
+[[nodiscard]] std::uint16_t free_port();
+
+/// A kernel with `network` and `links` on a thread of its own.
+///
+/// Subscribe through `link_layer` before `start`.
+class local_node {
+  public:
+    local_node(const std::string& name, std::uint16_t port,
+               std::uint64_t incarnation, std::string token = "token");
+    ~local_node();
+    local_node(const local_node&) = delete;
+    local_node& operator=(const local_node&) = delete;
+
+    /// Listens and runs; throws if the address is in use.
+    void start();
+
+    /// Ends the kernel's thread.
+    void stop();
+
+    kernel core;
+    settings configuration;
+    links* link_layer = nullptr;
+
+  private:
+    std::thread thread_;
+};
+
+} // namespace ospreystage::support
