Add the request gate of the agent

Cause: an agent needs one place that decides whether an attempt may start, and that remembers which attempts started. Ruled out: forgetting history by count (a started attempt that is no longer listed would be told as not run): a full history refuses new attempts instead. Dropping non-idempotent attempts when a link breaks: they run to their end and their answer is sent again on the next connection. Change: gate with queue, seals, epochs, kept answers and drain. Sequences of attempts start at 1; those up to the highest forgotten one are void. Conclusion: the agent's shell can be written against it.

--- /dev/null
+++ b/src/gate.cpp
@@ -0,0 +1,281 @@
+#include <ospreystage/gate.hpp>
+
+#include <algorithm>
+
+namespace ospreystage {
+
+gate::gate(process_id self, const settings& configuration)
+    : self_(std::move(self)), capacity_(configuration.backend_server.capacity),
+      queue_limit_(configuration.backend_server.queue) {}
+
+// ---- Observers -------------------------------------------------------------
+
+std::uint32_t gate::running() const noexcept {
+    return static_cast<std::uint32_t>(running_.size());
+}
+
+std::uint32_t gate::queued() const noexcept {
+    return static_cast<std::uint32_t>(queue_.size());
+}
+
+bool gate::idle() const noexcept {
+    return running_.empty() && queue_.empty();
+}
+
+bool gate::is_leaving() const noexcept {
+    return leaving_;
+}
+
+bool gate::uses(const digest& version) const {
+    const auto needs = [&](const attempt_id& attempt) {
+        return attempts_.at(attempt).order.version == version;
+    };
+    return std::any_of(running_.begin(), running_.end(), needs) ||
+           std::any_of(queue_.begin(), queue_.end(),
+                       [&](const auto& place) { return needs(place.second); });
+}
+
+nlohmann::json gate::dump() const {
+    nlohmann::json state;
+    state["running"] = nlohmann::json::array();
+    for (const attempt_id& attempt : running_)
+        state["running"].push_back(to_string(attempt));
+    state["queued"] = nlohmann::json::array();
+    for (const auto& [place, attempt] : queue_)
+        state["queued"].push_back(to_string(attempt));
+    state["entries"] = nlohmann::json::object();
+    for (const auto& [name, record] : entries_)
+        state["entries"][name] = {{"incarnation", record.entry.incarnation},
+                                  {"epoch", record.epoch}};
+    state["service"] = served_.name;
+    state["versions"] = served_.versions;
+    state["in_force"] = served_.in_force;
+    state["leaving"] = leaving_;
+    state["remembered"] = attempts_.size();
+    state["kept_bytes"] = kept_bytes_;
+    state["started_total"] = started_total_;
+    state["refused_total"] = refused_total_;
+    return state;
+}
+
+// ---- What may be served ----------------------------------------------------
+
+gate::actions gate::set_service(gate_service served, instant now) {
+    served_ = std::move(served);
+    actions out;
+    std::vector<std::pair<attempt_id, refusal>> gone;
+    for (const auto& [place, attempt] : queue_) {
+        const auto reason = find_service_refusal(attempts_.at(attempt).order);
+        if (reason)
+            gone.emplace_back(attempt, *reason);
+    }
+    for (const auto& [attempt, reason] : gone)
+        seal_queued(attempt, reason, now, out);
+    return out;
+}
+
+void gate::set_leaving() {
+    leaving_ = true;
+}
+
+// ---- Entries ---------------------------------------------------------------
+
+gate::actions gate::on_run_order(const process_id& entry, std::uint64_t epoch,
+                                 const run_order& order, instant now) {
+    actions out;
+    const auto known = attempts_.find(order.attempt);
+    if (known != attempts_.end()) {
+        if (known->second.state == phase::sealed)
+            refuse(order, refusal::sealed, now, out);
+        return out;
+    }
+    const auto reason = find_refusal(entry, epoch, order);
+    if (reason) {
+        refuse(order, *reason, now, out);
+        return out;
+    }
+    record_entry(entry, epoch);
+    attempt_record record;
+    record.state = phase::queued;
+    record.order = order;
+    record.epoch = epoch;
+    record.deadline = now + milliseconds{order.deadline_ms};
+    record.answer_kept = order.non_idempotent;
+    attempts_.emplace(order.attempt, std::move(record));
+    queue_.emplace(queue_place{order.priority, ++arrivals_}, order.attempt);
+    start_queued(now, out);
+    return out;
+}
+
+gate::actions gate::on_seal_order(const process_id& entry,
+                                  const seal_order& order, instant now) {
+    actions out;
+    record_entry(entry, 0);
+    const auto known = attempts_.find(order.attempt);
+    if (known == attempts_.end()) {
+        run_order unknown;
+        unknown.attempt = order.attempt;
+        refuse(unknown, refusal::sealed, now, out);
+        return out;
+    }
+    switch (known->second.state) {
+    case phase::queued:
+        seal_queued(order.attempt, refusal::sealed, now, out);
+        break;
+    case phase::sealed:
+        out.push_back(
+            gate_send{entry, run_refused{order.attempt, refusal::sealed, 0}});
+        break;
+    case phase::running:
+    case phase::ended:
+        out.push_back(gate_send{entry, seal_failed{order.attempt}});
+        break;
+    }
+    start_queued(now, out);
+    return out;
+}
+
+gate::actions gate::on_cancel_order(const process_id& entry,
+                                    const cancel_order& order, instant now) {
+    actions out;
+    const auto known = attempts_.find(order.attempt);
+    if (known == attempts_.end() || known->second.state == phase::queued)
+        return on_seal_order(entry, seal_order{order.attempt}, now);
+    attempt_record& record = known->second;
+    if (record.state != phase::running || record.order.non_idempotent)
+        return out;
+    out.push_back(gate_cancel{order.attempt});
+    finish(order.attempt, record, now);
+    start_queued(now, out);
+    return out;
+}
+
+gate::link_result gate::on_link_up(const process_id& entry, std::uint64_t epoch,
+                                   instant now) {
+    link_result result;
+    const entry_record& latest = record_entry(entry, epoch);
+    if (latest.entry != entry || latest.epoch != epoch)
+        return result;
+    std::vector<attempt_id> queued;
+    std::vector<attempt_id> cancelled;
+    for (auto& [attempt, record] : attempts_) {
+        if (attempt.entry.name != entry.name)
+            continue;
+        const bool current = attempt.entry == entry;
+        if (record.state == phase::queued)
+            queued.push_back(attempt);
+        if (record.state == phase::running && !record.order.non_idempotent)
+            cancelled.push_back(attempt);
+        if (!current)
+            continue;
+        if (record.state == phase::running || record.state == phase::ended)
+            result.started.push_back(attempt);
+        if (record.order.non_idempotent)
+            replay(attempt, record, result.effects);
+    }
+    for (const attempt_id& attempt : queued)
+        seal_queued(attempt, refusal::stale_epoch, now, result.effects);
+    for (const attempt_id& attempt : cancelled) {
+        result.effects.push_back(gate_cancel{attempt});
+        finish(attempt, attempts_.at(attempt), now);
+    }
+    start_queued(now, result.effects);
+    return result;
+}
+
+gate::actions gate::on_link_down(const process_id& entry, std::uint64_t epoch,
+                                 instant now) {
+    // The entry may come back on a higher epoch: nothing is decided here, so
+    // that running attempts end whole. Deadlines bound what is left over.
+    static_cast<void>(entry);
+    static_cast<void>(epoch);
+    static_cast<void>(now);
+    return {};
+}
+
+// ---- Back end --------------------------------------------------------------
+
+gate::actions gate::on_begin(const attempt_id& attempt, std::uint16_t status,
+                             const std::string& content_type,
+                             const digest& version, instant now) {
+    actions out;
+    attempt_record* record = find_running(attempt);
+    if (record == nullptr)
+        return out;
+    const bool wrong_version =
+        served_.engine && version != record->order.version;
+    if (wrong_version || record->begun) {
+        out.push_back(gate_cancel{attempt});
+        fail_running(attempt, *record,
+                     wrong_version ? "version differs" : "answer began twice",
+                     now, out);
+        return out;
+    }
+    record->begun = true;
+    emit(*record, answer_begin{attempt, status, content_type, version}, out);
+    return out;
+}
+
+gate::actions gate::on_part(const attempt_id& attempt, std::string data,
+                            instant now) {
+    actions out;
+    attempt_record* record = find_running(attempt);
+    if (record == nullptr)
+        return out;
+    if (!record->begun) {
+        out.push_back(gate_cancel{attempt});
+        fail_running(attempt, *record, "part before begin", now, out);
+        return out;
+    }
+    emit(*record, answer_part{attempt, record->parts++, std::move(data)}, out);
+    return out;
+}
+
+gate::actions gate::on_end(const attempt_id& attempt, instant now) {
+    actions out;
+    attempt_record* record = find_running(attempt);
+    if (record == nullptr)
+        return out;
+    if (!record->begun) {
+        fail_running(attempt, *record, "end before begin", now, out);
+        return out;
+    }
+    emit(*record, answer_end{attempt, record->parts}, out);
+    finish(attempt, *record, now);
+    start_queued(now, out);
+    return out;
+}
+
+gate::actions gate::on_failed(const attempt_id& attempt, bool reached,
+                              const std::string& detail, instant now) {
+    actions out;
+    attempt_record* record = find_running(attempt);
+    if (record == nullptr)
+        return out;
+    if (reached) {
+        fail_running(attempt, *record, detail, now, out);
+        return out;
+    }
+    running_.erase(attempt);
+    record->state = phase::sealed;
+    drop_answer(*record);
+    forget_later(attempt, *record, now);
+    ++refused_total_;
+    out.push_back(gate_send{
+        attempt.entry, run_refused{attempt, refusal::back_end_unreachable, 0}});
+    start_queued(now, out);
+    return out;
+}
+
+// ---- Time ------------------------------------------------------------------
+
+gate::actions gate::tick(instant now) {
+    actions out;
+    expire_queued(now, out);
+    stop_overdue(now, out);
+    start_queued(now, out);
+    forget_old(now);
+    return out;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/gate_details.cpp
@@ -0,0 +1,245 @@
+#include <ospreystage/gate.hpp>
+
+#include <algorithm>
+
+namespace ospreystage {
+
+namespace {
+
+/// Time after its deadline for which a finished attempt is remembered.
+constexpr milliseconds history_slack{10'000};
+
+/// Attempts remembered at once; beyond it new ones are refused.
+constexpr std::size_t max_history = 50'000;
+
+/// Bytes of kept answers of all non-idempotent attempts together.
+constexpr std::size_t max_kept_bytes = 32 * 1024 * 1024;
+
+/// Time a caller waits after a full queue before it comes back.
+constexpr milliseconds overload_retry_after{250};
+
+std::size_t frame_bytes(const message& frame) {
+    const auto* part = std::get_if<answer_part>(&frame);
+    return part != nullptr ? part->data.size() : 0;
+}
+
+bool contains(const std::vector<digest>& versions, const digest& version) {
+    return std::find(versions.begin(), versions.end(), version) !=
+           versions.end();
+}
+
+} // namespace
+// ---- Details ---------------------------------------------------------------
+
+std::optional<refusal> gate::find_refusal(const process_id& entry,
+                                          std::uint64_t epoch,
+                                          const run_order& order) const {
+    if (order.agent != self_)
+        return refusal::wrong_incarnation;
+    const auto found = entries_.find(entry.name);
+    if (found != entries_.end()) {
+        const entry_record& latest = found->second;
+        if (std::pair(entry.incarnation, epoch) <
+            std::pair(latest.entry.incarnation, latest.epoch))
+            return refusal::stale_epoch;
+        if (latest.entry == entry && order.attempt.sequence <= latest.forgotten)
+            return refusal::sealed;
+    }
+    if (order.attempt.entry != entry)
+        return refusal::sealed;
+    if (leaving_)
+        return refusal::leaving;
+    if (order.deadline_ms == 0)
+        return refusal::expired;
+    const auto reason = find_service_refusal(order);
+    if (reason)
+        return reason;
+    const bool full = running() >= capacity_ && queued() >= queue_limit_;
+    if (full || attempts_.size() >= max_history)
+        return refusal::overloaded;
+    return std::nullopt;
+}
+
+std::optional<refusal>
+gate::find_service_refusal(const run_order& order) const {
+    if (!served_.in_force || order.service != served_.name)
+        return refusal::not_in_force;
+    if (served_.engine && !contains(served_.versions, order.version))
+        return refusal::version_not_held;
+    return std::nullopt;
+}
+
+gate::attempt_record* gate::find_running(const attempt_id& attempt) {
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end() || found->second.state != phase::running)
+        return nullptr;
+    return &found->second;
+}
+
+gate::entry_record& gate::record_entry(const process_id& entry,
+                                       std::uint64_t epoch) {
+    entry_record& record = entries_[entry.name];
+    if (entry.incarnation > record.entry.incarnation)
+        record = entry_record{entry, epoch, 0};
+    else if (entry == record.entry)
+        record.epoch = std::max(record.epoch, epoch);
+    return record;
+}
+
+void gate::refuse(const run_order& order, refusal reason, instant now,
+                  actions& out) {
+    ++refused_total_;
+    const milliseconds retry_after =
+        reason == refusal::overloaded ? overload_retry_after : milliseconds{0};
+    out.push_back(gate_send{
+        order.attempt.entry,
+        run_refused{order.attempt, reason,
+                    static_cast<std::uint32_t>(retry_after.count())}});
+    if (attempts_.contains(order.attempt) || attempts_.size() >= max_history)
+        return;
+    attempt_record record;
+    record.order.attempt = order.attempt;
+    record.deadline = now + milliseconds{order.deadline_ms};
+    const auto inserted =
+        attempts_.emplace(order.attempt, std::move(record)).first;
+    forget_later(order.attempt, inserted->second, now);
+}
+
+void gate::seal_queued(const attempt_id& attempt, refusal reason, instant now,
+                       actions& out) {
+    attempt_record& record = attempts_.at(attempt);
+    remove_from_queue(attempt);
+    record.state = phase::sealed;
+    record.order.body.clear();
+    ++refused_total_;
+    forget_later(attempt, record, now);
+    out.push_back(gate_send{attempt.entry, run_refused{attempt, reason, 0}});
+}
+
+void gate::forget_later(const attempt_id& attempt, attempt_record& record,
+                        instant now) {
+    record.forget_at = std::max(now, record.deadline) + history_slack;
+    forget_.emplace(record.forget_at, attempt);
+}
+
+void gate::remove_from_queue(const attempt_id& attempt) {
+    const auto found =
+        std::find_if(queue_.begin(), queue_.end(), [&](const auto& place) {
+            return place.second == attempt;
+        });
+    if (found != queue_.end())
+        queue_.erase(found);
+}
+
+void gate::finish(const attempt_id& attempt, attempt_record& record,
+                  instant now) {
+    running_.erase(attempt);
+    record.state = phase::ended;
+    forget_later(attempt, record, now);
+}
+
+void gate::fail_running(const attempt_id& attempt, attempt_record& record,
+                        const std::string& detail, instant now, actions& out) {
+    emit(record, run_failed{attempt, detail}, out);
+    finish(attempt, record, now);
+    start_queued(now, out);
+}
+
+void gate::emit(attempt_record& record, message frame, actions& out) {
+    keep_frame(record, frame);
+    out.push_back(gate_send{record.order.attempt.entry, std::move(frame)});
+}
+
+void gate::keep_frame(attempt_record& record, const message& frame) {
+    if (!record.answer_kept)
+        return;
+    const std::size_t bytes = frame_bytes(frame);
+    if (kept_bytes_ + bytes > max_kept_bytes) {
+        drop_answer(record);
+        return;
+    }
+    record.answer.push_back(frame);
+    record.answer_bytes += bytes;
+    kept_bytes_ += bytes;
+}
+
+void gate::drop_answer(attempt_record& record) {
+    kept_bytes_ -= record.answer_bytes;
+    record.answer_bytes = 0;
+    record.answer.clear();
+    record.answer_kept = false;
+}
+
+void gate::start_queued(instant now, actions& out) {
+    while (running_.size() < capacity_ && !queue_.empty()) {
+        const attempt_id attempt = queue_.begin()->second;
+        attempt_record& record = attempts_.at(attempt);
+        if (record.deadline <= now) {
+            seal_queued(attempt, refusal::expired, now, out);
+            continue;
+        }
+        queue_.erase(queue_.begin());
+        record.state = phase::running;
+        running_.insert(attempt);
+        ++started_total_;
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(record.deadline - now);
+        out.push_back(gate_start{record.order, left});
+        record.order.body.clear();
+    }
+}
+
+void gate::expire_queued(instant now, actions& out) {
+    std::vector<attempt_id> expired;
+    for (const auto& [place, attempt] : queue_) {
+        if (attempts_.at(attempt).deadline <= now)
+            expired.push_back(attempt);
+    }
+    for (const attempt_id& attempt : expired)
+        seal_queued(attempt, refusal::expired, now, out);
+}
+
+void gate::stop_overdue(instant now, actions& out) {
+    std::vector<attempt_id> overdue;
+    for (const attempt_id& attempt : running_) {
+        const attempt_record& record = attempts_.at(attempt);
+        if (record.deadline <= now && !record.order.non_idempotent)
+            overdue.push_back(attempt);
+    }
+    for (const attempt_id& attempt : overdue) {
+        out.push_back(gate_cancel{attempt});
+        fail_running(attempt, attempts_.at(attempt), "deadline passed", now,
+                     out);
+    }
+}
+
+void gate::forget_old(instant now) {
+    while (!forget_.empty() && forget_.begin()->first <= now) {
+        const attempt_id attempt = forget_.begin()->second;
+        forget_.erase(forget_.begin());
+        const auto found = attempts_.find(attempt);
+        if (found == attempts_.end())
+            continue;
+        const auto entry = entries_.find(attempt.entry.name);
+        if (entry != entries_.end() && entry->second.entry == attempt.entry)
+            entry->second.forgotten =
+                std::max(entry->second.forgotten, attempt.sequence);
+        drop_answer(found->second);
+        attempts_.erase(found);
+    }
+}
+
+void gate::replay(const attempt_id& attempt, const attempt_record& record,
+                  actions& out) const {
+    if (record.state != phase::running && record.state != phase::ended)
+        return;
+    if (!record.answer_kept) {
+        out.push_back(gate_send{attempt.entry,
+                                run_failed{attempt, "answer was not kept"}});
+        return;
+    }
+    for (const message& frame : record.answer)
+        out.push_back(gate_send{attempt.entry, frame});
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/tests/gate.cpp
@@ -0,0 +1,282 @@
+#include <ospreystage/gate.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace ospreystage;
+
+namespace {
+
+const process_id agent{"agent-1", 7};
+const process_id entry{"entry-1", 3};
+const digest version_a(64, 'a');
+const digest version_b(64, 'b');
+const instant start{std::chrono::hours{1}};
+
+settings gate_settings(std::uint32_t capacity, std::uint32_t queue) {
+    settings value;
+    value.backend_server.capacity = capacity;
+    value.backend_server.queue = queue;
+    return value;
+}
+
+gate serving_gate(std::uint32_t capacity = 2, std::uint32_t queue = 2) {
+    gate value(agent, gate_settings(capacity, queue));
+    static_cast<void>(
+        value.set_service({"pool", true, {version_a}, true}, start));
+    return value;
+}
+
+run_order order_of(std::uint64_t sequence) {
+    run_order order;
+    order.attempt = {entry, sequence};
+    order.agent = agent;
+    order.service = "pool";
+    order.version = version_a;
+    order.deadline_ms = 30'000;
+    return order;
+}
+
+run_order claimed_order_of(std::uint64_t sequence) {
+    run_order order = order_of(sequence);
+    order.non_idempotent = true;
+    order.idempotency_key = "key";
+    return order;
+}
+
+template <typename Message>
+std::vector<Message> sent(const gate::actions& actions) {
+    std::vector<Message> found;
+    for (const auto& action : actions) {
+        const auto* send = std::get_if<gate_send>(&action);
+        if (send == nullptr)
+            continue;
+        if (const auto* body = std::get_if<Message>(&send->body))
+            found.push_back(*body);
+    }
+    return found;
+}
+
+template <typename Action>
+std::vector<Action> all(const gate::actions& actions) {
+    std::vector<Action> found;
+    for (const auto& action : actions) {
+        if (const auto* wanted = std::get_if<Action>(&action))
+            found.push_back(*wanted);
+    }
+    return found;
+}
+
+refusal refusal_of(const gate::actions& actions) {
+    const auto refused = sent<run_refused>(actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(all<gate_start>(actions).empty());
+    return refused.front().reason;
+}
+
+} // namespace
+
+TEST_CASE("gate - an order for another incarnation is refused") {
+    gate value = serving_gate();
+    run_order order = order_of(1);
+    order.agent.incarnation = 6;
+    CHECK(refusal_of(value.on_run_order(entry, 1, order, start)) ==
+          refusal::wrong_incarnation);
+}
+
+TEST_CASE("gate - only versions that the engine holds pass") {
+    gate value = serving_gate();
+    run_order order = order_of(1);
+    order.version = version_b;
+    CHECK(refusal_of(value.on_run_order(entry, 1, order, start)) ==
+          refusal::version_not_held);
+    order = order_of(2);
+    order.service = "other";
+    CHECK(refusal_of(value.on_run_order(entry, 1, order, start)) ==
+          refusal::not_in_force);
+}
+
+TEST_CASE("gate - an expired order is refused") {
+    gate value = serving_gate();
+    run_order order = order_of(1);
+    order.deadline_ms = 0;
+    CHECK(refusal_of(value.on_run_order(entry, 1, order, start)) ==
+          refusal::expired);
+}
+
+TEST_CASE("gate - a full queue refuses and the refused never starts") {
+    gate value = serving_gate(1, 1);
+    CHECK(all<gate_start>(value.on_run_order(entry, 1, order_of(1), start))
+              .size() == 1);
+    CHECK(value.on_run_order(entry, 1, order_of(2), start).empty());
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(3), start)) ==
+          refusal::overloaded);
+    static_cast<void>(value.on_seal_order(entry, {{entry, 2}}, start));
+    CHECK(value.queued() == 0);
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(3), start)) ==
+          refusal::sealed);
+}
+
+TEST_CASE("gate - an order delayed behind its seal never runs") {
+    gate value = serving_gate();
+    const auto sealed = value.on_seal_order(entry, {{entry, 1}}, start);
+    CHECK(refusal_of(sealed) == refusal::sealed);
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(1), start)) ==
+          refusal::sealed);
+    const instant later = start + std::chrono::minutes{5};
+    static_cast<void>(value.tick(later));
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(1), later)) ==
+          refusal::sealed);
+}
+
+TEST_CASE("gate - a started attempt cannot be sealed") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    const auto actions = value.on_seal_order(entry, {{entry, 1}}, start);
+    CHECK(sent<seal_failed>(actions).size() == 1);
+    CHECK(sent<run_refused>(actions).empty());
+}
+
+TEST_CASE("gate - orders of an earlier epoch are void after a reconnect") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_link_up(entry, 2, start));
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(1), start)) ==
+          refusal::stale_epoch);
+}
+
+TEST_CASE("gate - a reconnect seals what is queued and lists what started") {
+    gate value = serving_gate(2, 4);
+    static_cast<void>(value.on_link_up(entry, 1, start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    static_cast<void>(value.on_run_order(entry, 1, claimed_order_of(2), start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(3), start));
+    CHECK(value.queued() == 1);
+    const auto result = value.on_link_up(entry, 2, start);
+    std::vector<attempt_id> started = result.started;
+    std::sort(started.begin(), started.end());
+    CHECK(started == std::vector<attempt_id>{{entry, 1}, {entry, 2}});
+    CHECK(value.queued() == 0);
+    const auto cancelled = all<gate_cancel>(result.effects);
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled.front().attempt == attempt_id{entry, 1});
+    CHECK(value.running() == 1);
+    CHECK(refusal_of(value.on_run_order(entry, 2, order_of(3), start)) ==
+          refusal::sealed);
+}
+
+TEST_CASE("gate - an ended attempt stays listed past its deadline") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    static_cast<void>(
+        value.on_begin({entry, 1}, 200, "text/plain", version_a, start));
+    static_cast<void>(value.on_end({entry, 1}, start));
+    const instant later = start + milliseconds{31'000};
+    static_cast<void>(value.tick(later));
+    CHECK(value.on_link_up(entry, 2, later).started.size() == 1);
+}
+
+TEST_CASE("gate - a kept answer is sent again from its first part") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, claimed_order_of(1), start));
+    static_cast<void>(
+        value.on_begin({entry, 1}, 200, "text/plain", version_a, start));
+    static_cast<void>(value.on_part({entry, 1}, "one", start));
+    static_cast<void>(value.on_part({entry, 1}, "two", start));
+    static_cast<void>(value.on_end({entry, 1}, start));
+    const auto result = value.on_link_up(entry, 2, start);
+    CHECK(sent<answer_begin>(result.effects).size() == 1);
+    const auto parts = sent<answer_part>(result.effects);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].index == 0);
+    CHECK(parts[1].data == "two");
+    REQUIRE(sent<answer_end>(result.effects).size() == 1);
+    CHECK(sent<answer_end>(result.effects).front().parts == 2);
+}
+
+TEST_CASE("gate - a restarted entry with the same sequences starts anew") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 5, order_of(1), start));
+    const process_id again{"entry-1", 4};
+    const auto result = value.on_link_up(again, 1, start);
+    CHECK(result.started.empty());
+    run_order order = order_of(1);
+    order.attempt.entry = again;
+    CHECK(all<gate_start>(value.on_run_order(again, 1, order, start)).size() ==
+          1);
+    CHECK(refusal_of(value.on_run_order(entry, 6, order_of(2), start)) ==
+          refusal::stale_epoch);
+}
+
+TEST_CASE("gate - an answer of another version is not passed on") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    const auto actions =
+        value.on_begin({entry, 1}, 200, "text/plain", version_b, start);
+    CHECK(sent<answer_begin>(actions).empty());
+    CHECK(sent<run_failed>(actions).size() == 1);
+    CHECK(all<gate_cancel>(actions).size() == 1);
+    CHECK(value.on_part({entry, 1}, "late", start).empty());
+}
+
+TEST_CASE("gate - a version that goes away refuses what is queued for it") {
+    gate value = serving_gate(1, 2);
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(2), start));
+    const auto actions =
+        value.set_service({"pool", true, {version_b}, true}, start);
+    CHECK(refusal_of(actions) == refusal::version_not_held);
+    CHECK(value.uses(version_a));
+    CHECK(value.running() == 1);
+}
+
+TEST_CASE("gate - a drain refuses new work and ends what it has") {
+    gate value = serving_gate(1, 2);
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(2), start));
+    value.set_leaving();
+    CHECK(refusal_of(value.on_run_order(entry, 1, order_of(3), start)) ==
+          refusal::leaving);
+    static_cast<void>(
+        value.on_begin({entry, 1}, 200, "text/plain", version_a, start));
+    const auto ended = value.on_end({entry, 1}, start);
+    CHECK(all<gate_start>(ended).size() == 1);
+    CHECK_FALSE(value.idle());
+    static_cast<void>(
+        value.on_begin({entry, 2}, 200, "text/plain", version_a, start));
+    static_cast<void>(value.on_end({entry, 2}, start));
+    CHECK(value.idle());
+}
+
+TEST_CASE("gate - a back end that was not reached seals the attempt") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    const auto refused =
+        value.on_failed({entry, 1}, false, "connection refused", start);
+    CHECK(refusal_of(refused) == refusal::back_end_unreachable);
+    static_cast<void>(value.on_run_order(entry, 1, order_of(2), start));
+    const auto failed = value.on_failed({entry, 2}, true, "reset", start);
+    CHECK(sent<run_failed>(failed).size() == 1);
+}
+
+TEST_CASE("gate - a cancelled non-idempotent attempt runs to its end") {
+    gate value = serving_gate();
+    static_cast<void>(value.on_run_order(entry, 1, claimed_order_of(1), start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(2), start));
+    CHECK(value.on_cancel_order(entry, {{entry, 1}}, start).empty());
+    const auto actions = value.on_cancel_order(entry, {{entry, 2}}, start);
+    CHECK(all<gate_cancel>(actions).size() == 1);
+    CHECK(value.running() == 1);
+}
+
+TEST_CASE("gate - an attempt past its deadline is stopped and reported") {
+    gate value = serving_gate(1, 2);
+    static_cast<void>(value.on_run_order(entry, 1, order_of(1), start));
+    static_cast<void>(value.on_run_order(entry, 1, order_of(2), start));
+    const auto actions = value.tick(start + milliseconds{30'000});
+    CHECK(sent<run_failed>(actions).size() == 1);
+    const auto refused = sent<run_refused>(actions);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.front().reason == refusal::expired);
+    CHECK(value.idle());
+}
