--- /dev/null
+++ b/include/ospreystage/engine_service.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <ospreystage/engine_state.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/settings.hpp>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ospreystage {
+
+/// Compares the engine of this VM with its target and orders what differs.
+///
+/// A thread of its own polls the engine; decisions run on the kernel thread.
+/// Every order carries the agent's incarnation as its fencing number.
+class engine_service {
+  public:
+    /// What the service needs; all called on the kernel thread.
+    struct dependencies {
+        std::function<engine_target()> target;
+        std::function<void(const engine_state&, std::vector<std::uint64_t>)>
+            observed;
+        std::function<void()> unreachable;
+    };
+
+    // ---- Construction ------------------------------------------------------
+
+    engine_service(kernel& core, const settings& configuration,
+                   std::uint64_t fence, dependencies needs);
+    ~engine_service();
+    engine_service(const engine_service&) = delete;
+    engine_service& operator=(const engine_service&) = delete;
+
+    /// Starts polling; call it once the kernel is about to run.
+    void start();
+
+    /// Ends polling and waits for the thread.
+    void stop();
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+  private:
+    struct observation {
+        engine_state state;
+        std::vector<std::uint64_t> prefixes;
+    };
+
+    void poll();
+    [[nodiscard]] std::optional<observation> observe();
+    [[nodiscard]] std::vector<engine_order> decide(const observation& seen);
+    void carry_out(const std::vector<engine_order>& orders);
+    void read_cache_events();
+    [[nodiscard]] bool wait_for_next_poll();
+
+    kernel& core_;
+    const settings& configuration_;
+    std::uint64_t fence_;
+    dependencies needs_;
+    std::thread thread_;
+    std::uint64_t next_cache_event_ = 0;  ///< Polling thread only.
+    std::vector<std::uint64_t> prefixes_; ///< Polling thread only.
+    std::uint64_t polls_ = 0;             ///< Kernel thread only.
+    std::uint64_t failures_ = 0;          ///< Kernel thread only.
+    std::uint64_t orders_ = 0;            ///< Kernel thread only.
+    engine_state latest_;                 ///< Kernel thread only.
+
+    absl::Mutex mutex_;
+    bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+} // namespace ospreystage
--- a/include/ospreystage/impl/table_reader.hpp
+++ b/include/ospreystage/impl/table_reader.hpp
@@ -28,13 +28,13 @@
     // ---- Values ------------------------------------------------------------
 
     /// Reads a string; without a fallback the key must be there, not empty.
-    [[nodiscard]] std::string text(const char* key,
-                                   std::optional<std::string> fallback = {});
+    [[nodiscard]] std::string
+    text(const char* key, const std::optional<std::string>& fallback = {});
 
     /// Reads a string that must be one of `choices`.
-    [[nodiscard]] std::string choice(const char* key,
-                                     const std::vector<std::string>& choices,
-                                     std::optional<std::string> fallback = {});
+    [[nodiscard]] std::string
+    choice(const char* key, const std::vector<std::string>& choices,
+           const std::optional<std::string>& fallback = {});
 
     /// Reads an integer within [least, most].
     [[nodiscard]] std::uint64_t number(const char* key, std::uint64_t least,
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -42,7 +42,8 @@
     /// Attempts of the peer's incarnation that this process has started;
     /// every other attempt sent on earlier epochs is sealed: it never runs.
     std::vector<attempt_id> started;
-    OSPREYSTAGE_FIELDS(sender, started)
+    process_role role = process_role::entry;
+    OSPREYSTAGE_FIELDS(sender, started, role)
 };
 
 /// Application heartbeat, sent in both directions on every connection.
--- /dev/null
+++ b/include/ospreystage/process.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <ospreystage/exit_code.hpp>
+#include <ospreystage/http_server.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/links.hpp>
+#include <ospreystage/metrics.hpp>
+#include <ospreystage/settings.hpp>
+
+#include <functional>
+
+namespace ospreystage {
+
+/// What entry and agent have in common: kernel, links, HTTP, signals.
+///
+/// Construct it before any other thread starts: it blocks the signals that
+/// it waits for.
+class process {
+  public:
+    explicit process(const settings& configuration);
+    ~process();
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] kernel& core() noexcept { return core_; }
+    [[nodiscard]] links& link_layer() noexcept { return *links_; }
+    [[nodiscard]] http_server& http() noexcept { return http_; }
+    [[nodiscard]] metrics& measures() noexcept { return metrics_; }
+    [[nodiscard]] const process_id& self() const noexcept { return self_; }
+
+    // ---- Life cycle --------------------------------------------------------
+
+    /// Calls `drain` on the kernel thread at SIGTERM or SIGINT, then stops
+    /// once `idle` holds for a moment or the drain limit has passed.
+    void on_stop(std::function<void()> drain, std::function<bool()> idle);
+
+    /// Stops at once, as when a newer incarnation has replaced this process.
+    void stop_now(const std::string& reason);
+
+    /// Listens, prints `ready` and runs until the process is stopped.
+    [[nodiscard]] exit_code run();
+
+  private:
+    void add_common_routes();
+    void watch_signals();
+    void begin_drain();
+    void check_drained();
+
+    const settings& configuration_;
+    process_id self_;
+    kernel core_;
+    links* links_ = nullptr;
+    metrics metrics_;
+    http_server http_;
+    std::function<void()> drain_;
+    std::function<bool()> idle_;
+    int signals_ = -1;
+    bool draining_ = false;
+    instant drain_started_{};
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/request_service.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <ospreystage/broker.hpp>
+#include <ospreystage/exchange_table.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/links.hpp>
+
+#include <memory>
+#include <string>
+
+namespace ospreystage {
+
+/// Shell of the broker: carries its actions to links and callers.
+class request_service {
+  public:
+    // ---- Construction ------------------------------------------------------
+
+    request_service(kernel& core, const settings& configuration,
+                    exchange_table& exchanges);
+
+    /// Subscribes to links and starts the tick; before `links::start`.
+    void start();
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Returns true if no request is in progress.
+    [[nodiscard]] bool idle() const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Takes a caller's request.
+    void begin(request_id id, incoming_request incoming);
+
+    /// The caller went away.
+    void cancel(request_id id);
+
+    /// Uses `document` from now on.
+    void set_document(std::shared_ptr<const rollout_document> document);
+
+    /// Replaces the agents that may get work.
+    void set_agents(std::vector<member> agents);
+
+    /// Refuses new requests; those in progress go on.
+    void set_leaving();
+
+  private:
+    template <typename Message>
+    void forward();
+    void perform(broker::actions actions);
+    void deliver(const std::string& process, const message& body);
+    void probe(const std::string& agent);
+
+    kernel& core_;
+    links& links_;
+    exchange_table& exchanges_;
+    broker broker_;
+};
+
+} // namespace ospreystage
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -186,8 +186,8 @@
                                httplib::Response& response) {
     const auto ended = std::make_shared<bool>(false);
     const bool events = begin.content_type.starts_with("text/event-stream");
-    const auto deliver = [ended, events, id](const exchange_event& event,
-                                             httplib::DataSink& sink) {
+    const auto deliver = [ended, events](const exchange_event& event,
+                                         httplib::DataSink& sink) {
         const auto finish = [&](const std::string& last) {
             if (!last.empty())
                 sink.write(last.data(), last.size());
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -92,8 +92,8 @@
 
 /// Returns the operation to use, and tells the operator its id up front.
 std::string operation_of(const ctl_options& options) {
-    const std::string id = options.operation_id.empty() ? new_operation_id()
-                                                        : options.operation_id;
+    std::string id = options.operation_id.empty() ? new_operation_id()
+                                                  : options.operation_id;
     std::cerr << "operation " << id << '\n';
     return id;
 }
--- /dev/null
+++ b/src/engine_service.cpp
@@ -0,0 +1,167 @@
+#include <ospreystage/engine_service.hpp>
+#include <ospreystage/log.hpp>
+
+#include <absl/time/time.h>
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr milliseconds poll_interval{150};
+constexpr milliseconds call_timeout{1000};
+constexpr std::size_t max_prefixes = 256;
+/// Hexadecimal digits of a block's hash that a load report carries.
+constexpr std::size_t prefix_digits = 15;
+
+httplib::Client make_client(const std::string& url) {
+    httplib::Client client(url);
+    client.set_connection_timeout(call_timeout);
+    client.set_read_timeout(call_timeout);
+    return client;
+}
+
+nlohmann::json order_body(const engine_order& order, std::uint64_t fence,
+                          const std::string& source) {
+    nlohmann::json body{{"fence", fence}, {"source", source}};
+    if (const auto* load = std::get_if<load_version>(&order)) {
+        body["op"] = "load";
+        body["version"] = load->version;
+    } else {
+        body["op"] = "drop";
+        body["version"] = std::get<drop_version>(order).version;
+    }
+    return body;
+}
+
+} // namespace
+
+engine_service::engine_service(kernel& core, const settings& configuration,
+                               std::uint64_t fence, dependencies needs)
+    : core_(core), configuration_(configuration), fence_(fence),
+      needs_(std::move(needs)) {}
+
+engine_service::~engine_service() {
+    stop();
+}
+
+void engine_service::start() {
+    thread_ = std::thread([this] { poll(); });
+}
+
+void engine_service::stop() {
+    {
+        const absl::MutexLock lock(&mutex_);
+        stopping_ = true;
+    }
+    if (thread_.joinable())
+        thread_.join();
+}
+
+nlohmann::json engine_service::dump() const {
+    return {{"polls", polls_},
+            {"failures", failures_},
+            {"orders", orders_},
+            {"held", latest_.held},
+            {"loading", latest_.loading},
+            {"fence", latest_.fence}};
+}
+
+void engine_service::poll() {
+    do {
+        const auto seen = observe();
+        if (!seen) {
+            core_.post("engine", [this] {
+                ++failures_;
+                needs_.unreachable();
+            });
+            continue;
+        }
+        const auto orders =
+            core_.call("engine", [this, &seen] { return decide(*seen); });
+        if (!orders)
+            return;
+        carry_out(*orders);
+    } while (wait_for_next_poll());
+}
+
+std::optional<engine_service::observation> engine_service::observe() {
+    httplib::Client client = make_client(configuration_.backend_server.url);
+    const httplib::Result answer = client.Get("/state");
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    error ignored;
+    auto state = value_or_error(
+        [&] {
+            return parse_engine_state(answer->body,
+                                      configuration_.backend_server.url);
+        },
+        ignored);
+    if (!state)
+        return std::nullopt;
+    read_cache_events();
+    return observation{std::move(*state), prefixes_};
+}
+
+std::vector<engine_order> engine_service::decide(const observation& seen) {
+    ++polls_;
+    latest_ = seen.state;
+    needs_.observed(seen.state, seen.prefixes);
+    auto orders = reconcile(seen.state, needs_.target());
+    orders_ += orders.size();
+    return orders;
+}
+
+void engine_service::carry_out(const std::vector<engine_order>& orders) {
+    const std::string source =
+        fmt::format("http://{}", to_string(configuration_.listen.http));
+    for (const engine_order& order : orders) {
+        const nlohmann::json body = order_body(order, fence_, source);
+        const httplib::Result answer =
+            make_client(configuration_.backend_server.url)
+                .Post("/orders", body.dump(), "application/json");
+        log_event(log_level::info, "engine_order",
+                  {{"order", body["op"]},
+                   {"version", body["version"]},
+                   {"status", answer ? answer->status : 0}});
+    }
+}
+
+void engine_service::read_cache_events() {
+    const std::string path =
+        fmt::format("/cache_events?after={}", next_cache_event_);
+    const httplib::Result answer =
+        make_client(configuration_.backend_server.url).Get(path.c_str());
+    if (!answer || answer->status != 200)
+        return;
+    const auto body = nlohmann::json::parse(answer->body, nullptr, false);
+    if (!body.is_object() || !body.contains("events"))
+        return;
+    next_cache_event_ = body.value("next", next_cache_event_);
+    for (const auto& event : body["events"]) {
+        const std::string block = event.value("block", std::string());
+        if (block.size() < prefix_digits)
+            continue;
+        const std::uint64_t hash =
+            std::stoull(block.substr(0, prefix_digits), nullptr, 16);
+        std::erase(prefixes_, hash);
+        if (event.value("type", std::string()) == "stored")
+            prefixes_.push_back(hash);
+    }
+    if (prefixes_.size() > max_prefixes)
+        prefixes_.erase(prefixes_.begin(),
+                        prefixes_.end() - static_cast<long>(max_prefixes));
+}
+
+bool engine_service::wait_for_next_poll() {
+    const absl::MutexLock lock(&mutex_);
+    mutex_.AwaitWithTimeout(absl::Condition(&stopping_),
+                            absl::FromChrono(poll_interval));
+    return !stopping_;
+}
+
+} // namespace ospreystage
--- a/src/links.cpp
+++ b/src/links.cpp
@@ -217,6 +217,7 @@
     retire_older(peer);
     hello_reply answer;
     answer.sender = self_;
+    answer.role = configuration_.process.role;
     if (started_)
         answer.started = started_(peer);
     network_.send(id, answer);
@@ -233,7 +234,7 @@
         return;
     }
     record.peer.process = greeting.sender;
-    record.peer.role = process_role::entry;
+    record.peer.role = greeting.role;
     record.established = true;
     const link_peer peer = record.peer;
     const std::vector<message> waiting = std::exchange(record.waiting, {});
--- /dev/null
+++ b/src/request_service.cpp
@@ -0,0 +1,108 @@
+#include <ospreystage/request_service.hpp>
+
+#include <type_traits>
+#include <utility>
+
+namespace ospreystage {
+
+request_service::request_service(kernel& core, const settings& configuration,
+                                 exchange_table& exchanges)
+    : core_(core), links_(core.find<links>("links")), exchanges_(exchanges),
+      broker_(links_.self(), configuration, links_.self().incarnation) {}
+
+void request_service::start() {
+    forward<run_refused>();
+    forward<answer_begin>();
+    forward<answer_part>();
+    forward<answer_end>();
+    forward<run_failed>();
+    forward<seal_failed>();
+    forward<load_report>();
+    forward<claim_reply>();
+    links_.on_up([this](const link_peer& peer, const hello_reply& greeting) {
+        if (peer.outgoing && peer.role == process_role::agent)
+            perform(broker_.on_link_up(peer.process, greeting.started,
+                                       steady::now()));
+    });
+    links_.on_down([this](const link_peer& peer, const std::string&) {
+        if (peer.outgoing)
+            perform(broker_.on_link_down(peer.process.name, steady::now()));
+    });
+    core_.every("requests", broker_tick_interval,
+                [this] { perform(broker_.tick(steady::now())); });
+}
+
+bool request_service::idle() const {
+    return broker_.idle();
+}
+
+nlohmann::json request_service::dump() const {
+    return broker_.dump();
+}
+
+void request_service::begin(request_id id, incoming_request incoming) {
+    perform(broker_.begin(id, std::move(incoming), steady::now()));
+}
+
+void request_service::cancel(request_id id) {
+    perform(broker_.cancel(id, steady::now()));
+}
+
+void request_service::set_document(
+    std::shared_ptr<const rollout_document> document) {
+    broker_.set_document(std::move(document), steady::now());
+}
+
+void request_service::set_agents(std::vector<member> agents) {
+    broker_.set_agents(std::move(agents));
+}
+
+void request_service::set_leaving() {
+    broker_.set_leaving();
+}
+
+template <typename Message>
+void request_service::forward() {
+    links_.on<Message>([this](const link_peer& peer, const Message& body) {
+        perform(broker_.on_message(peer.process, body, steady::now()));
+    });
+}
+
+void request_service::perform(broker::actions actions) {
+    for (broker_action& each : actions) {
+        std::visit(
+            [this](auto& action) {
+                using type = std::decay_t<decltype(action)>;
+                if constexpr (std::is_same_v<type, send_action>)
+                    deliver(action.process, action.body);
+                else if constexpr (std::is_same_v<type, probe_action>)
+                    probe(action.agent);
+                else
+                    exchanges_.push(action.request, std::move(action));
+            },
+            each);
+    }
+}
+
+void request_service::deliver(const std::string& process, const message& body) {
+    // Never queued for a later connection: the broker was told which links
+    // are up, and a lost message is resolved when the link comes up again.
+    if (std::holds_alternative<claim_request>(body) ||
+        std::holds_alternative<claim_release>(body)) {
+        links_.send(process, body);
+        return;
+    }
+    const auto peer = links_.find(process);
+    if (peer)
+        links_.reply(peer->connection, body);
+}
+
+void request_service::probe(const std::string& agent) {
+    if (links_.find(agent) || links_.open(agent))
+        return;
+    core_.post("requests", [this, agent] {
+        perform(broker_.on_link_down(agent, steady::now()));
+    });
+}
+
+} // namespace ospreystage
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -27,8 +27,7 @@
 }
 
 std::string url(table_reader& section, const char* key, bool required) {
-    const std::string value =
-        required ? section.text(key) : section.text(key, "");
+    std::string value = required ? section.text(key) : section.text(key, "");
     if (!value.empty() && !is_url(value))
         section.report(key, "must be \"http://host:port\"");
     return value;
--- a/src/table_reader.cpp
+++ b/src/table_reader.cpp
@@ -32,7 +32,7 @@
     : table_(table), path_(std::move(path)), file_(file), fault_(fault) {}
 
 std::string table_reader::text(const char* key,
-                               std::optional<std::string> fallback) {
+                               const std::optional<std::string>& fallback) {
     const toml::node* found = node(key);
     if (found == nullptr) {
         if (!fallback)
@@ -51,8 +51,8 @@
 
 std::string table_reader::choice(const char* key,
                                  const std::vector<std::string>& choices,
-                                 std::optional<std::string> fallback) {
-    const std::string value = text(key, std::move(fallback));
+                                 const std::optional<std::string>& fallback) {
+    std::string value = text(key, fallback);
     if (std::find(choices.begin(), choices.end(), value) == choices.end())
         report(key,
                fmt::format("must be one of: {}", fmt::join(choices, ", ")));
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -41,8 +41,8 @@
         remote.sin_family = AF_INET;
         remote.sin_port = htons(port);
         remote.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        connect(descriptor_, reinterpret_cast<sockaddr*>(&remote),
-                sizeof(remote));
+        REQUIRE(connect(descriptor_, reinterpret_cast<sockaddr*>(&remote),
+                        sizeof(remote)) == 0);
     }
     ~raw_connection() { close(descriptor_); }
     raw_connection(const raw_connection&) = delete;
--- a/tests/support/local_node.cpp
+++ b/tests/support/local_node.cpp
@@ -25,7 +25,8 @@
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(local);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&local), size);
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) != 0)
+        throw std::runtime_error("no free port");
     getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size);
     close(descriptor);
     return ntohs(local.sin_port);
