Add the engine to the stand-ins

Cause: routing, weight loading and fencing need an engine whose answers show which bytes it serves. Conclusion: the agent's engine client can be written against it.

--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -5,6 +5,7 @@
     app.require_subcommand(1);
     int status = 0;
     ospreystage::standin::add_kv_command(app, status);
+    ospreystage::standin::add_engine_command(app, status);
     ospreystage::standin::add_origin_command(app, status);
     ospreystage::standin::add_plain_command(app, status);
     ospreystage::standin::add_vms_command(app, status);
