Add the claims of idempotency keys

Cause: a non-idempotent request may run only after its key was claimed. Ruled out: the platform's key-value service as the place of claims (its rate and its outages bound the requests); a tie broken by the voter (a recovered voter could then give a second majority). A recovered ledger that got two different claims for a key abstains. `known` also takes the senders of recovery answers, or a voter restarted twice would forget that another voter had been restarted. A single witness waits for the retention. Conclusion: the witness service can be written against it.

--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -171,6 +171,7 @@
     std::string organisation;
     std::string key;
     OSPREYSTAGE_FIELDS(organisation, key)
+    // NOLINTNEXTLINE(modernize-use-nullptr): see process_id.
     friend auto operator<=>(const claim_key&, const claim_key&) = default;
     template <typename Hash>
     friend Hash AbslHashValue(Hash state, const claim_key& id) {
--- /dev/null
+++ b/src/claim_ledger.cpp
@@ -0,0 +1,223 @@
+#include <ospreystage/claim_ledger.hpp>
+#include <ospreystage/claim_tally.hpp>
+
+#include <algorithm>
+
+namespace ospreystage {
+
+namespace {
+
+/// Interval between two recovery requests to the same witness.
+constexpr milliseconds recovery_interval{250};
+
+/// Records in one page of a recovery answer.
+constexpr std::size_t records_per_page = 4000;
+
+std::uint32_t to_wire(milliseconds duration) {
+    return static_cast<std::uint32_t>(
+        std::max(duration, milliseconds{0}).count());
+}
+
+} // namespace
+
+claim_ledger::claim_ledger(process_id self, std::vector<std::string> witnesses,
+                           milliseconds retention, instant now,
+                           std::size_t limit)
+    : self_(std::move(self)), witnesses_(std::move(witnesses)),
+      retention_(retention), limit_(limit), started_(now), next_request_(now) {}
+
+// ---- Observers -------------------------------------------------------------
+
+bool claim_ledger::is_recovered(instant now) const {
+    if (fresh_ || now - started_ >= retention_)
+        return true;
+    if (witnesses_.size() < 2)
+        return false;
+    return std::all_of(
+        witnesses_.begin(), witnesses_.end(), [&](const std::string& witness) {
+            return witness == self_.name || answered_.contains(witness);
+        });
+}
+
+std::size_t claim_ledger::size() const noexcept {
+    return expiry_.size();
+}
+
+nlohmann::json claim_ledger::dump(instant now) const {
+    nlohmann::json state;
+    state["recovered"] = is_recovered(now);
+    state["keys"] = claims_.size();
+    state["claims"] = size();
+    state["limit"] = limit_;
+    state["refused_full"] = refused_full_;
+    state["answered"] = answered_;
+    state["known"] = known_;
+    return state;
+}
+
+// ---- Inputs ----------------------------------------------------------------
+
+void claim_ledger::recovered_fresh() {
+    fresh_ = true;
+}
+
+claim_reply claim_ledger::on_claim(const claim_request& request, instant now) {
+    forget_old(now);
+    claim_reply reply;
+    reply.asked = request.record.attempt;
+    reply.witness = self_;
+    reply.known = known();
+    const std::uint64_t meant = request.witness.incarnation;
+    reply.recovering = !is_recovered(now) ||
+                       request.witness.name != self_.name ||
+                       (meant != 0 && meant != self_.incarnation);
+    if (reply.recovering)
+        return reply;
+    const claim_key& key = request.record.key;
+    if (!claims_.contains(key)) {
+        if (size() >= limit_) {
+            ++refused_full_;
+            reply.recovering = true;
+            return reply;
+        }
+        claim_record record = request.record;
+        record.age_ms = 0;
+        store(record, now);
+    }
+    const claims& held = claims_.at(key);
+    reply.recovering = held.size() > 1;
+    if (!reply.recovering)
+        reply.held = held.front().record;
+    return reply;
+}
+
+void claim_ledger::on_release(const claim_release& release, instant now) {
+    forget_old(now);
+    const auto found = claims_.find(release.key);
+    if (found == claims_.end())
+        return;
+    claims& held = found->second;
+    const auto claim =
+        std::find_if(held.begin(), held.end(), [&](const stored_claim& stored) {
+            return stored.record.attempt == release.attempt;
+        });
+    if (claim == held.end())
+        return;
+    expiry_.erase({claim->expires, release.key, release.attempt});
+    held.erase(claim);
+    if (held.empty())
+        claims_.erase(found);
+}
+
+std::vector<recover_reply>
+claim_ledger::on_recover_request(const recover_request& request, instant now) {
+    forget_old(now);
+    learn(request.witness);
+    recover_reply page;
+    page.sender = self_;
+    page.witness = request.witness;
+    page.recovering = !is_recovered(now);
+    page.last = false;
+    std::vector<recover_reply> pages;
+    if (!page.recovering) {
+        for (const auto& [key, held] : claims_) {
+            if (!shares(key, request.witness.name))
+                continue;
+            for (const stored_claim& stored : held) {
+                claim_record record = stored.record;
+                const auto left =
+                    std::chrono::ceil<milliseconds>(stored.expires - now);
+                record.age_ms = to_wire(retention_ - left);
+                page.records.push_back(std::move(record));
+            }
+            if (page.records.size() >= records_per_page) {
+                pages.push_back(page);
+                page.records.clear();
+            }
+        }
+    }
+    page.last = true;
+    pages.push_back(std::move(page));
+    return pages;
+}
+
+void claim_ledger::on_recover_reply(const recover_reply& reply, instant now) {
+    if (reply.witness != self_ || reply.sender.name == self_.name)
+        return;
+    learn(reply.sender);
+    if (reply.recovering ||
+        reply.sender.incarnation < known_.at(reply.sender.name))
+        return;
+    // A recovered witness decides by its own records only.
+    if (is_recovered(now))
+        return;
+    for (const claim_record& record : reply.records)
+        store(record, now);
+    if (reply.last)
+        answered_.insert(reply.sender.name);
+}
+
+std::vector<claim_ledger::recovery_step> claim_ledger::tick(instant now) {
+    forget_old(now);
+    std::vector<recovery_step> steps;
+    if (now < next_request_ || is_recovered(now))
+        return steps;
+    next_request_ = now + recovery_interval;
+    for (const std::string& witness : witnesses_) {
+        if (witness != self_.name && !answered_.contains(witness))
+            steps.push_back({witness, recover_request{self_}});
+    }
+    return steps;
+}
+
+// ---- Details ---------------------------------------------------------------
+
+void claim_ledger::learn(const process_id& witness) {
+    std::uint64_t& newest = known_[witness.name];
+    newest = std::max(newest, witness.incarnation);
+}
+
+void claim_ledger::store(const claim_record& record, instant now) {
+    const instant expires = now - milliseconds{record.age_ms} + retention_;
+    if (expires <= now)
+        return;
+    claims& held = claims_[record.key];
+    const bool repeated =
+        std::any_of(held.begin(), held.end(), [&](const stored_claim& stored) {
+            return stored.record.attempt == record.attempt;
+        });
+    if (repeated)
+        return;
+    held.push_back({record, expires});
+    expiry_.emplace(expires, record.key, record.attempt);
+}
+
+bool claim_ledger::shares(const claim_key& key,
+                          const std::string& witness) const {
+    const std::vector<std::string> voters = claim_voters(key, witnesses_);
+    return std::find(voters.begin(), voters.end(), witness) != voters.end();
+}
+
+void claim_ledger::forget_old(instant now) {
+    while (!expiry_.empty() && std::get<instant>(*expiry_.begin()) <= now) {
+        const claim_key key = std::get<claim_key>(*expiry_.begin());
+        expiry_.erase(expiry_.begin());
+        const auto found = claims_.find(key);
+        if (found == claims_.end())
+            continue;
+        std::erase_if(found->second, [&](const stored_claim& stored) {
+            return stored.expires <= now;
+        });
+        if (found->second.empty())
+            claims_.erase(found);
+    }
+}
+
+std::vector<process_id> claim_ledger::known() const {
+    std::vector<process_id> witnesses;
+    for (const auto& [name, incarnation] : known_)
+        witnesses.push_back({name, incarnation});
+    return witnesses;
+}
+
+} // namespace ospreystage
