Add the request broker of the entry

Cause: each request needs one owner that leads it to exactly one of three outcomes. Ruled out: sending orders on links that are still opening (they would be delivered on the epoch that sealed them); waiting for a broken link before an idempotent request is tried elsewhere. Change: the broker's states: claiming, choosing, in flight, resolving, with version pinning, contiguous parts, resume by skipped tokens, seals before the deadline and the retry budget. set_entries divides the agents. Conclusion: the entry's shell can use it; admission is still a plain bound on requests in progress.

--- a/include/ospreystage/broker.hpp
+++ b/include/ospreystage/broker.hpp
@@ -29,10 +29,11 @@
 /// returns the effects that the shell carries out in order. Each request ends
 /// with exactly one of `answer_end_action` and `refuse_action`.
 ///
-/// The shell must deliver `on_link_up` before anything that was sent on the
-/// link may reach the agent, and must drop `send_action`s to a link that is
-/// down (never queue a `run_order` for a later connection). The broker sends
-/// run orders only on links that it was told are up.
+/// A `send_action` to the entry's own name is for its own `claim_ledger`.
+///
+/// The shell reports every change of a link before it sends anything on the
+/// next connection: a run order is sent only on a link that is up, and must
+/// not be queued for a later connection. Messages to witnesses may open links.
 class broker {
   public:
     using action = broker_action;
@@ -64,7 +65,11 @@
     /// Replaces the agents that may get work: alive and not leaving.
     ///
     /// A member's `vm` is the name that services and deployments list.
-    void set_agents(std::vector<member> agents);
+    void set_agents(const std::vector<member>& agents);
+
+    /// Sets the names of the live entries, so that the agents are divided
+    /// evenly among them when there are more than one entry connects to.
+    void set_entries(std::vector<std::string> entries);
 
     /// Refuses every request that begins from now on.
     void set_leaving();
--- /dev/null
+++ b/include/ospreystage/impl/broker_state.hpp
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <ospreystage/balancer.hpp>
+#include <ospreystage/broker_action.hpp>
+#include <ospreystage/claim_tally.hpp>
+#include <ospreystage/retry_budget.hpp>
+#include <ospreystage/rollout.hpp>
+#include <ospreystage/settings.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/random/random.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ospreystage::impl {
+
+/// What a request waits for.
+enum class request_phase : std::uint8_t {
+    claiming,  ///< Votes on its idempotency key.
+    choosing,  ///< An agent that can take it.
+    in_flight, ///< The answer of the agent that has it.
+    resolving, ///< The link to that agent, to learn whether it started.
+};
+
+[[nodiscard]] const char* to_string(request_phase phase) noexcept;
+
+/// Attempt that was dispatched and has not ended.
+struct attempt_state {
+    attempt_id id;
+    process_id agent;
+    digest version;
+    bool begun = false; ///< `answer_begin` has come.
+    bool seal_sent = false;
+    std::uint32_t next_part = 0;
+};
+
+/// One request of a caller.
+struct request_state {
+    incoming_request incoming;
+    bool engine = false;
+    bool streams = false; ///< Parts go to the caller as they arrive.
+    std::uint32_t priority = 0;
+    instant deadline{};
+    request_phase phase = request_phase::choosing;
+    instant wait_until{}; ///< Bound of claiming, choosing or resolving.
+
+    claim_tally tally;
+    instant claim_again{};
+    bool claimed = false; ///< The vote was won and not released.
+
+    std::optional<attempt_state> attempt;
+    std::uint32_t attempts = 0;
+    bool unsealed = false; ///< An attempt without an answer may have run.
+    absl::flat_hash_set<std::string> tried; ///< Agents not to try again.
+    std::string last_reason;
+    milliseconds retry_after{};
+
+    bool passed_begin = false; ///< The caller has got the status.
+    std::uint32_t tokens_passed = 0;
+    digest pinned; ///< Version that began the answer passed on.
+    std::uint16_t status = 0;
+    std::string content_type;
+    std::string buffered; ///< Answer so far, if it is not streamed.
+};
+
+/// An agent that this entry knows.
+struct agent_state {
+    std::string vm;
+    bool listed = false; ///< Alive and not leaving.
+    bool up = false;
+    process_id id; ///< Incarnation behind the link, if it is up.
+    instant probe_again{};
+    bool reported = false;
+    load_report load;
+    instant load_at{};
+    std::uint32_t outstanding = 0;
+    std::uint32_t outstanding_then = 0; ///< When `load` came.
+};
+
+/// State and transitions of the broker; see `broker`.
+class broker_state {
+  public:
+    broker_state(process_id self, const settings& configuration,
+                 std::uint64_t seed);
+
+    [[nodiscard]] bool idle() const;
+    [[nodiscard]] nlohmann::json dump() const;
+
+    void set_document(std::shared_ptr<const rollout_document> document);
+    void set_agents(const std::vector<member>& agents);
+    void set_entries(std::vector<std::string> entries);
+    void set_leaving();
+
+    void begin(request_id request, incoming_request incoming, instant now);
+    void cancel(request_id request);
+    void on_message(const process_id& from, const message& body, instant now);
+    void on_link_up(const process_id& agent,
+                    const std::vector<attempt_id>& started, instant now);
+    void on_link_down(const std::string& agent, instant now);
+    void tick(instant now);
+
+    [[nodiscard]] broker_actions take_actions();
+
+  private:
+    // ---- Requests ----------------------------------------------------------
+
+    [[nodiscard]] request_state make_request(incoming_request incoming,
+                                             const service& target,
+                                             instant now) const;
+    [[nodiscard]] std::vector<request_id>
+    requests_in(request_phase phase) const;
+    void refuse(request_id request, outcome result, const std::string& reason,
+                milliseconds retry_after);
+    /// Ends a request without an answer: `unknown` if an attempt may have run.
+    void give_up(request_id request, const std::string& reason);
+    void forget(request_id request);
+    void check_deadline(request_id request, instant now);
+
+    // ---- Claims ------------------------------------------------------------
+
+    void start_claim(request_id request, instant now);
+    void send_claims(request_state& state);
+    void release_claim(request_state& state);
+    void decide_claim(request_id request, instant now);
+    void on_claim_reply(const claim_reply& reply, instant now);
+    void check_claim(request_id request, instant now);
+
+    // ---- Dispatch ----------------------------------------------------------
+
+    void choose_later(request_id request, instant now);
+    void dispatch(request_id request, instant now);
+    [[nodiscard]] bool dispatch_version(request_id request,
+                                        const digest& version, instant now);
+    [[nodiscard]] std::vector<digest>
+    wanted_versions(request_id request, const request_state& state) const;
+    [[nodiscard]] bool is_wanted(const agent_state& agent,
+                                 const request_state& state,
+                                 const digest& version) const;
+    [[nodiscard]] std::vector<balancer_candidate>
+    candidates(const request_state& state, const digest& version,
+               instant now) const;
+    [[nodiscard]] bool may_become_usable(const request_state& state) const;
+    void send_order(request_id request, const std::string& agent,
+                    const digest& version, instant now);
+    void end_attempt(request_state& state);
+    /// The attempt never ran and never will.
+    void on_sealed(request_id request, refusal reason, milliseconds retry_after,
+                   instant now);
+    /// The attempt may have run; its answer is lost.
+    void on_lost(request_id request, const std::string& reason, instant now);
+    void try_again(request_id request, const std::string& reason, bool free,
+                   instant now);
+
+    // ---- Answers -----------------------------------------------------------
+
+    [[nodiscard]] std::optional<request_id>
+    find_attempt(const attempt_id& attempt, const process_id& from) const;
+    void on_run_refused(request_id request, const run_refused& body,
+                        instant now);
+    void on_begin(request_id request, const answer_begin& body, instant now);
+    void on_part(request_id request, const answer_part& body, instant now);
+    void on_end(request_id request, const answer_end& body, instant now);
+    void stop_attempt(request_id request, const std::string& reason,
+                      instant now);
+    void pass_begin(request_id request, request_state& state);
+
+    // ---- Links -------------------------------------------------------------
+
+    void update_subsets();
+    void probe(const std::string& agent, agent_state& state, instant now);
+    void probe_missing(instant now);
+    /// Sends if the link to this incarnation is up.
+    void send_to_agent(const process_id& agent, message body);
+    [[nodiscard]] std::vector<request_id>
+    requests_at(const std::string& agent) const;
+    void resolve(request_id request, const process_id& agent,
+                 const std::vector<attempt_id>& started, instant now);
+    void on_load_report(const process_id& from, const load_report& report,
+                        instant now);
+
+    process_id self_;
+    std::uint32_t request_limit_ = 0;
+    std::size_t subset_size_ = 0;
+    std::vector<std::string> witnesses_;
+    balancer balancer_;
+    retry_budget retries_;
+    absl::BitGen random_;
+    std::shared_ptr<const rollout_document> document_;
+    std::vector<std::string> entries_;
+    bool leaving_ = false;
+    std::map<request_id, request_state> requests_;
+    /// Claimed or dispatched attempts of this entry, by sequence.
+    absl::flat_hash_map<std::uint64_t, request_id> attempts_;
+    std::uint64_t next_sequence_ = 1;
+    std::map<std::string, agent_state> agents_;
+    /// Agents of each service that this entry connects to.
+    std::map<std::string, std::vector<std::string>> subsets_;
+    broker_actions out_;
+    std::uint64_t answered_total_ = 0;
+    std::uint64_t not_run_total_ = 0;
+    std::uint64_t unknown_total_ = 0;
+    std::uint64_t retried_total_ = 0;
+    std::uint64_t dropped_frames_ = 0;
+};
+
+} // namespace ospreystage::impl
--- /dev/null
+++ b/include/ospreystage/impl/overloaded.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace ospreystage::impl {
+
+/// Visitor of a variant that is made of one lambda per alternative.
+template <typename... Lambdas>
+struct overloaded : Lambdas... {
+    using Lambdas::operator()...;
+};
+
+template <typename... Lambdas>
+overloaded(Lambdas...) -> overloaded<Lambdas...>;
+
+} // namespace ospreystage::impl
--- /dev/null
+++ b/src/broker_dispatch.cpp
@@ -0,0 +1,233 @@
+#include <ospreystage/impl/broker_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage::impl {
+
+namespace {
+
+/// Time in which an agent must be found for an attempt.
+constexpr milliseconds choose_bound{1500};
+
+/// Attempts of one request, the first included.
+constexpr std::uint32_t max_attempts = 4;
+
+bool contains(const std::vector<digest>& versions, const digest& version) {
+    return std::find(versions.begin(), versions.end(), version) !=
+           versions.end();
+}
+
+std::string reason_of(refusal reason) {
+    switch (reason) {
+    case refusal::wrong_incarnation:
+    case refusal::stale_epoch:
+    case refusal::back_end_unreachable:
+        return "agent_unreachable";
+    case refusal::version_not_held:
+        return "version_not_held";
+    case refusal::overloaded:
+        return "overloaded";
+    case refusal::leaving:
+        return "leaving";
+    case refusal::expired:
+    case refusal::sealed:
+        return "deadline";
+    case refusal::not_in_force:
+        return "not_in_force";
+    }
+    return "";
+}
+
+} // namespace
+
+void broker_state::choose_later(request_id request, instant now) {
+    request_state& state = requests_.at(request);
+    state.phase = request_phase::choosing;
+    state.wait_until = std::min(state.deadline, now + choose_bound);
+    dispatch(request, now);
+}
+
+void broker_state::dispatch(request_id request, instant now) {
+    request_state& state = requests_.at(request);
+    if (state.deadline <= now) {
+        give_up(request, "deadline");
+        return;
+    }
+    for (const digest& version : wanted_versions(request, state)) {
+        if (dispatch_version(request, version, now))
+            return;
+    }
+    if (now < state.wait_until && may_become_usable(state))
+        return;
+    give_up(request, state.last_reason.empty() ? "no_backend_server"
+                                               : state.last_reason);
+}
+
+bool broker_state::dispatch_version(request_id request, const digest& version,
+                                    instant now) {
+    const auto usable = candidates(requests_.at(request), version, now);
+    const auto chosen = balancer_.choose(usable);
+    if (!chosen)
+        return false;
+    send_order(request, usable[*chosen].agent, version, now);
+    return true;
+}
+
+std::vector<digest>
+broker_state::wanted_versions(request_id request,
+                              const request_state& state) const {
+    if (!state.engine)
+        return {digest{}};
+    if (state.passed_begin)
+        return {state.pinned};
+    std::vector<digest> versions;
+    for (const deployment* target :
+         choose_deployments(*document_, state.incoming.service,
+                            state.incoming.organisation, request))
+        versions.push_back(target->version);
+    return versions;
+}
+
+bool broker_state::is_wanted(const agent_state& agent,
+                             const request_state& state,
+                             const digest& version) const {
+    if (!agent.listed || !agent.up || agent.load.leaving ||
+        state.tried.contains(agent.id.name))
+        return false;
+    if (!state.engine)
+        return true;
+    return agent.reported && agent.load.service == state.incoming.service &&
+           contains(agent.load.versions, version);
+}
+
+std::vector<balancer_candidate>
+broker_state::candidates(const request_state& state, const digest& version,
+                         instant now) const {
+    std::vector<balancer_candidate> usable;
+    const auto subset = subsets_.find(state.incoming.service);
+    if (subset == subsets_.end())
+        return usable;
+    for (const std::string& name : subset->second) {
+        const agent_state& agent = agents_.at(name);
+        if (!is_wanted(agent, state, version))
+            continue;
+        balancer_candidate candidate;
+        candidate.agent = name;
+        candidate.outstanding = agent.outstanding;
+        if (agent.reported) {
+            const auto& prefixes = agent.load.prefixes;
+            candidate.reported = agent.load.running + agent.load.queued;
+            candidate.outstanding_then = agent.outstanding_then;
+            candidate.capacity = agent.load.capacity;
+            candidate.age =
+                std::chrono::duration_cast<milliseconds>(now - agent.load_at) +
+                milliseconds{agent.load.age_ms};
+            candidate.has_prefix =
+                state.incoming.prefix_hash != 0 &&
+                std::find(prefixes.begin(), prefixes.end(),
+                          state.incoming.prefix_hash) != prefixes.end();
+        }
+        usable.push_back(std::move(candidate));
+    }
+    return usable;
+}
+
+bool broker_state::may_become_usable(const request_state& state) const {
+    const auto subset = subsets_.find(state.incoming.service);
+    if (subset == subsets_.end())
+        return false;
+    return std::any_of(subset->second.begin(), subset->second.end(),
+                       [&](const std::string& name) {
+                           const agent_state& agent = agents_.at(name);
+                           return agent.listed && !state.tried.contains(name) &&
+                                  (!agent.up ||
+                                   (state.engine && !agent.reported));
+                       });
+}
+
+void broker_state::send_order(request_id request, const std::string& agent,
+                              const digest& version, instant now) {
+    request_state& state = requests_.at(request);
+    agent_state& target = agents_.at(agent);
+    attempt_state attempt;
+    attempt.agent = target.id;
+    attempt.version = version;
+    attempt.id = {self_, next_sequence_++};
+    run_order order;
+    order.attempt = attempt.id;
+    order.agent = attempt.agent;
+    order.organisation = state.incoming.organisation;
+    order.service = state.incoming.service;
+    order.request_class = state.incoming.request_class;
+    order.method = state.incoming.method;
+    order.path = state.incoming.path;
+    order.content_type = state.incoming.content_type;
+    order.body = state.incoming.body;
+    order.version = version;
+    order.priority = state.priority;
+    order.deadline_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<milliseconds>(state.deadline - now).count());
+    order.skip_tokens = state.tokens_passed;
+    order.stream = state.streams;
+    order.non_idempotent = state.incoming.non_idempotent;
+    order.idempotency_key = state.incoming.idempotency_key;
+    attempts_.emplace(attempt.id.sequence, request);
+    ++target.outstanding;
+    ++state.attempts;
+    state.attempt = std::move(attempt);
+    state.phase = request_phase::in_flight;
+    out_.emplace_back(send_action{agent, std::move(order)});
+}
+
+void broker_state::end_attempt(request_state& state) {
+    if (!state.attempt)
+        return;
+    attempts_.erase(state.attempt->id.sequence);
+    const auto agent = agents_.find(state.attempt->agent.name);
+    if (agent != agents_.end() && agent->second.outstanding > 0)
+        --agent->second.outstanding;
+    state.attempt.reset();
+    state.buffered.clear();
+}
+
+void broker_state::on_sealed(request_id request, refusal reason,
+                             milliseconds retry_after, instant now) {
+    request_state& state = requests_.at(request);
+    if (reason != refusal::stale_epoch)
+        state.tried.insert(state.attempt->agent.name);
+    state.retry_after = std::max(state.retry_after, retry_after);
+    end_attempt(state);
+    if (reason == refusal::sealed || reason == refusal::expired) {
+        give_up(request, reason_of(reason));
+        return;
+    }
+    const bool first = state.attempts == 1;
+    try_again(request, reason_of(reason), first, now);
+}
+
+void broker_state::on_lost(request_id request, const std::string& reason,
+                           instant now) {
+    request_state& state = requests_.at(request);
+    state.unsealed = true;
+    end_attempt(state);
+    if (state.incoming.non_idempotent) {
+        give_up(request, reason);
+        return;
+    }
+    try_again(request, reason, false, now);
+}
+
+void broker_state::try_again(request_id request, const std::string& reason,
+                             bool free, instant now) {
+    request_state& state = requests_.at(request);
+    state.last_reason = reason;
+    if (state.attempts >= max_attempts || (!free && !retries_.spend())) {
+        give_up(request, reason);
+        return;
+    }
+    ++retried_total_;
+    choose_later(request, now);
+}
+
+} // namespace ospreystage::impl
--- /dev/null
+++ b/src/broker_links.cpp
@@ -0,0 +1,174 @@
+#include <ospreystage/impl/broker_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage::impl {
+
+namespace {
+
+/// Interval between two probes of the same agent.
+constexpr milliseconds probe_interval{500};
+
+/// Time in which the truth about an attempt must be had after its link broke.
+constexpr milliseconds resolve_bound{1500};
+
+bool contains(const std::vector<attempt_id>& attempts,
+              const attempt_id& attempt) {
+    return std::find(attempts.begin(), attempts.end(), attempt) !=
+           attempts.end();
+}
+
+} // namespace
+
+void broker_state::set_agents(const std::vector<member>& agents) {
+    for (auto& [name, agent] : agents_)
+        agent.listed = false;
+    for (const member& listed : agents) {
+        agent_state& agent = agents_[listed.id.name];
+        agent.listed = true;
+        agent.vm = listed.vm;
+    }
+    std::erase_if(agents_, [](const auto& item) {
+        const agent_state& agent = item.second;
+        return !agent.listed && !agent.up && agent.outstanding == 0;
+    });
+    update_subsets();
+}
+
+void broker_state::update_subsets() {
+    subsets_.clear();
+    if (document_ == nullptr)
+        return;
+    for (const service& target : document_->services) {
+        std::vector<std::string> names;
+        for (const auto& [name, agent] : agents_) {
+            const auto& vms = target.vms;
+            if (agent.listed &&
+                std::find(vms.begin(), vms.end(), agent.vm) != vms.end())
+                names.push_back(name);
+        }
+        subsets_[target.name] =
+            agent_subset(self_.name, entries_, names, subset_size_);
+    }
+}
+
+void broker_state::probe(const std::string& agent, agent_state& state,
+                         instant now) {
+    if (state.probe_again > now)
+        return;
+    state.probe_again = now + probe_interval;
+    out_.emplace_back(probe_action{agent});
+}
+
+void broker_state::probe_missing(instant now) {
+    for (const auto& [service, names] : subsets_) {
+        for (const std::string& name : names) {
+            agent_state& agent = agents_.at(name);
+            if (agent.listed && !agent.up)
+                probe(name, agent, now);
+        }
+    }
+    for (const request_id id : requests_in(request_phase::resolving)) {
+        const std::string& name = requests_.at(id).attempt->agent.name;
+        probe(name, agents_.at(name), now);
+    }
+}
+
+void broker_state::send_to_agent(const process_id& agent, message body) {
+    const auto found = agents_.find(agent.name);
+    if (found != agents_.end() && found->second.up && found->second.id == agent)
+        out_.emplace_back(send_action{agent.name, std::move(body)});
+}
+
+std::vector<request_id>
+broker_state::requests_at(const std::string& agent) const {
+    std::vector<request_id> ids;
+    for (const auto& [id, state] : requests_) {
+        if (state.attempt && state.attempt->agent.name == agent)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+void broker_state::on_link_up(const process_id& agent,
+                              const std::vector<attempt_id>& started,
+                              instant now) {
+    agent_state& state = agents_[agent.name];
+    if (state.id != agent)
+        state.reported = false;
+    state.up = true;
+    state.id = agent;
+    for (const request_id id : requests_at(agent.name))
+        resolve(id, agent, started, now);
+    for (const request_id id : requests_in(request_phase::choosing))
+        dispatch(id, now);
+}
+
+void broker_state::resolve(request_id request, const process_id& agent,
+                           const std::vector<attempt_id>& started,
+                           instant now) {
+    request_state& state = requests_.at(request);
+    const attempt_state& attempt = *state.attempt;
+    if (attempt.agent != agent) {
+        on_lost(request, "agent_restarted", now);
+        return;
+    }
+    // Past the deadline the agent may have forgotten that it started.
+    if (state.deadline <= now) {
+        give_up(request, "deadline");
+        return;
+    }
+    if (!contains(started, attempt.id)) {
+        on_sealed(request, refusal::stale_epoch, milliseconds{0}, now);
+        return;
+    }
+    if (!state.incoming.non_idempotent) {
+        on_lost(request, "link_lost", now);
+        return;
+    }
+    // The agent sends the answer again from its first part.
+    state.phase = request_phase::in_flight;
+}
+
+void broker_state::on_link_down(const std::string& agent, instant now) {
+    const auto found = agents_.find(agent);
+    if (found == agents_.end())
+        return;
+    found->second.up = false;
+    found->second.probe_again = now;
+    for (const request_id id : requests_at(agent)) {
+        request_state& state = requests_.at(id);
+        if (state.phase == request_phase::resolving)
+            continue;
+        const bool retries =
+            !state.incoming.non_idempotent && retries_.available() > 0;
+        if (retries) {
+            on_lost(id, "link_lost", now);
+            continue;
+        }
+        state.phase = request_phase::resolving;
+        state.wait_until = std::min(state.deadline, now + resolve_bound);
+        probe(agent, found->second, now);
+    }
+    const agent_state& state = found->second;
+    if (!state.listed && state.outstanding == 0)
+        agents_.erase(found);
+}
+
+void broker_state::on_load_report(const process_id& from,
+                                  const load_report& report, instant now) {
+    const auto found = agents_.find(from.name);
+    if (found == agents_.end() || !found->second.up ||
+        found->second.id != from || report.agent != from)
+        return;
+    agent_state& agent = found->second;
+    agent.reported = true;
+    agent.load = report;
+    agent.load_at = now;
+    agent.outstanding_then = agent.outstanding;
+    for (const request_id id : requests_in(request_phase::choosing))
+        dispatch(id, now);
+}
+
+} // namespace ospreystage::impl
--- /dev/null
+++ b/src/broker_state.cpp
@@ -0,0 +1,254 @@
+#include <ospreystage/impl/broker_state.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace ospreystage::impl {
+
+namespace {
+
+/// Time before the deadline at which an attempt without an answer is sealed.
+constexpr milliseconds seal_lead{200};
+
+/// Deadline of a request whose class the document does not name.
+constexpr milliseconds default_deadline{30'000};
+
+/// Time after which a caller may come back after a refusal without another.
+constexpr milliseconds default_retry_after{500};
+
+absl::BitGen make_generator(std::uint64_t seed) {
+    std::seed_seq sequence{static_cast<std::uint32_t>(seed),
+                           static_cast<std::uint32_t>(seed >> 32U), 1U};
+    return absl::BitGen(sequence);
+}
+
+bool is_at_most_once(const incoming_request& incoming, const service& target) {
+    const auto& routes = target.non_idempotent_routes;
+    const std::string route = incoming.path.substr(0, incoming.path.find('?'));
+    return incoming.non_idempotent ||
+           std::find(routes.begin(), routes.end(), route) != routes.end() ||
+           std::find(routes.begin(), routes.end(), incoming.request_class) !=
+               routes.end();
+}
+
+std::vector<std::string> names_of(const settings& configuration) {
+    std::vector<std::string> names;
+    for (const witness_settings& witness : configuration.cluster.witnesses)
+        names.push_back(witness.name);
+    return names;
+}
+
+} // namespace
+
+const char* to_string(request_phase phase) noexcept {
+    switch (phase) {
+    case request_phase::claiming:
+        return "claiming";
+    case request_phase::choosing:
+        return "choosing";
+    case request_phase::in_flight:
+        return "in_flight";
+    case request_phase::resolving:
+        return "resolving";
+    }
+    return "";
+}
+
+broker_state::broker_state(process_id self, const settings& configuration,
+                           std::uint64_t seed)
+    : self_(std::move(self)), request_limit_(configuration.requests.queue),
+      subset_size_(configuration.cluster.agents_per_entry),
+      witnesses_(names_of(configuration)),
+      balancer_(configuration.requests.routing, seed),
+      retries_(configuration.requests.retry_percent),
+      random_(make_generator(seed)) {}
+
+bool broker_state::idle() const {
+    return requests_.empty();
+}
+
+nlohmann::json broker_state::dump() const {
+    nlohmann::json state;
+    state["requests"] = nlohmann::json::array();
+    for (const auto& [id, request] : requests_)
+        state["requests"].push_back(
+            {{"id", id},
+             {"organisation", request.incoming.organisation},
+             {"service", request.incoming.service},
+             {"phase", to_string(request.phase)},
+             {"agent", request.attempt ? request.attempt->agent.name : ""},
+             {"attempts", request.attempts},
+             {"claimed", request.claimed}});
+    state["agents"] = nlohmann::json::object();
+    for (const auto& [name, agent] : agents_)
+        state["agents"][name] = {{"listed", agent.listed},
+                                 {"up", agent.up},
+                                 {"incarnation", agent.id.incarnation},
+                                 {"outstanding", agent.outstanding},
+                                 {"reported", agent.reported}};
+    state["subsets"] = subsets_;
+    state["leaving"] = leaving_;
+    state["retries_available"] = retries_.available();
+    state["answered_total"] = answered_total_;
+    state["not_run_total"] = not_run_total_;
+    state["unknown_total"] = unknown_total_;
+    state["retried_total"] = retried_total_;
+    state["dropped_frames_total"] = dropped_frames_;
+    return state;
+}
+
+void broker_state::set_document(
+    std::shared_ptr<const rollout_document> document) {
+    document_ = std::move(document);
+    update_subsets();
+}
+
+void broker_state::set_entries(std::vector<std::string> entries) {
+    entries_ = std::move(entries);
+    update_subsets();
+}
+
+void broker_state::set_leaving() {
+    leaving_ = true;
+}
+
+broker_actions broker_state::take_actions() {
+    return std::exchange(out_, {});
+}
+
+void broker_state::begin(request_id request, incoming_request incoming,
+                         instant now) {
+    const auto refuse_at_once = [&](const std::string& reason) {
+        refuse(request, outcome::not_run, reason, default_retry_after);
+    };
+    if (leaving_)
+        return refuse_at_once("leaving");
+    if (document_ == nullptr)
+        return refuse_at_once("not_in_force");
+    const service* target = document_->find_service(incoming.service);
+    if (target == nullptr)
+        return refuse_at_once("unknown_service");
+    if (requests_.size() >= request_limit_)
+        return refuse_at_once("overloaded");
+    request_state state = make_request(std::move(incoming), *target, now);
+    const bool claims = state.incoming.non_idempotent;
+    if (claims && state.incoming.idempotency_key.empty())
+        return refuse_at_once("idempotency_key_missing");
+    if (claims && witnesses_.empty())
+        return refuse_at_once("no_witness");
+    retries_.earn();
+    requests_.emplace(request, std::move(state));
+    if (claims)
+        start_claim(request, now);
+    else
+        choose_later(request, now);
+}
+
+request_state broker_state::make_request(incoming_request incoming,
+                                         const service& target,
+                                         instant now) const {
+    request_state state;
+    state.incoming = std::move(incoming);
+    state.incoming.non_idempotent = is_at_most_once(state.incoming, target);
+    state.engine = target.kind == service_kind::engine;
+    state.streams = state.engine && state.incoming.stream;
+    milliseconds allowed = default_deadline;
+    const request_class* found =
+        document_->find_class(state.incoming.request_class);
+    if (found != nullptr) {
+        allowed = found->deadline;
+        state.priority = found->priority;
+    }
+    state.deadline = now + allowed;
+    return state;
+}
+
+void broker_state::cancel(request_id request) {
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return;
+    request_state& state = found->second;
+    if (state.attempt)
+        send_to_agent(state.attempt->agent, cancel_order{state.attempt->id});
+    else if (!state.unsealed)
+        release_claim(state);
+    forget(request);
+}
+
+void broker_state::tick(instant now) {
+    probe_missing(now);
+    std::vector<request_id> ids;
+    for (const auto& [id, state] : requests_)
+        ids.push_back(id);
+    for (const request_id id : ids)
+        check_deadline(id, now);
+    for (const request_id id : requests_in(request_phase::claiming))
+        check_claim(id, now);
+    for (const request_id id : requests_in(request_phase::choosing))
+        dispatch(id, now);
+    for (const request_id id : requests_in(request_phase::resolving)) {
+        if (requests_.at(id).wait_until <= now)
+            give_up(id, "agent_unreachable");
+    }
+}
+
+std::vector<request_id> broker_state::requests_in(request_phase phase) const {
+    std::vector<request_id> ids;
+    for (const auto& [id, state] : requests_) {
+        if (state.phase == phase)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+void broker_state::check_deadline(request_id request, instant now) {
+    request_state& state = requests_.at(request);
+    const bool in_flight = state.phase == request_phase::in_flight;
+    if (state.deadline <= now) {
+        if (in_flight)
+            send_to_agent(state.attempt->agent,
+                          cancel_order{state.attempt->id});
+        give_up(request, "deadline");
+        return;
+    }
+    if (!in_flight || state.attempt->begun || state.attempt->seal_sent ||
+        state.deadline - now > seal_lead)
+        return;
+    state.attempt->seal_sent = true;
+    out_.emplace_back(
+        send_action{state.attempt->agent.name, seal_order{state.attempt->id}});
+}
+
+void broker_state::refuse(request_id request, outcome result,
+                          const std::string& reason, milliseconds retry_after) {
+    if (result == outcome::not_run)
+        ++not_run_total_;
+    else
+        ++unknown_total_;
+    out_.emplace_back(refuse_action{request, result, reason, retry_after});
+    forget(request);
+}
+
+void broker_state::give_up(request_id request, const std::string& reason) {
+    request_state& state = requests_.at(request);
+    const bool may_have_run = state.unsealed || state.attempt.has_value();
+    const milliseconds retry_after =
+        std::max(state.retry_after, default_retry_after);
+    if (!may_have_run)
+        release_claim(state);
+    refuse(request, may_have_run ? outcome::unknown : outcome::not_run, reason,
+           retry_after);
+}
+
+void broker_state::forget(request_id request) {
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return;
+    request_state& state = found->second;
+    attempts_.erase(state.tally.wanted().attempt.sequence);
+    end_attempt(state);
+    requests_.erase(found);
+}
+
+} // namespace ospreystage::impl
