Add the failure detector and the table of members

Cause: every process needs to know who is alive and who is leaving, at a cost that does not grow with the fleet.

Ruled out: heartbeats from all to all, and a list kept by the platform, which lags. Ruled out: a listing as leaving that lasts for an incarnation, since a late list would keep a replaced VM out for good; and one that any later report clears, since two watchers with lists of different age would flap.

Change: a detector in the manner of SWIM (probe, indirect probe, suspicion, refutation by counter), a table that orders records by incarnation, counter and state, and spreads changed ones first plus a rotation. A listing holds until the member itself publishes a higher counter without it. Dead members and absent witnesses are probed now and then. A process that notices its own pause drops its pending probe. An older incarnation that speaks up is told that it was replaced.

--- /dev/null
+++ b/include/ospreystage/membership.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/member_table.hpp>
+#include <ospreystage/messages.hpp>
+#include <ospreystage/settings.hpp>
+#include <ospreystage/vm_list.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// Send a ping as one datagram.
+struct send_ping {
+    address to;
+    gossip_ping datagram;
+};
+
+/// Send an acknowledgement as one datagram.
+struct send_ack {
+    address to;
+    gossip_ack datagram;
+};
+
+/// A member, or this process itself, was added or has another state.
+struct member_changed {
+    member value;
+};
+
+/// A newer incarnation of this process runs: this one has to exit.
+struct superseded {
+    process_id by;
+};
+
+/// A peer told what it holds of the configuration.
+struct revisions_heard {
+    process_id peer;
+    revision document = 0; ///< Highest revision that the peer has.
+    std::vector<held_revision> held;
+};
+
+/// What the failure detector asks of its shell.
+using membership_action = std::variant<send_ping, send_ack, member_changed,
+                                       superseded, revisions_heard>;
+
+/// Failure detector and member table in the manner of SWIM.
+///
+/// Probes one member an interval, through others if it does not answer, and
+/// carries changed records on the probes, so that the cost of a process does
+/// not grow with the fleet. Probes dead members and absent witnesses now and
+/// then, so that two sides of a healed partition find each other. Pure: time
+/// is an argument and datagrams are returned as actions.
+class membership {
+  public:
+    using actions = std::vector<membership_action>;
+
+    // ---- Construction ------------------------------------------------------
+
+    /// `interval` is the time between probes; `seed` orders them.
+    membership(member self, std::vector<witness_settings> witnesses,
+               milliseconds interval, std::uint64_t seed);
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] const member& self() const noexcept;
+
+    /// Returns every member that is not dead, this process first.
+    [[nodiscard]] std::vector<member> members() const;
+
+    /// Returns the members of `role` that may get new work: alive, neither
+    /// suspected nor leaving nor listed as leaving.
+    [[nodiscard]] std::vector<member> alive(process_role role) const;
+
+    /// Returns the peer address of a member or witness.
+    [[nodiscard]] std::optional<address>
+    address_of(const std::string& name) const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Inputs ------------------------------------------------------------
+
+    /// Call it at least twice an interval.
+    [[nodiscard]] actions tick(instant now);
+
+    [[nodiscard]] actions receive(const address& from, const gossip_ping& ping,
+                                  instant now);
+    [[nodiscard]] actions receive(const address& from, const gossip_ack& ack,
+                                  instant now);
+
+    /// Takes in the members of a `sync_reply`.
+    [[nodiscard]] actions merge(const std::vector<member>& heard, instant now);
+
+    /// Takes in the platform's list; VMs that it lacks are not judged.
+    [[nodiscard]] actions listed(const std::vector<listed_vm>& vms,
+                                 instant now);
+
+    /// Publishes that this process leaves; final for its incarnation.
+    [[nodiscard]] actions set_leaving();
+
+    /// Publishes the revision in force here.
+    void set_in_force(revision number);
+
+    /// Sets what datagrams tell of the configuration.
+    void set_revisions(revision document, std::vector<held_revision> held);
+
+  private:
+    struct probe_state {
+        std::string name;
+        std::uint64_t sequence = 0;
+        bool indirect = false; ///< Others were asked to probe it too.
+    };
+    struct relay_state {
+        address asker;
+        std::uint64_t sequence = 0; ///< Of the asker's ping.
+        std::string target;
+        instant since{};
+    };
+
+    void end_period(instant now, actions& out);
+    void begin_period(instant now, actions& out);
+    void probe_indirectly(actions& out);
+    void probe_lost(actions& out);
+    void recover_from_pause(instant now);
+    [[nodiscard]] std::optional<std::string> next_target();
+    [[nodiscard]] bool is_outdated(const process_id& sender) const;
+    void merge_into(const std::vector<member>& heard, instant now,
+                    actions& out);
+    void ping(const address& to, const std::string& name, gossip_ping datagram,
+              actions& out);
+    void acknowledge(const address& to, const process_id& asker,
+                     gossip_ack datagram, actions& out);
+    void relay(const address& from, const gossip_ping& ping, instant now,
+               actions& out);
+    [[nodiscard]] std::size_t member_bytes() const;
+
+    member_table table_;
+    std::vector<witness_settings> witnesses_;
+    milliseconds interval_;
+    std::mt19937_64 random_;
+    std::uint64_t next_sequence_;
+    std::uint64_t periods_ = 0;
+    std::optional<instant> last_tick_;
+    instant period_start_{};
+    std::optional<probe_state> probe_;
+    std::vector<std::string> order_; ///< Rest of the current probing round.
+    absl::flat_hash_map<std::uint64_t, relay_state> relays_;
+    bool superseded_ = false;
+    revision document_ = 0;
+    std::vector<held_revision> held_;
+};
+
+/// Returns true if the member may get new work.
+[[nodiscard]] bool takes_new_work(const member& value) noexcept;
+
+/// Returns the name of a state as it appears in dumps.
+[[nodiscard]] const char* to_string(member_state state) noexcept;
+
+} // namespace ospreystage
