Add the register that decides which document is in force

Cause: an accepted document has to be in force everywhere and must never revert, also when a node restarts with nothing while the platform is down.

Ruled out: counting what any earlier run of a witness held. A restarted witness can recover from the two others before they have the document; the report of its earlier run beside a later one of another witness then makes a majority that a starting process can miss. Ruled out: asking or pushing to random peers, since every one would cost a lasting connection; a process exchanges with four neighbours and the witnesses.

Change: config_register holds the highest document heard of, puts it in force once a majority of the witnesses holds it, and starts unrecovered. A witness that asks is noted before it is answered.

--- /dev/null
+++ b/include/ospreystage/config_register.hpp
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/messages.hpp>
+#include <ospreystage/rollout.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// Send a document to a peer.
+struct push_document {
+    std::string peer;
+    document_push push;
+};
+
+/// Ask a peer for its document.
+struct ask_document {
+    std::string peer;
+    sync_request request;
+};
+
+/// A document is now in force on this process.
+struct put_in_force {
+    std::shared_ptr<const rollout_document> document;
+};
+
+/// A push, an answer or the platform's value could not be used.
+struct document_refused {
+    error reason;
+};
+
+/// What the register asks of its shell.
+using register_action =
+    std::variant<push_document, ask_document, put_in_force, document_refused>;
+
+/// Decides which accepted document is in force on this process.
+///
+/// Holds the highest document heard of. Puts it in force once a majority of
+/// the witnesses hold it or a higher one, so that every later majority knows
+/// it. A process starts unrecovered: it puts nothing in force, and as a
+/// witness reports nothing, before it has read the platform's service or has
+/// heard from a majority of the witnesses that are recovered themselves; it
+/// then needs a document at least as high as the highest it heard of. What is
+/// in force never goes down.
+///
+/// Reports of a witness count for its newest known incarnation only: a
+/// restarted witness that recovers from others has lost what its earlier run
+/// held, and a majority that counted the earlier run could be missed by the
+/// majority that a starting process asks. Pure: time is an argument.
+class config_register {
+  public:
+    using actions = std::vector<register_action>;
+
+    // ---- Construction ------------------------------------------------------
+
+    /// `witnesses` are the names of the settings; `seed` picks push targets.
+    config_register(process_id self, process_role role,
+                    std::vector<std::string> witnesses, std::uint64_t seed);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Document in force, or null if there is none yet.
+    [[nodiscard]] std::shared_ptr<const rollout_document> in_force() const;
+
+    /// Highest document held, or null.
+    [[nodiscard]] std::shared_ptr<const rollout_document> highest() const;
+
+    /// Revision of the highest document held; 0 if there is none.
+    [[nodiscard]] revision document() const noexcept;
+
+    /// What is known of the witnesses' documents, this process included.
+    [[nodiscard]] std::vector<held_revision> held() const;
+
+    [[nodiscard]] bool recovered() const noexcept;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Inputs ------------------------------------------------------------
+
+    /// Sets the names of the peers that are alive. Documents are exchanged
+    /// with a few of them, always the same, and with the witnesses.
+    void set_peers(std::vector<std::string> peers);
+
+    /// The platform's service was read; empty text: nothing accepted yet.
+    [[nodiscard]] actions platform_read(const std::string& json, instant now);
+
+    /// A document was accepted here; it need not be the latest any more.
+    [[nodiscard]] actions accepted(const std::string& json);
+
+    /// A peer pushed a document.
+    [[nodiscard]] actions receive(const document_push& push, instant now);
+
+    /// A peer answered a `sync_request` of this process.
+    [[nodiscard]] actions receive(const sync_reply& reply, instant now);
+
+    /// A peer's datagram told what it holds.
+    [[nodiscard]] actions heard(const process_id& peer, revision document,
+                                const std::vector<held_revision>& held,
+                                instant now);
+
+    /// Answers a peer's `sync_request`; the members are left to the shell.
+    [[nodiscard]] sync_reply answer(const sync_request& request);
+
+    /// Repeats what was not answered; call it about twice a second.
+    [[nodiscard]] actions tick(instant now);
+
+  private:
+    void offer(const std::string& json, const std::string& from, actions& out);
+    void merge(const std::vector<held_revision>& held);
+    void merge(const held_revision& heard);
+    void ask_witnesses(instant now, actions& out);
+    void ask_behind(const std::string& teller, instant now, actions& out);
+    void ask_routinely(instant now, actions& out);
+    void ask(const std::string& peer, actions& out) const;
+    [[nodiscard]] std::vector<std::string> sources() const;
+    void fan_out(const std::string& from, actions& out);
+    void push_to(const std::string& peer, actions& out);
+    void recover();
+    void hold();
+    void settle(actions& out);
+    [[nodiscard]] bool is_witness(const std::string& name) const;
+    [[nodiscard]] std::size_t majority() const noexcept;
+    [[nodiscard]] revision held_by_majority() const;
+
+    process_id self_;
+    process_role role_;
+    std::set<std::string> witnesses_;
+    std::mt19937_64 random_;
+    std::vector<std::string> neighbours_; ///< Peers to exchange with.
+    std::shared_ptr<const rollout_document> highest_;
+    std::string highest_json_;
+    std::shared_ptr<const rollout_document> in_force_;
+    revision heard_of_ = 0; ///< Highest revision any peer named.
+    revision floor_ = 0;    ///< Least revision to put in force.
+    bool recovered_ = false;
+    std::set<std::string> answered_; ///< Recovered witnesses that replied.
+    std::map<std::string, held_revision> held_;
+    std::optional<instant> asked_witnesses_;
+    std::optional<instant> asked_behind_;
+    std::optional<instant> asked_routinely_;
+    milliseconds routine_interval_;
+};
+
+} // namespace ospreystage
