Add the decision module of the weight distribution

Cause: agents must agree, without a coordinator, who reads a chunk from the origin, who carries it to another data centre and who serves whom. Ruled out: a lease a chunk (a write per chunk and reader at the platform's service), a fixed tree (a node's link feeds fan_out children, so the time is at least fan_out copies and one dead node cuts a branch). Change: placement (rendezvous hashing of readers, owners and neighbours, and the baselines direct and tree), swarm (which chunk, from whom, when from the origin, when to give a peer up), upload_queue, token_bucket, and an experiment that drives the modules of all members over modelled links.

--- /dev/null
+++ b/include/ospreystage/placement.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <ospreystage/ids.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// One agent that takes part in the distribution.
+struct swarm_member {
+    std::string name;
+    std::string data_centre;
+    friend auto operator<=>(const swarm_member&, const swarm_member&) = default;
+};
+
+/// Rendezvous hashing picks the origin reader and the owner of each chunk.
+struct rendezvous_strategy {
+    std::uint32_t origin_copies = 1; ///< Readers of each chunk.
+    friend bool operator==(const rendezvous_strategy&,
+                           const rendezvous_strategy&) = default;
+};
+
+/// Baseline: every agent reads every chunk from the origin.
+struct direct_strategy {
+    friend bool operator==(const direct_strategy&,
+                           const direct_strategy&) = default;
+};
+
+/// Baseline: a tree by rank; its root alone reads from the origin.
+struct tree_strategy {
+    std::uint32_t fan_out = 2; ///< Children of a node.
+    friend bool operator==(const tree_strategy&,
+                           const tree_strategy&) = default;
+};
+
+/// How chunks and their sources are assigned to agents.
+using distribution_strategy =
+    std::variant<rendezvous_strategy, direct_strategy, tree_strategy>;
+
+/// What this agent has to do for one chunk.
+struct chunk_role {
+    /// Value of a rank that the agent does not have.
+    static constexpr std::uint16_t none = 0xFFFF;
+
+    /// Position among the origin readers of the chunk, 0 first, or `none`.
+    std::uint16_t origin_rank = none;
+    /// Position among the agents of its data centre that may fetch the chunk
+    /// from another one, 0 first.
+    std::uint16_t owner_rank = none;
+};
+
+/// Assignment of chunks, sources and neighbours for one agent and version.
+///
+/// Every agent that knows the same members computes the same assignment;
+/// removing a member moves only what it was assigned.
+class placement {
+  public:
+    // ---- Construction ------------------------------------------------------
+
+    /// Computes the assignment.
+    ///
+    /// `silent` names readers that others must stand in for.
+    placement(const distribution_strategy& strategy,
+              std::vector<swarm_member> members, const std::string& self,
+              const digest& version, std::uint32_t chunks,
+              const std::vector<std::string>& silent = {});
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Agents that are told which chunks this agent has.
+    [[nodiscard]] const std::vector<std::string>& neighbours() const noexcept {
+        return neighbours_;
+    }
+
+    /// Agents that read from the origin, then those that stand in for them.
+    [[nodiscard]] const std::vector<std::string>& readers() const noexcept {
+        return readers_;
+    }
+
+    /// Returns true if this agent is among the `readers`.
+    [[nodiscard]] bool is_reader() const noexcept { return is_reader_; }
+
+    /// Readers that read a chunk from the origin when nothing fails; those of
+    /// a higher rank stand in for them.
+    [[nodiscard]] std::uint32_t origin_copies() const noexcept {
+        return origin_copies_;
+    }
+
+    /// Returns the role of this agent for chunk `index`.
+    [[nodiscard]] const chunk_role& role(std::uint32_t index) const {
+        return roles_[index];
+    }
+
+    /// Returns the owner of chunk `index` in each data centre but this one.
+    [[nodiscard]] std::vector<std::string>
+    remote_owners(std::uint32_t index) const;
+
+    /// Returns true if `peer` is in the data centre of this agent.
+    [[nodiscard]] bool is_local(const std::string& peer) const;
+
+    /// Returns true if the strategy lets this agent fetch from `peer`.
+    [[nodiscard]] bool may_ask(const std::string& peer) const;
+
+    /// Returns true if agents stand in for a reader that fails.
+    [[nodiscard]] bool has_stand_ins() const noexcept { return !restricted_; }
+
+  private:
+    struct placed_member {
+        std::string name;
+        std::uint32_t data_centre = 0;
+        std::uint64_t hash = 0;
+    };
+
+    void place(const rendezvous_strategy& strategy);
+    void place(const direct_strategy& strategy);
+    void place(const tree_strategy& strategy);
+    void choose_readers(const std::vector<std::string>& silent);
+    void choose_neighbours();
+    [[nodiscard]] chunk_role role_of(std::uint32_t index) const;
+    [[nodiscard]] std::vector<std::size_t>
+    reader_order(std::uint32_t index) const;
+    [[nodiscard]] std::uint64_t weight(std::size_t member,
+                                       std::uint32_t index) const noexcept;
+    [[nodiscard]] std::size_t
+    position_of(const std::string& name) const noexcept;
+
+    std::vector<placed_member> members_; ///< Sorted by name.
+    std::uint32_t data_centres_ = 0;
+    std::size_t self_ = 0;
+    std::uint64_t version_hash_ = 0;
+    std::vector<std::size_t> active_readers_;
+    std::vector<std::string> readers_;
+    std::vector<std::string> neighbours_;
+    std::vector<std::string> sources_; ///< Tree: the parent alone.
+    bool restricted_ = false;          ///< Only `sources_` may be asked.
+    bool is_reader_ = false;
+    std::uint32_t origin_copies_ = 1;
+    std::vector<chunk_role> roles_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/swarm.hpp
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <ospreystage/chunk_bitmap.hpp>
+#include <ospreystage/manifest.hpp>
+#include <ospreystage/placement.hpp>
+#include <ospreystage/swarm_types.hpp>
+#include <ospreystage/token_bucket.hpp>
+#include <ospreystage/upload_queue.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ospreystage {
+
+/// A version that this agent shall hold.
+struct wanted_version {
+    digest version;
+    std::uint32_t priority = 0; ///< Higher is fetched and served first.
+    friend bool operator==(const wanted_version&,
+                           const wanted_version&) = default;
+};
+
+/// Decides which chunk is fetched when and from whom, and which is served.
+///
+/// Has no sockets, threads or clock: the inputs carry the time, `tick` returns
+/// what is to be done. The shell reports every `fetch_chunk` by `on_fetched`,
+/// also after a failure; a late report of a request that timed out is allowed.
+///
+///     swarm decisions(options, "agent-1");
+///     decisions.set_members(members, now);
+///     decisions.set_wanted({{version, 1}}, now);
+///     for (const swarm_action& action : decisions.tick(now))
+///         std::visit(perform, action);
+class swarm {
+  public:
+    // ---- Construction ------------------------------------------------------
+
+    swarm(swarm_options options, std::string self);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Returns true if every chunk of `version` is held.
+    [[nodiscard]] bool complete(const digest& version) const;
+
+    /// Returns the held chunks; empty if the manifest is not known yet.
+    [[nodiscard]] chunk_bitmap held(const digest& version) const;
+
+    /// Returns the time at which `tick` has something to do at the latest.
+    [[nodiscard]] instant next_wake(instant now) const;
+
+    [[nodiscard]] const swarm_counters& counters() const noexcept;
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Configuration -----------------------------------------------------
+
+    /// Sets the live agents; this one may be among them or not.
+    void set_members(std::vector<swarm_member> members, instant now);
+
+    /// Sets the versions to hold; everything about others is dropped.
+    void set_wanted(const std::vector<wanted_version>& wanted, instant now);
+
+    /// Sets the share of the link that may be used from now on.
+    void set_budget(const link_budget& budget, instant now);
+
+    // ---- Events ------------------------------------------------------------
+
+    /// The manifest was checked; `held` are the chunks already stored.
+    void on_manifest(const digest& version, const manifest& description,
+                     const chunk_bitmap& held, instant now);
+
+    /// A source did not give the manifest.
+    void on_manifest_failed(const digest& version, const chunk_source& source,
+                            instant now);
+
+    /// A peer told which chunks it has; `chunks` is 0 if it has no manifest.
+    void on_have(const std::string& peer, const digest& version,
+                 const chunk_bitmap& held, instant now);
+
+    /// A request for a chunk ended.
+    void on_fetched(const chunk_source& source, const digest& version,
+                    std::uint32_t index, fetch_outcome outcome, instant now);
+
+    /// A peer asks for a chunk on `connection`.
+    void on_request(const std::string& peer, std::uint64_t connection,
+                    const digest& version, std::uint32_t index);
+
+    /// The connection to a peer ended; its answers will not come.
+    void on_peer_down(const std::string& peer, instant now);
+
+    /// Returns the actions that are due.
+    [[nodiscard]] std::vector<swarm_action> tick(instant now);
+
+  private:
+    /// Addresses a record of `peers_`.
+    enum class peer_id : std::uint32_t {};
+
+    struct peer_record {
+        std::string name;
+        bool is_member = false;
+        bool is_local = false;
+        bool proven = false; ///< Has delivered a chunk.
+        std::uint32_t outstanding = 0;
+        std::uint32_t strikes = 0;
+        instant avoided_until{};
+        instant delivered{};
+        instant heard{};
+        microseconds latency{}; ///< Smoothed time to an answer.
+    };
+
+    /// What is known of a peer for one version.
+    struct peer_view {
+        chunk_bitmap held;
+        bool active = false;         ///< It has announced the version.
+        std::uint32_t announced = 0; ///< Own count last told, plus one.
+        instant told{};
+
+        [[nodiscard]] bool is_complete() const noexcept {
+            return held.size() > 0 && held.is_full();
+        }
+    };
+
+    struct chunk_record {
+        std::uint16_t holders = 0; ///< Active peers that have it.
+        std::uint16_t in_flight = 0;
+        instant blocked_since{}; ///< Known elsewhere, no source to ask.
+    };
+
+    struct version_record {
+        digest id;
+        std::uint32_t priority = 0;
+        std::optional<manifest> description;
+        chunk_bitmap held;
+        std::vector<chunk_record> chunks;
+        std::vector<std::uint32_t> order; ///< Random, differs by agent.
+        std::vector<peer_view> views;     ///< By peer_id.
+        std::vector<peer_id> active;
+        std::optional<placement> roles;
+        std::vector<std::string> silent; ///< Readers that others replace.
+        std::vector<std::string> owners_to_tell;
+        bool announce_now = false;
+        instant announced{};
+        instant wanted_since{};
+        instant progress{}; ///< Last chunk stored.
+        instant checked{};
+        std::optional<chunk_source> manifest_source; ///< Outstanding.
+        instant manifest_deadline{};
+        instant manifest_retry{};
+    };
+
+    struct request_record {
+        chunk_source source;
+        digest version;
+        std::uint32_t index = 0;
+        std::uint32_t bytes = 0;
+        instant started{};
+        instant deadline{};
+    };
+
+    // Records (swarm.cpp)
+    [[nodiscard]] version_record* find(const digest& version);
+    [[nodiscard]] const version_record* find(const digest& version) const;
+    [[nodiscard]] peer_id peer_of(const std::string& name);
+    [[nodiscard]] peer_record& at(peer_id id);
+    [[nodiscard]] const peer_record& at(peer_id id) const;
+    [[nodiscard]] peer_view& view_of(version_record& version, peer_id id);
+    void place(version_record& version);
+    void forget_view(version_record& version, peer_id id);
+    void count_holders(version_record& version, const chunk_bitmap& held,
+                       int change);
+    void store(version_record& version, std::uint32_t index,
+               const chunk_source& source, instant now);
+    void strike(peer_id id, instant now);
+    [[nodiscard]] bool is_usable(peer_id id, instant now) const;
+
+    // Requests (swarm_requests.cpp)
+    [[nodiscard]] milliseconds stall_timeout(std::uint32_t bytes) const;
+    [[nodiscard]] std::optional<request_record>
+    take_request(const chunk_source& source, const digest& version,
+                 std::uint32_t index);
+    void release(const request_record& request, bool refund);
+    void expire(instant now);
+    void start_request(version_record& version, std::uint32_t index,
+                       chunk_source source, instant now);
+    [[nodiscard]] token_bucket& download_bucket();
+    [[nodiscard]] bool may_fetch_from_peers(const version_record& v) const;
+
+    // Downloads (swarm_downloads.cpp)
+    void plan_downloads(instant now);
+    [[nodiscard]] bool plan_download(instant now);
+    [[nodiscard]] bool plan_origin(version_record& version, instant now);
+    [[nodiscard]] bool plan_peer(version_record& version, instant now);
+    [[nodiscard]] bool plan_duplicate(version_record& version, instant now);
+    [[nodiscard]] bool may_read_origin(const version_record& version,
+                                       std::uint32_t index, instant now) const;
+    [[nodiscard]] std::optional<peer_id>
+    best_source(const version_record& version, std::uint32_t index,
+                instant now) const;
+    [[nodiscard]] bool has_usable_holder(const version_record& version,
+                                         std::uint32_t index, bool local_only,
+                                         instant now) const;
+    [[nodiscard]] bool may_cross(const version_record& version,
+                                 std::uint32_t index, instant now) const;
+    void check_blocked(version_record& version, instant now);
+    void check_silence(version_record& version, instant now);
+
+    // Uploads and announcements (swarm_uploads.cpp)
+    [[nodiscard]] bool plan_upload();
+    void plan_manifest(version_record& version, instant now);
+    void plan_announcements(version_record& version, instant now);
+    [[nodiscard]] milliseconds
+    announce_interval(const version_record& version) const;
+
+    swarm_options options_;
+    std::string self_;
+    std::mt19937_64 random_;
+    std::vector<swarm_member> members_;
+    link_budget budget_;
+    token_bucket upload_;
+    token_bucket download_; ///< Unused if the directions share the link.
+    std::uint64_t taken_up_ = 0;
+    std::uint64_t taken_down_ = 0;
+    std::vector<peer_record> peers_;
+    absl::flat_hash_map<std::string, peer_id> peer_ids_;
+    std::vector<version_record> versions_; ///< Highest priority first.
+    std::vector<request_record> requests_;
+    std::uint32_t peer_requests_ = 0;
+    std::uint64_t peer_request_bytes_ = 0;
+    std::uint32_t origin_requests_ = 0;
+    instant origin_avoided_until_{};
+    upload_queue uploads_;
+    std::vector<swarm_action> actions_;
+    swarm_counters counters_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/swarm_types.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/ids.hpp>
+#include <ospreystage/placement.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// Share of the link that distribution may use.
+struct link_budget {
+    /// Bytes per second in each direction, or of both if they share the link;
+    /// 0: unlimited.
+    std::uint64_t bytes_per_second = 0;
+    bool shared_directions = false;
+    friend bool operator==(const link_budget&, const link_budget&) = default;
+};
+
+/// Limits and timeouts of the decision module.
+struct swarm_options {
+    distribution_strategy strategy = rendezvous_strategy{};
+    std::uint64_t seed = 1; ///< Breaks ties; differs from agent to agent.
+
+    std::uint32_t max_requests = 8;          ///< Outstanding to peers.
+    std::uint32_t max_requests_per_peer = 2; ///< Outstanding to one peer.
+    std::uint32_t max_origin_requests = 1;   ///< Outstanding to the origin.
+    /// Outstanding to peers; bounds the memory that replies take.
+    std::uint64_t max_request_bytes = 4 * 1024 * 1024;
+    std::uint32_t max_uploads_queued = 16; ///< Requests of peers.
+
+    milliseconds announce_interval{50};   ///< Between two `announce`.
+    milliseconds keepalive_interval{500}; ///< Of readers among each other.
+    milliseconds min_stall_timeout{1000}; ///< A source gave no answer.
+    milliseconds refusal_pause{50};       ///< After a refusal of a peer.
+    milliseconds avoidance{5000};         ///< After a bad or missing answer.
+    milliseconds max_avoidance{60'000};
+    milliseconds origin_pause{500}; ///< After a failure of the origin.
+};
+
+/// Source of chunks: a peer by name.
+struct peer_source {
+    std::string name;
+    friend bool operator==(const peer_source&, const peer_source&) = default;
+};
+
+/// Source of chunks: the origin.
+struct origin_source {
+    friend bool operator==(const origin_source&,
+                           const origin_source&) = default;
+};
+
+using chunk_source = std::variant<peer_source, origin_source>;
+
+/// How a request to a source ended.
+enum class fetch_outcome : std::uint8_t {
+    stored,  ///< The chunk was checked and stored.
+    corrupt, ///< The bytes differ from the manifest.
+    refused, ///< The source does not have it or has too much to do.
+    failed,  ///< The source could not be reached.
+};
+
+/// Ask `source` for a chunk.
+struct fetch_chunk {
+    chunk_source source;
+    digest version;
+    std::uint32_t index = 0;
+    std::uint32_t bytes = 0;
+};
+
+/// Ask `source` for the manifest of a version.
+struct fetch_manifest {
+    chunk_source source;
+    digest version;
+};
+
+/// Tell `peers` which chunks of a version this agent has.
+struct announce_chunks {
+    std::vector<std::string> peers;
+    digest version;
+};
+
+/// Send a chunk to a peer that asked for it.
+struct serve_chunk {
+    std::string peer;
+    std::uint64_t connection = 0; ///< As given with the request.
+    digest version;
+    std::uint32_t index = 0;
+    std::uint32_t bytes = 0;
+    std::uint32_t priority = 0; ///< Of the version; higher goes first.
+};
+
+/// Tell a peer that a chunk will not be sent.
+struct refuse_chunk {
+    std::string peer;
+    std::uint64_t connection = 0;
+    digest version;
+    std::uint32_t index = 0;
+};
+
+/// A peer gave no answer in time: its connection should be opened anew.
+struct give_up_peer {
+    std::string peer;
+};
+
+/// What the shell has to do.
+using swarm_action = std::variant<fetch_chunk, fetch_manifest, announce_chunks,
+                                  serve_chunk, refuse_chunk, give_up_peer>;
+
+/// Counts of events since the start.
+struct swarm_counters {
+    std::uint64_t from_peers = 0;  ///< Chunks.
+    std::uint64_t from_remote = 0; ///< Chunks from other data centres.
+    std::uint64_t from_origin = 0; ///< Chunks.
+    std::uint64_t served = 0;      ///< Chunks.
+    std::uint64_t corrupt = 0;     ///< Bad chunks received.
+    std::uint64_t refused = 0;     ///< Requests that a peer refused.
+    std::uint64_t timeouts = 0;    ///< Requests without an answer.
+    std::uint64_t duplicates = 0;  ///< Chunks received twice.
+    std::uint64_t stood_in = 0;    ///< Origin reads in place of another.
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/token_bucket.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace ospreystage {
+
+/// Paces bytes to a rate; a taker may overdraw once and waits afterwards.
+class token_bucket {
+  public:
+    // ---- Construction ------------------------------------------------------
+
+    /// Makes an unlimited bucket.
+    token_bucket() = default;
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] bool is_limited() const noexcept { return rate_ > 0; }
+
+    /// Returns true if bytes may be taken now.
+    [[nodiscard]] bool is_ready() const noexcept {
+        return !is_limited() || balance_ >= 0;
+    }
+
+    /// Returns when `is_ready` becomes true.
+    [[nodiscard]] instant ready_at() const noexcept {
+        if (is_ready())
+            return updated_;
+        return updated_ + std::chrono::ceil<microseconds>(
+                              std::chrono::duration<double>(-balance_ / rate_));
+    }
+
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Sets the rate in bytes per second (0: unlimited) and the largest
+    /// amount saved up in bytes.
+    void set_rate(std::uint64_t bytes_per_second,
+                  std::uint64_t burst_bytes) noexcept {
+        rate_ = static_cast<double>(bytes_per_second);
+        burst_ = static_cast<double>(burst_bytes);
+        balance_ = std::min(balance_, burst_);
+    }
+
+    /// Adds what the rate allows up to `now`.
+    void advance(instant now) noexcept {
+        if (now <= updated_)
+            return;
+        const std::chrono::duration<double> passed = now - updated_;
+        balance_ = std::min(burst_, balance_ + rate_ * passed.count());
+        updated_ = now;
+    }
+
+    /// Takes `bytes`; the balance may become negative.
+    void take(std::uint64_t bytes) noexcept {
+        balance_ -= static_cast<double>(bytes);
+    }
+
+    /// Gives back `bytes` that were taken and not used.
+    void give_back(std::uint64_t bytes) noexcept {
+        balance_ = std::min(burst_, balance_ + static_cast<double>(bytes));
+    }
+
+  private:
+    double rate_ = 0;
+    double burst_ = 0;
+    double balance_ = 0;
+    instant updated_{};
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,229 @@
+#include <ospreystage/placement.hpp>
+#include <ospreystage/stable_hash.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+/// Readers that share the origin's link at once, over all data centres.
+constexpr std::size_t target_readers = 6;
+/// Readers of a data centre at least.
+constexpr std::size_t min_readers_per_data_centre = 2;
+/// Agents that may stand in for a reader, per reader.
+constexpr std::size_t stand_ins_per_reader = 1;
+constexpr std::size_t local_neighbours = 18;
+constexpr std::size_t remote_neighbours = 6;
+constexpr std::uint16_t max_rank = chunk_role::none - 1;
+
+bool contains(const std::vector<std::string>& names, const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+placement::placement(const distribution_strategy& strategy,
+                     std::vector<swarm_member> members, const std::string& self,
+                     const digest& version, std::uint32_t chunks,
+                     const std::vector<std::string>& silent)
+    : version_hash_(stable_hash(version)), roles_(chunks) {
+    std::sort(members.begin(), members.end());
+    absl::flat_hash_map<std::string, std::uint32_t> centres;
+    for (swarm_member& entry : members) {
+        const auto next = static_cast<std::uint32_t>(centres.size());
+        const std::uint32_t centre =
+            centres.emplace(entry.data_centre, next).first->second;
+        const std::uint64_t hash = stable_hash(entry.name);
+        members_.push_back({std::move(entry.name), centre, hash});
+    }
+    data_centres_ = static_cast<std::uint32_t>(centres.size());
+    self_ = position_of(self);
+    if (self_ == members_.size())
+        return;
+    choose_readers(silent);
+    std::visit([this](const auto& chosen) { place(chosen); }, strategy);
+}
+
+std::vector<std::string> placement::remote_owners(std::uint32_t index) const {
+    std::vector<std::size_t> best(data_centres_, members_.size());
+    if (restricted_ || self_ == members_.size())
+        return {};
+    for (std::size_t member = 0; member < members_.size(); ++member) {
+        std::size_t& chosen = best[members_[member].data_centre];
+        if (chosen == members_.size() ||
+            weight(member, index) > weight(chosen, index))
+            chosen = member;
+    }
+    std::vector<std::string> owners;
+    for (const std::size_t member : best)
+        if (member != members_.size() &&
+            members_[member].data_centre != members_[self_].data_centre)
+            owners.push_back(members_[member].name);
+    return owners;
+}
+
+bool placement::is_local(const std::string& peer) const {
+    const std::size_t position = position_of(peer);
+    return position != members_.size() && self_ != members_.size() &&
+           members_[position].data_centre == members_[self_].data_centre;
+}
+
+bool placement::may_ask(const std::string& peer) const {
+    if (restricted_)
+        return contains(sources_, peer);
+    return position_of(peer) != members_.size();
+}
+
+void placement::place(const rendezvous_strategy& strategy) {
+    choose_neighbours();
+    for (std::uint32_t index = 0; index < roles_.size(); ++index)
+        roles_[index] = role_of(index);
+    origin_copies_ = strategy.origin_copies;
+}
+
+void placement::place(const direct_strategy& /*strategy*/) {
+    restricted_ = true;
+    readers_.clear();
+    is_reader_ = true;
+    for (chunk_role& role : roles_)
+        role.origin_rank = 0;
+}
+
+void placement::place(const tree_strategy& strategy) {
+    restricted_ = true;
+    readers_.clear();
+    is_reader_ = self_ == 0;
+    for (chunk_role& role : roles_) {
+        role.origin_rank = is_reader_ ? 0 : chunk_role::none;
+        role.owner_rank = 0;
+    }
+    if (!is_reader_) {
+        sources_.push_back(members_[(self_ - 1) / strategy.fan_out].name);
+        neighbours_ = sources_;
+    }
+    for (std::size_t child = self_ * strategy.fan_out + 1;
+         child <= self_ * strategy.fan_out + strategy.fan_out; ++child)
+        if (child < members_.size())
+            neighbours_.push_back(members_[child].name);
+}
+
+void placement::choose_readers(const std::vector<std::string>& silent) {
+    const std::size_t share =
+        (target_readers + data_centres_ - 1) / data_centres_;
+    const std::size_t wanted = std::max(min_readers_per_data_centre, share);
+    std::vector<std::size_t> order(members_.size());
+    for (std::size_t member = 0; member < order.size(); ++member)
+        order[member] = member;
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return mix_hash(version_hash_, members_[a].hash) >
+               mix_hash(version_hash_, members_[b].hash);
+    });
+    std::vector<std::size_t> chosen(data_centres_, 0);
+    std::vector<std::size_t> known(data_centres_, 0);
+    for (const std::size_t member : order) {
+        const std::uint32_t centre = members_[member].data_centre;
+        const bool is_silent = contains(silent, members_[member].name);
+        if (known[centre] < wanted * (1 + stand_ins_per_reader)) {
+            ++known[centre];
+            readers_.push_back(members_[member].name);
+            is_reader_ = is_reader_ || member == self_;
+        }
+        if (!is_silent && chosen[centre] < wanted) {
+            ++chosen[centre];
+            active_readers_.push_back(member);
+        }
+    }
+}
+
+void placement::choose_neighbours() {
+    struct candidate {
+        std::uint64_t weight;
+        std::size_t member;
+    };
+    std::vector<candidate> local;
+    std::vector<candidate> remote;
+    const placed_member& self = members_[self_];
+    for (std::size_t member = 0; member < members_.size(); ++member) {
+        if (member == self_)
+            continue;
+        const std::uint64_t weight = self.hash ^ members_[member].hash;
+        const bool is_local = members_[member].data_centre == self.data_centre;
+        (is_local ? local : remote).push_back({mix_hash(weight, 0), member});
+    }
+    const auto take = [this](std::vector<candidate>& from, std::size_t count) {
+        std::sort(from.begin(), from.end(),
+                  [](const candidate& left, const candidate& right) {
+                      return left.weight > right.weight;
+                  });
+        for (std::size_t place = 0; place < std::min(count, from.size());
+             ++place)
+            neighbours_.push_back(members_[from[place].member].name);
+    };
+    take(local, local_neighbours);
+    take(remote, remote_neighbours);
+}
+
+chunk_role placement::role_of(std::uint32_t index) const {
+    chunk_role role;
+    const std::vector<std::size_t> order = reader_order(index);
+    const auto found = std::find(order.begin(), order.end(), self_);
+    if (found != order.end())
+        role.origin_rank = static_cast<std::uint16_t>(found - order.begin());
+    if (role.origin_rank == 0) {
+        role.owner_rank = 0;
+        return role;
+    }
+    const std::uint32_t centre = members_[self_].data_centre;
+    const std::uint64_t mine = weight(self_, index);
+    std::size_t higher = 0;
+    for (std::size_t member = 0; member < members_.size(); ++member)
+        if (members_[member].data_centre == centre &&
+            weight(member, index) > mine)
+            ++higher;
+    // The first reader owns the chunk in its own data centre.
+    if (!order.empty() && members_[order.front()].data_centre == centre)
+        ++higher;
+    role.owner_rank =
+        static_cast<std::uint16_t>(std::min<std::size_t>(higher, max_rank));
+    return role;
+}
+
+std::vector<std::size_t> placement::reader_order(std::uint32_t index) const {
+    std::vector<std::size_t> order = active_readers_;
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return weight(a, index) > weight(b, index);
+    });
+    // The best reader of every data centre comes before second ones.
+    std::vector<bool> seen(data_centres_, false);
+    std::vector<std::size_t> first;
+    std::vector<std::size_t> second;
+    for (const std::size_t member : order) {
+        const std::uint32_t centre = members_[member].data_centre;
+        (seen[centre] ? second : first).push_back(member);
+        seen[centre] = true;
+    }
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
+std::uint64_t placement::weight(std::size_t member,
+                                std::uint32_t index) const noexcept {
+    return mix_hash(mix_hash(version_hash_, index), members_[member].hash);
+}
+
+std::size_t placement::position_of(const std::string& name) const noexcept {
+    const auto found =
+        std::lower_bound(members_.begin(), members_.end(), name,
+                         [](const placed_member& entry, const std::string& id) {
+                             return entry.name < id;
+                         });
+    if (found == members_.end() || found->name != name)
+        return members_.size();
+    return static_cast<std::size_t>(found - members_.begin());
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/swarm.cpp
@@ -0,0 +1,349 @@
+#include <ospreystage/stable_hash.hpp>
+#include <ospreystage/swarm.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr milliseconds burst_time{20}; ///< Unused budget that is kept.
+constexpr std::uint32_t max_strike_shift = 8;
+
+} // namespace
+
+swarm::swarm(swarm_options options, std::string self)
+    : options_(std::move(options)), self_(std::move(self)),
+      random_(mix_hash(options_.seed, stable_hash(self_))) {}
+
+// ---- Observers -------------------------------------------------------------
+
+bool swarm::complete(const digest& version) const {
+    const version_record* record = find(version);
+    return record != nullptr && record->description && record->held.is_full();
+}
+
+chunk_bitmap swarm::held(const digest& version) const {
+    const version_record* record = find(version);
+    return record == nullptr ? chunk_bitmap() : record->held;
+}
+
+const swarm_counters& swarm::counters() const noexcept {
+    return counters_;
+}
+
+nlohmann::json swarm::dump() const {
+    nlohmann::json state;
+    for (const version_record& version : versions_)
+        state["versions"].push_back({{"version", version.id},
+                                     {"priority", version.priority},
+                                     {"chunks", version.held.size()},
+                                     {"held", version.held.count()},
+                                     {"sources", version.active.size()},
+                                     {"silent_readers", version.silent}});
+    state["members"] = members_.size();
+    state["requests_to_peers"] = peer_requests_;
+    state["requests_to_origin"] = origin_requests_;
+    state["uploads_queued"] = uploads_.size();
+    state["from_peers"] = counters_.from_peers;
+    state["from_remote"] = counters_.from_remote;
+    state["from_origin"] = counters_.from_origin;
+    state["served"] = counters_.served;
+    state["corrupt"] = counters_.corrupt;
+    state["refused"] = counters_.refused;
+    state["timeouts"] = counters_.timeouts;
+    state["duplicates"] = counters_.duplicates;
+    state["stood_in"] = counters_.stood_in;
+    return state;
+}
+
+// ---- Configuration ---------------------------------------------------------
+
+void swarm::set_members(std::vector<swarm_member> members, instant now) {
+    std::sort(members.begin(), members.end());
+    if (members == members_)
+        return;
+    members_ = std::move(members);
+    std::string own_data_centre;
+    for (const swarm_member& entry : members_)
+        if (entry.name == self_)
+            own_data_centre = entry.data_centre;
+    std::vector<bool> was_member;
+    was_member.reserve(peers_.size());
+    for (peer_record& peer : peers_)
+        was_member.push_back(std::exchange(peer.is_member, false));
+    for (const swarm_member& entry : members_) {
+        if (entry.name == self_)
+            continue;
+        peer_record& peer = at(peer_of(entry.name));
+        peer.is_member = true;
+        peer.is_local = entry.data_centre == own_data_centre;
+    }
+    for (std::uint32_t id = 0; id < was_member.size(); ++id)
+        if (was_member[id] && !peers_[id].is_member)
+            on_peer_down(peers_[id].name, now);
+    for (version_record& version : versions_) {
+        place(version);
+        version.announce_now = true;
+    }
+}
+
+void swarm::set_wanted(const std::vector<wanted_version>& wanted, instant now) {
+    const auto is_wanted = [&](const digest& version) {
+        return std::any_of(wanted.begin(), wanted.end(),
+                           [&](const wanted_version& entry) {
+                               return entry.version == version;
+                           });
+    };
+    std::vector<request_record> dropped;
+    for (const request_record& request : requests_)
+        if (!is_wanted(request.version))
+            dropped.push_back(request);
+    for (const request_record& request : dropped)
+        if (take_request(request.source, request.version, request.index))
+            release(request, false);
+    std::erase_if(versions_, [&](const version_record& version) {
+        if (is_wanted(version.id))
+            return false;
+        uploads_.drop_version(version.id);
+        return true;
+    });
+    for (const wanted_version& entry : wanted) {
+        if (find(entry.version) == nullptr) {
+            version_record& added = versions_.emplace_back();
+            added.id = entry.version;
+            added.wanted_since = now;
+            added.progress = now;
+            added.announce_now = true;
+            place(added);
+        }
+        find(entry.version)->priority = entry.priority;
+    }
+    std::stable_sort(
+        versions_.begin(), versions_.end(),
+        [](const version_record& left, const version_record& right) {
+            return left.priority > right.priority;
+        });
+}
+
+void swarm::set_budget(const link_budget& budget, instant now) {
+    budget_ = budget;
+    const auto burst = budget.bytes_per_second *
+                       static_cast<std::uint64_t>(burst_time.count()) /
+                       static_cast<std::uint64_t>(milliseconds::period::den);
+    upload_.advance(now);
+    download_.advance(now);
+    upload_.set_rate(budget.bytes_per_second, burst);
+    download_.set_rate(budget.bytes_per_second, burst);
+}
+
+// ---- Events ----------------------------------------------------------------
+
+void swarm::on_manifest(const digest& version, const manifest& description,
+                        const chunk_bitmap& held, instant now) {
+    version_record* record = find(version);
+    if (record == nullptr || record->description)
+        return;
+    const auto chunks = static_cast<std::uint32_t>(description.chunks.size());
+    record->description = description;
+    record->held = held.size() == chunks ? held : chunk_bitmap(chunks);
+    record->chunks.resize(chunks);
+    record->order.resize(chunks);
+    std::iota(record->order.begin(), record->order.end(), 0U);
+    std::shuffle(record->order.begin(), record->order.end(), random_);
+    record->manifest_source.reset();
+    record->announce_now = true;
+    record->progress = now;
+    for (const peer_id id : record->active) {
+        peer_view& view = view_of(*record, id);
+        view.held = chunk_bitmap(chunks, view.held.bytes());
+        count_holders(*record, view.held, 1);
+    }
+    place(*record);
+}
+
+void swarm::on_have(const std::string& peer, const digest& version,
+                    const chunk_bitmap& held, instant now) {
+    version_record* record = find(version);
+    if (record == nullptr || peer == self_)
+        return;
+    const peer_id id = peer_of(peer);
+    at(id).heard = now;
+    peer_view& view = view_of(*record, id);
+    if (!view.active)
+        record->active.push_back(id);
+    // A peer that has lost chunks has started anew: tell it again.
+    if (!view.active || held.count() < view.held.count())
+        view.announced = 0;
+    view.active = true;
+    if (record->description) {
+        count_holders(*record, view.held, -1);
+        view.held = chunk_bitmap(record->held.size(), held.bytes());
+        count_holders(*record, view.held, 1);
+    } else {
+        view.held = held;
+    }
+}
+
+void swarm::on_fetched(const chunk_source& source, const digest& version,
+                       std::uint32_t index, fetch_outcome outcome,
+                       instant now) {
+    const auto request = take_request(source, version, index);
+    if (request)
+        release(*request, outcome != fetch_outcome::stored &&
+                              outcome != fetch_outcome::corrupt);
+    version_record* record = find(version);
+    if (outcome == fetch_outcome::stored) {
+        if (record != nullptr)
+            store(*record, index, source, now);
+    } else if (outcome == fetch_outcome::corrupt) {
+        ++counters_.corrupt;
+    } else if (outcome == fetch_outcome::refused) {
+        ++counters_.refused;
+    }
+    if (std::holds_alternative<origin_source>(source)) {
+        if (outcome != fetch_outcome::stored)
+            origin_avoided_until_ = now + options_.origin_pause;
+        return;
+    }
+    const peer_id id = peer_of(std::get<peer_source>(source).name);
+    peer_record& peer = at(id);
+    switch (outcome) {
+    case fetch_outcome::stored:
+        peer.proven = true;
+        peer.strikes = 0;
+        peer.delivered = now;
+        if (request)
+            peer.latency =
+                (peer.latency * 3 + std::chrono::duration_cast<microseconds>(
+                                        now - request->started)) /
+                4;
+        break;
+    case fetch_outcome::refused:
+        peer.avoided_until =
+            std::max(peer.avoided_until, now + options_.refusal_pause);
+        break;
+    case fetch_outcome::corrupt:
+    case fetch_outcome::failed:
+        strike(id, now);
+        break;
+    }
+}
+
+void swarm::on_peer_down(const std::string& peer, instant now) {
+    const peer_id id = peer_of(peer);
+    std::vector<request_record> lost;
+    for (const request_record& request : requests_)
+        if (request.source == chunk_source(peer_source{peer}))
+            lost.push_back(request);
+    for (const request_record& request : lost)
+        if (take_request(request.source, request.version, request.index))
+            release(request, true);
+    uploads_.drop_peer(peer);
+    if (!lost.empty())
+        strike(id, now);
+    for (version_record& version : versions_)
+        forget_view(version, id);
+}
+
+// ---- Records ---------------------------------------------------------------
+
+swarm::version_record* swarm::find(const digest& version) {
+    for (version_record& record : versions_)
+        if (record.id == version)
+            return &record;
+    return nullptr;
+}
+
+const swarm::version_record* swarm::find(const digest& version) const {
+    for (const version_record& record : versions_)
+        if (record.id == version)
+            return &record;
+    return nullptr;
+}
+
+swarm::peer_id swarm::peer_of(const std::string& name) {
+    const auto next = static_cast<peer_id>(peers_.size());
+    const auto [found, added] = peer_ids_.emplace(name, next);
+    if (added)
+        peers_.emplace_back().name = name;
+    return found->second;
+}
+
+swarm::peer_record& swarm::at(peer_id id) {
+    return peers_[static_cast<std::size_t>(id)];
+}
+
+const swarm::peer_record& swarm::at(peer_id id) const {
+    return peers_[static_cast<std::size_t>(id)];
+}
+
+swarm::peer_view& swarm::view_of(version_record& version, peer_id id) {
+    if (version.views.size() < peers_.size())
+        version.views.resize(peers_.size());
+    return version.views[static_cast<std::size_t>(id)];
+}
+
+void swarm::place(version_record& version) {
+    const auto chunks = static_cast<std::uint32_t>(version.chunks.size());
+    version.roles.emplace(options_.strategy, members_, self_, version.id,
+                          chunks, version.silent);
+}
+
+void swarm::forget_view(version_record& version, peer_id id) {
+    peer_view& view = view_of(version, id);
+    if (view.active)
+        count_holders(version, view.held, -1);
+    std::erase(version.active, id);
+    view = peer_view{};
+}
+
+void swarm::count_holders(version_record& version, const chunk_bitmap& held,
+                          int change) {
+    if (!version.description)
+        return;
+    for (std::uint32_t index = 0; index < held.size(); ++index)
+        if (held.test(index))
+            version.chunks[index].holders = static_cast<std::uint16_t>(
+                version.chunks[index].holders + change);
+}
+
+void swarm::store(version_record& version, std::uint32_t index,
+                  const chunk_source& source, instant now) {
+    if (!version.description || !version.held.set(index)) {
+        ++counters_.duplicates;
+        return;
+    }
+    version.progress = now;
+    if (const auto* peer = std::get_if<peer_source>(&source)) {
+        ++counters_.from_peers;
+        if (!at(peer_of(peer->name)).is_local)
+            ++counters_.from_remote;
+        return;
+    }
+    ++counters_.from_origin;
+    if (version.roles->role(index).origin_rank >=
+        version.roles->origin_copies())
+        ++counters_.stood_in;
+    // Other data centres wait for a chunk that is new to the fleet.
+    for (std::string& owner : version.roles->remote_owners(index))
+        version.owners_to_tell.push_back(std::move(owner));
+}
+
+void swarm::strike(peer_id id, instant now) {
+    peer_record& peer = at(id);
+    const auto shift = std::min(peer.strikes, max_strike_shift);
+    ++peer.strikes;
+    peer.proven = false;
+    peer.avoided_until = now + std::min(options_.max_avoidance,
+                                        options_.avoidance * (1 << shift));
+}
+
+bool swarm::is_usable(peer_id id, instant now) const {
+    const peer_record& peer = at(id);
+    return peer.is_member && peer.avoided_until <= now;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/swarm_downloads.cpp
@@ -0,0 +1,251 @@
+#include <ospreystage/swarm.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace ospreystage {
+
+namespace {
+
+/// A reader that joins waits this long for its neighbours' announcements.
+constexpr milliseconds join_grace{300};
+/// Interval between two looks for chunks that no source is known for.
+constexpr milliseconds check_interval{100};
+/// Missed keepalives after which a reader counts as silent.
+constexpr int silent_keepalives = 4;
+/// Multiples of the stall timeout after which another agent acts.
+constexpr int fallback_stalls = 2;
+/// Multiples of the fallback time before a reader of a higher rank, or an
+/// agent that is no reader, reads from the origin in place of the first one.
+constexpr int stand_in_fallbacks = 1;
+constexpr int last_resort_fallbacks = 4;
+constexpr int stagnation_fallbacks = 4;
+
+bool is_set(instant moment) noexcept {
+    return moment != instant{};
+}
+
+} // namespace
+
+// ---- Planning --------------------------------------------------------------
+
+void swarm::plan_downloads(instant now) {
+    bool is_busy = true;
+    while (is_busy) {
+        is_busy = false;
+        const bool upload_first =
+            !budget_.shared_directions || taken_up_ <= taken_down_;
+        if (upload_first && upload_.is_ready() && plan_upload())
+            is_busy = true;
+        if (download_bucket().is_ready() && plan_download(now))
+            is_busy = true;
+        if (!upload_first && upload_.is_ready() && plan_upload())
+            is_busy = true;
+    }
+}
+
+bool swarm::plan_download(instant now) {
+    for (version_record& version : versions_) {
+        if (!version.description || version.held.is_full())
+            continue;
+        if (plan_origin(version, now) || plan_peer(version, now) ||
+            plan_duplicate(version, now))
+            return true;
+    }
+    return false;
+}
+
+bool swarm::plan_origin(version_record& version, instant now) {
+    if (origin_requests_ >= options_.max_origin_requests ||
+        origin_avoided_until_ > now)
+        return false;
+    struct choice {
+        std::uint32_t rank = 0;
+        std::uint32_t holders = 0;
+        std::uint32_t index = 0;
+        [[nodiscard]] auto key() const { return std::tie(rank, holders); }
+    };
+    std::optional<choice> best;
+    for (const std::uint32_t index : version.order) {
+        if (version.held.test(index) || version.chunks[index].in_flight > 0)
+            continue;
+        const choice next{version.roles->role(index).origin_rank,
+                          version.chunks[index].holders, index};
+        if (best && next.key() >= best->key())
+            continue;
+        if (may_read_origin(version, index, now))
+            best = next;
+    }
+    if (!best)
+        return false;
+    start_request(version, best->index, origin_source{}, now);
+    return true;
+}
+
+bool swarm::plan_peer(version_record& version, instant now) {
+    if (!may_fetch_from_peers(version))
+        return false;
+    std::optional<peer_id> source;
+    std::uint32_t chosen = 0;
+    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    for (const std::uint32_t index : version.order) {
+        const chunk_record& chunk = version.chunks[index];
+        if (chunk.holders == 0 || chunk.holders >= fewest ||
+            chunk.in_flight > 0 || version.held.test(index))
+            continue;
+        const auto found = best_source(version, index, now);
+        if (!found)
+            continue;
+        source = found;
+        chosen = index;
+        fewest = chunk.holders;
+    }
+    if (!source)
+        return false;
+    start_request(version, chosen, peer_source{at(*source).name}, now);
+    return true;
+}
+
+bool swarm::plan_duplicate(version_record& version, instant now) {
+    if (!may_fetch_from_peers(version))
+        return false;
+    const std::uint32_t missing = version.held.size() - version.held.count();
+    if (missing > options_.max_requests)
+        return false;
+    for (const request_record& request : requests_) {
+        if (request.version != version.id ||
+            version.chunks[request.index].in_flight > 1 ||
+            now - request.started < stall_timeout(request.bytes) / 2)
+            continue;
+        const std::uint32_t index = request.index;
+        const auto source = best_source(version, index, now);
+        if (!source ||
+            request.source == chunk_source(peer_source{at(*source).name}))
+            continue;
+        start_request(version, index, peer_source{at(*source).name}, now);
+        return true;
+    }
+    return false;
+}
+
+// ---- Rules -----------------------------------------------------------------
+
+bool swarm::may_read_origin(const version_record& version, std::uint32_t index,
+                            instant now) const {
+    const chunk_role& role = version.roles->role(index);
+    const chunk_record& chunk = version.chunks[index];
+    if (role.origin_rank < version.roles->origin_copies()) {
+        const auto heard = version.active.size();
+        const auto expected = version.roles->neighbours().size();
+        if (heard * 2 < expected && now - version.wanted_since < join_grace)
+            return false;
+        const bool is_first = role.origin_rank == 0;
+        return !has_usable_holder(version, index, !is_first, now);
+    }
+    if (!version.roles->has_stand_ins())
+        return false;
+    const auto fallback =
+        stall_timeout(version.description->chunk_bytes) * fallback_stalls;
+    const bool is_reader = role.origin_rank != chunk_role::none;
+    const int turn = is_reader ? stand_in_fallbacks + role.origin_rank
+                               : last_resort_fallbacks + role.owner_rank;
+    const bool blocked_long = is_set(chunk.blocked_since) &&
+                              now - chunk.blocked_since > fallback * turn;
+    const bool stagnant =
+        now - version.progress > fallback * (turn + stagnation_fallbacks);
+    return (blocked_long || stagnant) &&
+           !has_usable_holder(version, index, false, now);
+}
+
+bool swarm::may_cross(const version_record& version, std::uint32_t index,
+                      instant now) const {
+    const chunk_role& role = version.roles->role(index);
+    if (role.owner_rank == 0)
+        return true;
+    const instant since = version.chunks[index].blocked_since;
+    const auto fallback =
+        stall_timeout(version.description->chunk_bytes) * fallback_stalls;
+    return is_set(since) && now - since > fallback * role.owner_rank;
+}
+
+std::optional<swarm::peer_id> swarm::best_source(const version_record& version,
+                                                 std::uint32_t index,
+                                                 instant now) const {
+    const bool may_leave = may_cross(version, index, now);
+    std::optional<peer_id> best;
+    const auto key_of = [this](peer_id id) {
+        const peer_record& peer = at(id);
+        return std::tuple(!peer.is_local, peer.outstanding, peer.latency);
+    };
+    for (const peer_id id : version.active) {
+        const peer_view& view = version.views[static_cast<std::size_t>(id)];
+        const peer_record& peer = at(id);
+        const std::uint32_t limit =
+            peer.proven ? options_.max_requests_per_peer : 1;
+        if (!view.held.test(index) || !is_usable(id, now) ||
+            peer.outstanding >= limit || (!peer.is_local && !may_leave) ||
+            !version.roles->may_ask(peer.name))
+            continue;
+        if (!best || key_of(id) < key_of(*best))
+            best = id;
+    }
+    return best;
+}
+
+bool swarm::has_usable_holder(const version_record& version,
+                              std::uint32_t index, bool local_only,
+                              instant now) const {
+    if (version.chunks[index].holders == 0)
+        return false;
+    return std::any_of(
+        version.active.begin(), version.active.end(), [&](peer_id id) {
+            const peer_view& view = version.views[static_cast<std::size_t>(id)];
+            return view.held.test(index) && is_usable(id, now) &&
+                   (!local_only || at(id).is_local);
+        });
+}
+
+// ---- Missing sources -------------------------------------------------------
+
+void swarm::check_blocked(version_record& version, instant now) {
+    if (!version.description || now - version.checked < check_interval)
+        return;
+    version.checked = now;
+    for (std::uint32_t index = 0; index < version.chunks.size(); ++index) {
+        chunk_record& chunk = version.chunks[index];
+        if (version.held.test(index) || chunk.in_flight > 0)
+            continue;
+        const bool is_owner = version.roles->role(index).owner_rank == 0;
+        const bool is_blocked =
+            chunk.holders > 0 &&
+            !has_usable_holder(version, index, !is_owner, now);
+        if (!is_blocked)
+            chunk.blocked_since = instant{};
+        else if (!is_set(chunk.blocked_since))
+            chunk.blocked_since = now;
+    }
+}
+
+void swarm::check_silence(version_record& version, instant now) {
+    if (!version.description || !version.roles->is_reader() ||
+        version.held.is_full())
+        return;
+    const auto limit = options_.keepalive_interval * silent_keepalives;
+    std::vector<std::string> silent;
+    for (const std::string& reader : version.roles->readers()) {
+        if (reader == self_)
+            continue;
+        const peer_id id = peer_of(reader);
+        const peer_view& view = view_of(version, id);
+        const instant heard = std::max(at(id).heard, version.wanted_since);
+        if (!view.is_complete() && now - heard > limit)
+            silent.push_back(reader);
+    }
+    if (silent == version.silent)
+        return;
+    version.silent = std::move(silent);
+    place(version);
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/tests/support/swarm_experiment.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <ospreystage/swarm.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ospreystage::support {
+
+/// One spread of one version over members of three data centres.
+struct swarm_scenario {
+    std::uint32_t members = 8;
+    std::uint32_t chunks = 128;
+    std::uint32_t chunk_bytes = 256 * 1024;
+    /// Time in which the origin's link carries 4 copies and a VM's link 2.
+    milliseconds window{20'000};
+    bool shared_directions = false;
+    distribution_strategy strategy = rendezvous_strategy{};
+    std::uint64_t seed = 1;
+
+    std::uint32_t killed = 0;  ///< Members killed and replaced, one by one.
+    std::uint32_t stalled = 0; ///< Members that fall silent.
+    std::uint32_t corrupt_per_mille = 0;
+    milliseconds membership_lag{1000}; ///< Until a kill is known.
+    /// Copies after which the origin answers nothing more.
+    std::optional<double> origin_copies_available;
+};
+
+/// What was measured.
+struct swarm_measurement {
+    std::uint32_t survivors = 0; ///< Members neither killed nor stalled.
+    std::uint32_t completed = 0; ///< Survivors with every chunk.
+    milliseconds time{};         ///< Until the last survivor completed.
+    double time_ratio = 0;       ///< To the limit of the links.
+    double origin_copies = 0;
+    double remote_copies = 0;            ///< Copies between data centres.
+    double control_bytes_per_second = 0; ///< Per member, sent.
+    swarm_counters counters;             ///< Of all members together.
+};
+
+/// Runs the decision modules of all members over modelled links.
+///
+/// A link serves whole chunks in the order they were sent; the origin's link
+/// is shared by the reads in progress. The same scenario gives the same
+/// measurement.
+[[nodiscard]] swarm_measurement run_experiment(const swarm_scenario& scenario);
+
+} // namespace ospreystage::support
