--- /dev/null
+++ b/tests/claim.cpp
@@ -0,0 +1,327 @@
+#include <ospreystage/claim_ledger.hpp>
+#include <ospreystage/claim_tally.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace ospreystage;
+
+namespace {
+
+const instant start{std::chrono::hours{1}};
+constexpr milliseconds retention{600'000};
+const std::vector<std::string> three{"w-1", "w-2", "w-3"};
+const attempt_id attempt_a{{"entry-1", 1}, 1};
+const attempt_id attempt_b{{"entry-2", 1}, 1};
+
+claim_record record_of(const attempt_id& attempt,
+                       const std::string& key = "key",
+                       const std::string& organisation = "board") {
+    return {{organisation, key}, digest(64, 'd'), attempt, 0};
+}
+
+claim_ledger fresh_ledger(const std::string& name,
+                          std::uint64_t incarnation = 1) {
+    claim_ledger ledger({name, incarnation}, three, retention, start);
+    ledger.recovered_fresh();
+    return ledger;
+}
+
+claim_reply claim(claim_ledger& ledger, const claim_record& record,
+                  const std::string& witness, instant now = start) {
+    return ledger.on_claim({record, {witness, 0}}, now);
+}
+
+/// Lets `to` recover what `from` holds.
+void recover(claim_ledger& to, const process_id& to_id, claim_ledger& from,
+             instant now = start) {
+    for (const auto& page : from.on_recover_request({to_id}, now))
+        to.on_recover_reply(page, now);
+}
+
+claim_reply vote_of(const process_id& witness, const attempt_id& asked,
+                    const attempt_id& held) {
+    claim_reply reply;
+    reply.held = record_of(held);
+    reply.asked = asked;
+    reply.witness = witness;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("claim - voters are the first three by rendezvous") {
+    const std::vector<std::string> five{"w-1", "w-2", "w-3", "w-4", "w-5"};
+    const claim_key key{"board", "key"};
+    CHECK(claim_voters(key, five).size() == 3);
+    CHECK(claim_voters(key, {"w-1"}).size() == 1);
+    CHECK(claim_majority(1) == 1);
+    CHECK(claim_majority(2) == 2);
+    CHECK(claim_majority(3) == 2);
+}
+
+TEST_CASE("claim - the first recorded attempt keeps its key") {
+    claim_ledger ledger = fresh_ledger("w-1");
+    CHECK(claim(ledger, record_of(attempt_a), "w-1").held.attempt == attempt_a);
+    CHECK(claim(ledger, record_of(attempt_b), "w-1").held.attempt == attempt_a);
+    CHECK(claim(ledger, record_of(attempt_a), "w-1").held.attempt == attempt_a);
+}
+
+TEST_CASE("claim - two organisations may use the same key") {
+    claim_ledger ledger = fresh_ledger("w-1");
+    static_cast<void>(claim(ledger, record_of(attempt_a), "w-1"));
+    const claim_record other = record_of(attempt_b, "key", "tokachi");
+    CHECK(claim(ledger, other, "w-1").held.attempt == attempt_b);
+    CHECK(ledger.size() == 2);
+}
+
+TEST_CASE("claim - a release frees the key for its own attempt only") {
+    claim_ledger ledger = fresh_ledger("w-1");
+    static_cast<void>(claim(ledger, record_of(attempt_a), "w-1"));
+    ledger.on_release({{"board", "key"}, attempt_b}, start);
+    CHECK(claim(ledger, record_of(attempt_b), "w-1").held.attempt == attempt_a);
+    ledger.on_release({{"board", "key"}, attempt_a}, start);
+    CHECK(claim(ledger, record_of(attempt_b), "w-1").held.attempt == attempt_b);
+}
+
+TEST_CASE("claim - a key is kept for the retention and not longer") {
+    claim_ledger ledger = fresh_ledger("w-1");
+    static_cast<void>(claim(ledger, record_of(attempt_a), "w-1"));
+    const instant last = start + retention - milliseconds{1};
+    CHECK(claim(ledger, record_of(attempt_b), "w-1", last).held.attempt ==
+          attempt_a);
+    const instant after = start + retention;
+    CHECK(claim(ledger, record_of(attempt_b), "w-1", after).held.attempt ==
+          attempt_b);
+}
+
+TEST_CASE("claim - a full ledger refuses and forgets nothing") {
+    claim_ledger ledger({"w-1", 1}, three, retention, start, 2);
+    ledger.recovered_fresh();
+    static_cast<void>(claim(ledger, record_of(attempt_a, "1"), "w-1"));
+    static_cast<void>(claim(ledger, record_of(attempt_a, "2"), "w-1"));
+    CHECK(claim(ledger, record_of(attempt_a, "3"), "w-1").recovering);
+    const auto again = claim(ledger, record_of(attempt_b, "1"), "w-1");
+    CHECK_FALSE(again.recovering);
+    CHECK(again.held.attempt == attempt_a);
+    CHECK(ledger.size() == 2);
+}
+
+TEST_CASE("claim - a claim meant for another incarnation gets no vote") {
+    claim_ledger ledger = fresh_ledger("w-1", 2);
+    CHECK(
+        ledger.on_claim({record_of(attempt_a), {"w-1", 1}}, start).recovering);
+    CHECK(ledger.size() == 0);
+}
+
+TEST_CASE("claim - a restarted voter does not vote before it is recovered") {
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger third = fresh_ledger("w-3");
+    static_cast<void>(claim(first, record_of(attempt_a), "w-1"));
+    const process_id again{"w-2", 2};
+    claim_ledger second(again, three, retention, start);
+    CHECK(claim(second, record_of(attempt_b), "w-2").recovering);
+    CHECK(second.tick(start).size() == 2);
+    recover(second, again, third);
+    CHECK(claim(second, record_of(attempt_b), "w-2").recovering);
+    recover(second, again, first);
+    const claim_reply reply = claim(second, record_of(attempt_b), "w-2");
+    CHECK_FALSE(reply.recovering);
+    CHECK(reply.held.attempt == attempt_a);
+    CHECK(second.tick(start + milliseconds{1000}).empty());
+}
+
+TEST_CASE("claim - an answer of a recovering voter does not count") {
+    const process_id one{"w-1", 2};
+    const process_id two{"w-2", 2};
+    claim_ledger first(one, three, retention, start);
+    claim_ledger second(two, three, retention, start);
+    claim_ledger third = fresh_ledger("w-3");
+    recover(first, one, second);
+    recover(second, two, first);
+    recover(first, one, third);
+    recover(second, two, third);
+    CHECK_FALSE(first.is_recovered(start));
+    CHECK_FALSE(second.is_recovered(start));
+    CHECK(first.is_recovered(start + retention));
+}
+
+TEST_CASE("claim - an answer to an earlier incarnation does not count") {
+    claim_ledger second({"w-2", 3}, three, retention, start);
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger third = fresh_ledger("w-3");
+    for (const auto& page : first.on_recover_request({{"w-2", 2}}, start))
+        second.on_recover_reply(page, start);
+    for (const auto& page : third.on_recover_request({{"w-2", 2}}, start))
+        second.on_recover_reply(page, start);
+    CHECK_FALSE(second.is_recovered(start));
+}
+
+TEST_CASE("claim - a single witness waits for the retention") {
+    claim_ledger ledger({"w-1", 1}, {"w-1"}, retention, start);
+    CHECK(claim(ledger, record_of(attempt_a), "w-1").recovering);
+    const instant later = start + retention;
+    CHECK_FALSE(claim(ledger, record_of(attempt_a), "w-1", later).recovering);
+}
+
+TEST_CASE("claim - recovered claims that contradict give no vote") {
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger third = fresh_ledger("w-3");
+    static_cast<void>(claim(first, record_of(attempt_a), "w-1"));
+    static_cast<void>(claim(third, record_of(attempt_b), "w-3"));
+    const process_id again{"w-2", 2};
+    claim_ledger second(again, three, retention, start);
+    recover(second, again, first);
+    recover(second, again, third);
+    CHECK(second.is_recovered(start));
+    CHECK(claim(second, record_of(attempt_b), "w-2").recovering);
+    second.on_release({{"board", "key"}, attempt_a}, start);
+    CHECK(claim(second, record_of(attempt_b), "w-2").held.attempt == attempt_b);
+}
+
+TEST_CASE("claim - a recovery answer keeps the age of its records") {
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger third = fresh_ledger("w-3");
+    static_cast<void>(claim(first, record_of(attempt_a), "w-1"));
+    const instant later = start + milliseconds{400'000};
+    const process_id again{"w-2", 2};
+    claim_ledger second(again, three, retention, later);
+    recover(second, again, first, later);
+    recover(second, again, third, later);
+    CHECK(second.size() == 1);
+    static_cast<void>(second.tick(start + retention - milliseconds{1}));
+    CHECK(second.size() == 1);
+    static_cast<void>(second.tick(start + retention));
+    CHECK(second.size() == 0);
+}
+
+TEST_CASE("claim - a large recovery comes in pages") {
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger third = fresh_ledger("w-3");
+    for (int index = 0; index < 9000; ++index)
+        static_cast<void>(
+            claim(first, record_of(attempt_a, std::to_string(index)), "w-1"));
+    const process_id again{"w-2", 2};
+    claim_ledger second(again, three, retention, start);
+    recover(second, again, third);
+    const auto pages = first.on_recover_request({again}, start);
+    REQUIRE(pages.size() == 3);
+    second.on_recover_reply(pages[0], start);
+    second.on_recover_reply(pages[1], start);
+    CHECK_FALSE(second.is_recovered(start));
+    second.on_recover_reply(pages[2], start);
+    CHECK(second.is_recovered(start));
+    CHECK(second.size() == 9000);
+}
+
+TEST_CASE("claim - two of three votes win") {
+    claim_tally tally(record_of(attempt_a), three);
+    tally.add(vote_of({"w-1", 1}, attempt_a, attempt_a));
+    CHECK(tally.verdict() == claim_verdict::open);
+    CHECK(tally.missing() == std::vector<std::string>{"w-2", "w-3"});
+    tally.add(vote_of({"w-1", 1}, attempt_a, attempt_a));
+    tally.add(vote_of({"w-9", 1}, attempt_a, attempt_a));
+    tally.add(vote_of({"w-2", 1}, attempt_b, attempt_a));
+    CHECK(tally.verdict() == claim_verdict::open);
+    tally.add(vote_of({"w-3", 1}, attempt_a, attempt_a));
+    CHECK(tally.verdict() == claim_verdict::won);
+}
+
+TEST_CASE("claim - two witnesses must agree, one decides alone") {
+    claim_tally pair(record_of(attempt_a), {"w-1", "w-2"});
+    pair.add(vote_of({"w-1", 1}, attempt_a, attempt_a));
+    CHECK(pair.verdict() == claim_verdict::open);
+    pair.add(vote_of({"w-2", 1}, attempt_a, attempt_b));
+    CHECK(pair.verdict() == claim_verdict::split);
+    claim_tally alone(record_of(attempt_a), {"w-1"});
+    alone.add(vote_of({"w-1", 1}, attempt_a, attempt_a));
+    CHECK(alone.verdict() == claim_verdict::won);
+}
+
+TEST_CASE("claim - three different votes are split") {
+    claim_tally tally(record_of(attempt_a), three);
+    tally.add(vote_of({"w-1", 1}, attempt_a, attempt_a));
+    tally.add(vote_of({"w-2", 1}, attempt_a, attempt_b));
+    CHECK(tally.verdict() == claim_verdict::open);
+    tally.add(vote_of({"w-3", 1}, attempt_a, {{"entry-3", 1}, 1}));
+    CHECK(tally.verdict() == claim_verdict::split);
+}
+
+TEST_CASE("claim - a majority for another attempt takes the key") {
+    claim_tally tally(record_of(attempt_a), three);
+    tally.add(vote_of({"w-1", 1}, attempt_a, attempt_b));
+    tally.add(vote_of({"w-2", 1}, attempt_a, attempt_b));
+    CHECK(tally.verdict() == claim_verdict::taken);
+    claim_record other = record_of(attempt_a);
+    other.body = digest(64, 'e');
+    claim_tally reused(other, three);
+    reused.add(vote_of({"w-1", 1}, attempt_a, attempt_b));
+    reused.add(vote_of({"w-2", 1}, attempt_a, attempt_b));
+    CHECK(reused.verdict() == claim_verdict::key_reused);
+}
+
+TEST_CASE("claim - a vote of a lost incarnation does not count") {
+    claim_tally tally(record_of(attempt_a), three);
+    tally.add(vote_of({"w-2", 1}, attempt_a, attempt_a));
+    claim_reply later = vote_of({"w-1", 1}, attempt_a, attempt_a);
+    later.known = {{"w-2", 2}};
+    tally.add(later);
+    CHECK(tally.verdict() == claim_verdict::open);
+    CHECK(tally.missing() == std::vector<std::string>{"w-2", "w-3"});
+    tally.add(vote_of({"w-2", 1}, attempt_a, attempt_a));
+    CHECK(tally.verdict() == claim_verdict::open);
+    tally.add(vote_of({"w-2", 2}, attempt_a, attempt_a));
+    CHECK(tally.verdict() == claim_verdict::won);
+}
+
+TEST_CASE("claim - an amnesiac voter cannot give its key twice") {
+    // A has the vote of w-2, which restarts; B gets the votes of the new w-2
+    // and of w-3; A's claim reaches w-1 last.
+    claim_ledger first = fresh_ledger("w-1");
+    claim_ledger second = fresh_ledger("w-2");
+    claim_ledger third = fresh_ledger("w-3");
+    claim_tally tally_a(record_of(attempt_a), three);
+    claim_tally tally_b(record_of(attempt_b), three);
+    tally_a.add(claim(second, record_of(attempt_a), "w-2"));
+    const process_id again{"w-2", 2};
+    claim_ledger restarted(again, three, retention, start);
+    recover(restarted, again, first);
+    recover(restarted, again, third);
+    tally_b.add(claim(restarted, record_of(attempt_b), "w-2"));
+    tally_b.add(claim(third, record_of(attempt_b), "w-3"));
+    CHECK(tally_b.verdict() == claim_verdict::won);
+    SECTION("w-1 knows the new incarnation of w-2") {
+        tally_a.add(claim(first, record_of(attempt_a), "w-1"));
+        CHECK(tally_a.verdict() != claim_verdict::won);
+    }
+    SECTION("w-1 restarted too and learned of it by its own recovery") {
+        const process_id one{"w-1", 2};
+        claim_ledger recovered(one, three, retention, start);
+        recover(recovered, one, restarted);
+        recover(recovered, one, third);
+        tally_a.add(claim(recovered, record_of(attempt_a), "w-1"));
+        CHECK(tally_a.verdict() != claim_verdict::won);
+    }
+}
+
+TEST_CASE("claim - a voter restarted twice still knows who restarted") {
+    // As above, but B claims only after w-1 has recovered, so that nothing but
+    // `known` keeps A's old vote from counting.
+    claim_ledger second = fresh_ledger("w-2");
+    claim_ledger third = fresh_ledger("w-3");
+    claim_ledger first = fresh_ledger("w-1");
+    claim_tally tally_a(record_of(attempt_a), three);
+    tally_a.add(claim(second, record_of(attempt_a), "w-2"));
+    const process_id two{"w-2", 2};
+    claim_ledger new_second(two, three, retention, start);
+    recover(new_second, two, first);
+    recover(new_second, two, third);
+    const process_id one{"w-1", 2};
+    claim_ledger new_first(one, three, retention, start);
+    recover(new_first, one, new_second);
+    recover(new_first, one, third);
+    tally_a.add(claim(new_first, record_of(attempt_a), "w-1"));
+    CHECK(tally_a.verdict() == claim_verdict::open);
+}
