--- a/tests/config_register.cpp
+++ b/tests/config_register.cpp
@@ -92,7 +92,7 @@
             apply(name, node.tick(now));
     }
 
-    std::size_t count_in_force(revision number) const {
+    [[nodiscard]] std::size_t count_in_force(revision number) const {
         std::size_t seen = 0;
         for (const auto& [name, node] : nodes_)
             seen += in_force(node) == number ? 1 : 0;
--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -91,7 +91,8 @@
     }
 
     /// Counts the detectors that see `name` in `state`.
-    std::size_t count(const std::string& name, member_state state) const {
+    [[nodiscard]] std::size_t count(const std::string& name,
+                                    member_state state) const {
         std::size_t seen = 0;
         for (const auto& [at, node] : nodes_) {
             for (const member& item : node.members())
@@ -101,7 +102,7 @@
     }
 
     /// Counts the detectors that give `name` new work.
-    std::size_t users(const std::string& name) const {
+    [[nodiscard]] std::size_t users(const std::string& name) const {
         std::size_t seen = 0;
         for (const auto& [at, node] : nodes_) {
             for (const member& item : node.alive(process_role::entry))
@@ -110,7 +111,7 @@
         return seen;
     }
 
-    bool converged() const {
+    [[nodiscard]] bool converged() const {
         return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& item) {
             return item.second.alive(process_role::entry).size() ==
                    nodes_.size();
@@ -339,9 +340,9 @@
         held.push_back({{fleet::name_of(index), 1}, 7});
     for (std::size_t index = 0; index < count; ++index)
         all.at(fleet::name_of(index)).set_revisions(7, held);
-    for (const int pause : {1, 2, 4, 8, 16}) {
+    for (const std::size_t pause : {1U, 2U, 4U, 8U, 16U}) {
         all.run(seconds(pause));
-        all.exchange_tables(static_cast<std::size_t>(17 * pause));
+        all.exchange_tables(17 * pause);
     }
     all.run(seconds(15));
     CHECK(all.converged());
