--- /dev/null
+++ b/src/kv_client.cpp
@@ -0,0 +1,133 @@
+#include <ospreystage/impl/kv_json.hpp>
+#include <ospreystage/kv_client.hpp>
+
+#include <httplib.h>
+
+#include <exception>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+using json_value = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_too_many_requests = 429;
+constexpr int first_server_error = 500;
+
+/// A server error may follow a write that took effect; a refusal may not.
+error_code code_of(int status) noexcept {
+    if (status >= first_server_error)
+        return error_code::unknown_effect;
+    return status == status_too_many_requests ? error_code::overloaded
+                                              : error_code::invalid_argument;
+}
+
+/// A call that did not even connect has changed nothing.
+error_code code_of(httplib::Error failure) noexcept {
+    switch (failure) {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+    case httplib::Error::SSLConnection:
+    case httplib::Error::SSLLoadingCerts:
+    case httplib::Error::SSLServerVerification:
+        return error_code::unavailable;
+    default:
+        return error_code::unknown_effect;
+    }
+}
+
+std::optional<kv_entry> first_entry(const json_value& range) {
+    const auto kvs = range.find("kvs");
+    if (kvs == range.end() || kvs->empty())
+        return std::nullopt;
+    return impl::entry_of(kvs->front());
+}
+
+std::optional<kv_entry> failure_entry(const json_value& answer) {
+    const auto responses = answer.find("responses");
+    if (responses == answer.end() || responses->empty())
+        return std::nullopt;
+    return first_entry(responses->front().at("response_range"));
+}
+
+} // namespace
+
+kv_client::kv_client(std::string url, milliseconds call_timeout)
+    : url_(std::move(url)), call_timeout_(call_timeout) {}
+
+leaf::result<kv_reading> kv_client::read(const std::string& key) const {
+    const json_value body{{"key", impl::to_base64(key)}};
+    error failure;
+    const auto text = value_or_error(
+        [&] { return post("/v3/kv/range", body.dump(), "kv.read"); }, failure);
+    if (!text) {
+        // A read changes nothing, whatever became of it.
+        if (failure.code == error_code::unknown_effect)
+            failure.code = error_code::unavailable;
+        return leaf::new_error(failure);
+    }
+    try {
+        const auto answer = json_value::parse(*text);
+        kv_reading reading;
+        reading.entry = first_entry(answer);
+        reading.store_revision =
+            impl::int64_of(answer.at("header"), "revision");
+        return reading;
+    } catch (const std::exception& problem) {
+        return fail(error_code::malformed, "kv.read", url_, problem.what());
+    }
+}
+
+leaf::result<kv_write_outcome>
+kv_client::write_if(const std::string& key, std::int64_t expected,
+                    const std::string& value) const {
+    const std::string name = impl::to_base64(key);
+    json_value body;
+    body["compare"] = {{{"key", name},
+                        {"target", "MOD"},
+                        {"result", "EQUAL"},
+                        {"mod_revision", std::to_string(expected)}}};
+    body["success"] = {
+        {{"request_put", {{"key", name}, {"value", impl::to_base64(value)}}}}};
+    body["failure"] = {{{"request_range", {{"key", name}}}}};
+    BOOST_LEAF_AUTO(text, post("/v3/kv/txn", body.dump(), "kv.write"));
+    try {
+        const auto answer = json_value::parse(text);
+        if (answer.value("succeeded", false))
+            return kv_write_outcome(kv_written{});
+        return kv_write_outcome(kv_conflict{failure_entry(answer)});
+    } catch (const std::exception& problem) {
+        return fail(error_code::unknown_effect, "kv.write", url_,
+                    problem.what());
+    }
+}
+
+const std::string& kv_client::url() const noexcept {
+    return url_;
+}
+
+milliseconds kv_client::call_timeout() const noexcept {
+    return call_timeout_;
+}
+
+leaf::result<std::string> kv_client::post(const std::string& path,
+                                          const std::string& body,
+                                          const char* step) const {
+    httplib::Client client(url_);
+    client.set_connection_timeout(call_timeout_);
+    client.set_read_timeout(call_timeout_);
+    client.set_write_timeout(call_timeout_);
+    const auto answer = client.Post(path, body, "application/json");
+    if (!answer)
+        return fail(code_of(answer.error()), step, url_,
+                    httplib::to_string(answer.error()));
+    if (answer->status != status_ok)
+        return fail(code_of(answer->status), step, url_,
+                    "status " + std::to_string(answer->status));
+    return answer->body;
+}
+
+} // namespace ospreystage
