Add the services membership and configuration

Cause: the pure detector, register and acceptance need the kernel thread, links and the platform's service.

Change: membership_service sends and receives the datagrams and is the directory of links. configuration carries documents over links, reads the key until it is recovered, watches it and polls the list of VMs when this entry is among the first of its data centre, and runs acceptances on a thread.

Conclusion: first working form for integration.

--- /dev/null
+++ b/include/ospreystage/configuration.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <ospreystage/acceptance.hpp>
+#include <ospreystage/config_register.hpp>
+#include <ospreystage/job_thread.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/kv_watch.hpp>
+#include <ospreystage/links.hpp>
+#include <ospreystage/membership_service.hpp>
+#include <ospreystage/settings.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ospreystage {
+
+/// Service `configuration`: the register on the kernel thread, with its links
+/// to peers and to the platform's service.
+///
+/// A starting process reads the key once. The first entries of a data centre
+/// (by name, `platform.watchers_per_data_centre` of them) watch the key and
+/// poll the list of VMs; the others hear of both by gossip. Construct it
+/// after `membership` and before `links::start`.
+class configuration {
+  public:
+    using in_force_handler =
+        std::function<void(const std::shared_ptr<const rollout_document>&)>;
+    using result_handler = std::function<void(const acceptance_result&)>;
+
+    // ---- Construction ------------------------------------------------------
+
+    configuration(kernel& core, const settings& values, links& connections,
+                  membership_service& members);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Document in force here; null before the first one.
+    [[nodiscard]] std::shared_ptr<const rollout_document> document() const;
+
+    /// Highest document held, which may not be in force yet; or null.
+    [[nodiscard]] std::shared_ptr<const rollout_document> highest() const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Events ------------------------------------------------------------
+
+    /// Calls `handler` with every document that is put in force.
+    void on_in_force(in_force_handler handler);
+
+    // ---- Operations --------------------------------------------------------
+
+    /// Replaces the accepted document; `done` is called on the kernel thread.
+    void accept(acceptance_request request, result_handler done);
+
+    /// Looks for the outcome of an earlier `accept` whose request was based on
+    /// `based_on`; `done` is called on the kernel thread.
+    void resolve(const std::string& operation_id, revision based_on,
+                 result_handler done);
+
+  private:
+    void subscribe();
+    void tick();
+    void update_watch();
+    [[nodiscard]] bool is_watcher() const;
+    void read_platform(instant now);
+    void poll_vm_list(instant now);
+    void start(acceptance operation, result_handler done);
+    void on_platform(const kv_reading& reading);
+    void on_platform_failure(const error& failure);
+    void apply(const config_register::actions& actions);
+    void apply(const push_document& action);
+    void apply(const ask_document& action);
+    void apply(const put_in_force& action);
+    void apply(const document_refused& action);
+
+    kernel& core_;
+    const settings& values_;
+    links& connections_;
+    membership_service& members_;
+    config_register register_;
+    kv_client client_;
+    std::vector<in_force_handler> in_force_handlers_;
+    std::optional<instant> read_started_;
+    bool reading_ = false;
+    std::optional<instant> poll_started_;
+    bool polling_ = false;
+    std::string platform_problem_; ///< Last failure, empty after a success.
+    // Their threads post to this service, so they end before the rest of it.
+    std::unique_ptr<kv_watch> watch_;
+    job_thread reads_;
+    job_thread acceptances_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/job_thread.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <deque>
+#include <functional>
+#include <thread>
+
+namespace ospreystage {
+
+/// Runs blocking jobs one after another on a thread of its own.
+class job_thread {
+  public:
+    using job = std::function<void()>;
+
+    /// Starts the thread.
+    job_thread();
+
+    /// Drops jobs that have not started and waits for the running one.
+    ~job_thread();
+    job_thread(const job_thread&) = delete;
+    job_thread& operator=(const job_thread&) = delete;
+
+    /// Queues a job; may be called from any thread.
+    void run(job work);
+
+  private:
+    void loop();
+
+    absl::Mutex mutex_;
+    std::deque<job> jobs_ ABSL_GUARDED_BY(mutex_);
+    bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+    std::thread thread_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/membership_service.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/links.hpp>
+#include <ospreystage/membership.hpp>
+#include <ospreystage/settings.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace ospreystage {
+
+/// Service `membership`: the failure detector on the kernel thread.
+///
+/// Subscribes to the detector's datagrams and is the directory of `links`.
+/// Construct it before `links::start`.
+class membership_service {
+  public:
+    using change_handler = std::function<void(const member&)>;
+    using superseded_handler = std::function<void(const process_id& by)>;
+    using revisions_handler = std::function<void(const revisions_heard&)>;
+
+    // ---- Construction ------------------------------------------------------
+
+    membership_service(kernel& core, const settings& configuration,
+                       links& connections);
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] const member& self() const noexcept;
+
+    /// Returns every member that is not dead, this process first.
+    [[nodiscard]] std::vector<member> members() const;
+
+    /// Returns the members of `role` that may get new work.
+    [[nodiscard]] std::vector<member> alive(process_role role) const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Events ------------------------------------------------------------
+
+    /// Calls `handler` when a member, or this process, changed its state.
+    void on_change(change_handler handler);
+
+    /// Calls `handler` once, when a newer incarnation of this process runs.
+    void on_superseded(superseded_handler handler);
+
+    /// Calls `handler` with what datagrams tell of the configuration.
+    void on_revisions(revisions_handler handler);
+
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Publishes that this process leaves.
+    void set_leaving();
+
+    void set_in_force(revision number);
+    void set_revisions(revision document, std::vector<held_revision> held);
+    void merge(const std::vector<member>& heard);
+    void listed(const std::vector<listed_vm>& vms);
+
+  private:
+    void apply(const membership::actions& actions);
+    void apply(const send_ping& action);
+    void apply(const send_ack& action);
+    void apply(const member_changed& action);
+    void apply(const superseded& action);
+    void apply(const revisions_heard& action);
+
+    links& connections_;
+    membership detector_;
+    std::vector<change_handler> change_handlers_;
+    std::vector<superseded_handler> superseded_handlers_;
+    std::vector<revisions_handler> revisions_handlers_;
+};
+
+} // namespace ospreystage
