--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -42,7 +42,8 @@
     /// Attempts of the peer's incarnation that this process has started;
     /// every other attempt sent on earlier epochs is sealed: it never runs.
     std::vector<attempt_id> started;
-    OSPREYSTAGE_FIELDS(sender, started)
+    process_role role = process_role::entry;
+    OSPREYSTAGE_FIELDS(sender, started, role)
 };
 
 /// Application heartbeat, sent in both directions on every connection.
@@ -171,6 +172,7 @@
     std::string organisation;
     std::string key;
     OSPREYSTAGE_FIELDS(organisation, key)
+    // NOLINTNEXTLINE(modernize-use-nullptr): see process_id.
     friend auto operator<=>(const claim_key&, const claim_key&) = default;
     template <typename Hash>
     friend Hash AbslHashValue(Hash state, const claim_key& id) {
