Admit requests by organisation before the broker dispatches them

Cause: the broker only bounded the requests in progress. Change: every request asks the admission first; slots follow the reported capacity less what other entries use, fading with the report's age.

--- a/include/ospreystage/balancer.hpp
+++ b/include/ospreystage/balancer.hpp
@@ -27,6 +27,9 @@
     bool has_prefix = false; ///< Reports the request's prompt prefix.
 };
 
+/// Returns how much a report of this age still counts, from 1 down to 0.
+[[nodiscard]] double load_weight(milliseconds age) noexcept;
+
 /// Estimates the load of a candidate as a share of its capacity.
 ///
 /// Own attempts are known exactly. The share of the other entries fades with
--- a/include/ospreystage/impl/broker_state.hpp
+++ b/include/ospreystage/impl/broker_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ospreystage/admission.hpp>
 #include <ospreystage/balancer.hpp>
 #include <ospreystage/broker_action.hpp>
 #include <ospreystage/claim_tally.hpp>
@@ -23,6 +24,7 @@
 
 /// What a request waits for.
 enum class request_phase : std::uint8_t {
+    waiting,   ///< A slot; see `admission`.
     claiming,  ///< Votes on its idempotency key.
     choosing,  ///< An agent that can take it.
     in_flight, ///< The answer of the agent that has it.
@@ -48,7 +50,7 @@
     bool streams = false; ///< Parts go to the caller as they arrive.
     std::uint32_t priority = 0;
     instant deadline{};
-    request_phase phase = request_phase::choosing;
+    request_phase phase = request_phase::waiting;
     instant wait_until{}; ///< Bound of claiming, choosing or resolving.
 
     claim_tally tally;
@@ -93,13 +95,14 @@
     [[nodiscard]] bool idle() const;
     [[nodiscard]] nlohmann::json dump() const;
 
-    void set_document(std::shared_ptr<const rollout_document> document);
+    void set_document(std::shared_ptr<const rollout_document> document,
+                      instant now);
     void set_agents(const std::vector<member>& agents);
     void set_entries(std::vector<std::string> entries);
     void set_leaving();
 
     void begin(request_id request, incoming_request incoming, instant now);
-    void cancel(request_id request);
+    void cancel(request_id request, instant now);
     void on_message(const process_id& from, const message& body, instant now);
     void on_link_up(const process_id& agent,
                     const std::vector<attempt_id>& started, instant now);
@@ -117,10 +120,13 @@
     [[nodiscard]] std::vector<request_id>
     requests_in(request_phase phase) const;
     void refuse(request_id request, outcome result, const std::string& reason,
-                milliseconds retry_after);
+                milliseconds retry_after, instant now);
     /// Ends a request without an answer: `unknown` if an attempt may have run.
-    void give_up(request_id request, const std::string& reason);
-    void forget(request_id request);
+    void give_up(request_id request, const std::string& reason, instant now);
+    void forget(request_id request, bool answered, instant now);
+    /// Begins what an admitted request needs first.
+    void enter(request_id request, instant now);
+    void admit_waiting(instant now);
     void check_deadline(request_id request, instant now);
 
     // ---- Claims ------------------------------------------------------------
@@ -147,6 +153,9 @@
     candidates(const request_state& state, const digest& version,
                instant now) const;
     [[nodiscard]] bool may_become_usable(const request_state& state) const;
+    /// Attempts of a service that this entry may have in flight; 0: unknown.
+    [[nodiscard]] std::uint32_t slots_of(const std::string& service,
+                                         instant now) const;
     void send_order(request_id request, const std::string& agent,
                     const digest& version, instant now);
     void end_attempt(request_state& state);
@@ -186,10 +195,10 @@
                         instant now);
 
     process_id self_;
-    std::uint32_t request_limit_ = 0;
     std::size_t subset_size_ = 0;
     std::vector<std::string> witnesses_;
     balancer balancer_;
+    admission admission_;
     retry_budget retries_;
     absl::BitGen random_;
     std::shared_ptr<const rollout_document> document_;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -46,13 +46,17 @@
 
 } // namespace
 
+double load_weight(milliseconds age) noexcept {
+    const double half_lives = static_cast<double>(age.count()) /
+                              static_cast<double>(load_half_life.count());
+    return 1.0 / (1.0 + half_lives);
+}
+
 double load_score(const balancer_candidate& candidate) {
     const std::uint32_t others =
         candidate.reported -
         std::min(candidate.reported, candidate.outstanding_then);
-    const double half_lives = static_cast<double>(candidate.age.count()) /
-                              static_cast<double>(load_half_life.count());
-    const double weight = 1.0 / (1.0 + half_lives);
+    const double weight = load_weight(candidate.age);
     const double load = candidate.outstanding + others * weight;
     const double share = load / std::max<std::uint32_t>(candidate.capacity, 1);
     return candidate.has_prefix ? share - prefix_bonus * weight : share;
--- a/src/broker.cpp
+++ b/src/broker.cpp
@@ -24,8 +24,7 @@
 
 void broker::set_document(std::shared_ptr<const rollout_document> document,
                           instant now) {
-    static_cast<void>(now);
-    state_->set_document(std::move(document));
+    state_->set_document(std::move(document), now);
 }
 
 void broker::set_agents(const std::vector<member>& agents) {
@@ -47,8 +46,7 @@
 }
 
 broker::actions broker::cancel(request_id request, instant now) {
-    static_cast<void>(now);
-    state_->cancel(request);
+    state_->cancel(request, now);
     return state_->take_actions();
 }
 
--- a/src/broker_answers.cpp
+++ b/src/broker_answers.cpp
@@ -156,7 +156,7 @@
     }
     out_.emplace_back(answer_end_action{request});
     ++answered_total_;
-    forget(request);
+    forget(request, true, now);
 }
 
 void broker_state::stop_attempt(request_id request, const std::string& reason,
--- a/src/broker_claims.cpp
+++ b/src/broker_claims.cpp
@@ -84,17 +84,18 @@
         return;
     case claim_verdict::taken:
         release_claim(state);
-        refuse(request, outcome::unknown, "already_run", milliseconds{0});
+        refuse(request, outcome::unknown, "already_run", milliseconds{0}, now);
         return;
     case claim_verdict::key_reused:
         release_claim(state);
-        refuse(request, outcome::not_run, "key_reused", milliseconds{0});
+        refuse(request, outcome::not_run, "key_reused", milliseconds{0}, now);
         return;
     case claim_verdict::split:
         release_claim(state);
         refuse(request, outcome::not_run, "claim_split",
                milliseconds{absl::Uniform<std::int64_t>(
-                   random_, min_split_retry.count(), max_split_retry.count())});
+                   random_, min_split_retry.count(), max_split_retry.count())},
+               now);
         return;
     }
 }
@@ -102,7 +103,7 @@
 void broker_state::check_claim(request_id request, instant now) {
     request_state& state = requests_.at(request);
     if (state.wait_until <= now) {
-        give_up(request, "claim_unavailable");
+        give_up(request, "claim_unavailable", now);
         return;
     }
     if (state.claim_again > now)
--- a/src/broker_dispatch.cpp
+++ b/src/broker_dispatch.cpp
@@ -13,6 +13,14 @@
 /// Attempts of one request, the first included.
 constexpr std::uint32_t max_attempts = 4;
 
+/// Capacity assumed of an agent that has not reported any.
+constexpr std::uint32_t unreported_capacity = 16;
+
+milliseconds age_of(const agent_state& agent, instant now) {
+    return std::chrono::duration_cast<milliseconds>(now - agent.load_at) +
+           milliseconds{agent.load.age_ms};
+}
+
 bool contains(const std::vector<digest>& versions, const digest& version) {
     return std::find(versions.begin(), versions.end(), version) !=
            versions.end();
@@ -51,7 +59,7 @@
 void broker_state::dispatch(request_id request, instant now) {
     request_state& state = requests_.at(request);
     if (state.deadline <= now) {
-        give_up(request, "deadline");
+        give_up(request, "deadline", now);
         return;
     }
     for (const digest& version : wanted_versions(request, state)) {
@@ -60,8 +68,9 @@
     }
     if (now < state.wait_until && may_become_usable(state))
         return;
-    give_up(request, state.last_reason.empty() ? "no_backend_server"
-                                               : state.last_reason);
+    give_up(request,
+            state.last_reason.empty() ? "no_backend_server" : state.last_reason,
+            now);
 }
 
 bool broker_state::dispatch_version(request_id request, const digest& version,
@@ -120,9 +129,7 @@
             candidate.reported = agent.load.running + agent.load.queued;
             candidate.outstanding_then = agent.outstanding_then;
             candidate.capacity = agent.load.capacity;
-            candidate.age =
-                std::chrono::duration_cast<milliseconds>(now - agent.load_at) +
-                milliseconds{agent.load.age_ms};
+            candidate.age = age_of(agent, now);
             candidate.has_prefix =
                 state.incoming.prefix_hash != 0 &&
                 std::find(prefixes.begin(), prefixes.end(),
@@ -133,6 +140,30 @@
     return usable;
 }
 
+std::uint32_t broker_state::slots_of(const std::string& service,
+                                     instant now) const {
+    const auto entries =
+        std::max<std::uint32_t>(static_cast<std::uint32_t>(entries_.size()), 1);
+    std::uint32_t slots = 0;
+    for (const std::string& name : subsets_.at(service)) {
+        const agent_state& agent = agents_.at(name);
+        if (!agent.listed || !agent.up || agent.load.leaving)
+            continue;
+        const std::uint32_t capacity =
+            agent.reported ? agent.load.capacity : unreported_capacity;
+        const std::uint32_t reported =
+            agent.reported ? agent.load.running + agent.load.queued : 0;
+        const std::uint32_t others =
+            reported - std::min(reported, agent.outstanding_then);
+        const auto fresh = static_cast<std::uint32_t>(
+            others * load_weight(age_of(agent, now)));
+        const std::uint32_t wanted = capacity + capacity / 4;
+        const std::uint32_t left = wanted - std::min(wanted, fresh);
+        slots += std::max({left, capacity / entries, 1U});
+    }
+    return slots;
+}
+
 bool broker_state::may_become_usable(const request_state& state) const {
     const auto subset = subsets_.find(state.incoming.service);
     if (subset == subsets_.end())
@@ -199,7 +230,7 @@
     state.retry_after = std::max(state.retry_after, retry_after);
     end_attempt(state);
     if (reason == refusal::sealed || reason == refusal::expired) {
-        give_up(request, reason_of(reason));
+        give_up(request, reason_of(reason), now);
         return;
     }
     const bool first = state.attempts == 1;
@@ -212,7 +243,7 @@
     state.unsealed = true;
     end_attempt(state);
     if (state.incoming.non_idempotent) {
-        give_up(request, reason);
+        give_up(request, reason, now);
         return;
     }
     try_again(request, reason, false, now);
@@ -223,7 +254,7 @@
     request_state& state = requests_.at(request);
     state.last_reason = reason;
     if (state.attempts >= max_attempts || (!free && !retries_.spend())) {
-        give_up(request, reason);
+        give_up(request, reason, now);
         return;
     }
     ++retried_total_;
--- a/src/broker_links.cpp
+++ b/src/broker_links.cpp
@@ -116,7 +116,7 @@
     }
     // Past the deadline the agent may have forgotten that it started.
     if (state.deadline <= now) {
-        give_up(request, "deadline");
+        give_up(request, "deadline", now);
         return;
     }
     if (!contains(started, attempt.id)) {
--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -43,6 +43,8 @@
 
 const char* to_string(request_phase phase) noexcept {
     switch (phase) {
+    case request_phase::waiting:
+        return "waiting";
     case request_phase::claiming:
         return "claiming";
     case request_phase::choosing:
@@ -57,10 +59,11 @@
 
 broker_state::broker_state(process_id self, const settings& configuration,
                            std::uint64_t seed)
-    : self_(std::move(self)), request_limit_(configuration.requests.queue),
+    : self_(std::move(self)),
       subset_size_(configuration.cluster.agents_per_entry),
       witnesses_(names_of(configuration)),
       balancer_(configuration.requests.routing, seed),
+      admission_(configuration.requests.queue),
       retries_(configuration.requests.retry_percent),
       random_(make_generator(seed)) {}
 
@@ -88,6 +91,7 @@
                                  {"outstanding", agent.outstanding},
                                  {"reported", agent.reported}};
     state["subsets"] = subsets_;
+    state["admission"] = admission_.dump();
     state["leaving"] = leaving_;
     state["retries_available"] = retries_.available();
     state["answered_total"] = answered_total_;
@@ -99,8 +103,10 @@
 }
 
 void broker_state::set_document(
-    std::shared_ptr<const rollout_document> document) {
+    std::shared_ptr<const rollout_document> document, instant now) {
     document_ = std::move(document);
+    if (document_ != nullptr)
+        admission_.set_document(*document_, now);
     update_subsets();
 }
 
@@ -120,7 +126,7 @@
 void broker_state::begin(request_id request, incoming_request incoming,
                          instant now) {
     const auto refuse_at_once = [&](const std::string& reason) {
-        refuse(request, outcome::not_run, reason, default_retry_after);
+        refuse(request, outcome::not_run, reason, default_retry_after, now);
     };
     if (leaving_)
         return refuse_at_once("leaving");
@@ -129,22 +135,41 @@
     const service* target = document_->find_service(incoming.service);
     if (target == nullptr)
         return refuse_at_once("unknown_service");
-    if (requests_.size() >= request_limit_)
-        return refuse_at_once("overloaded");
     request_state state = make_request(std::move(incoming), *target, now);
     const bool claims = state.incoming.non_idempotent;
     if (claims && state.incoming.idempotency_key.empty())
         return refuse_at_once("idempotency_key_missing");
     if (claims && witnesses_.empty())
         return refuse_at_once("no_witness");
+    const admission_ticket ticket{request,        state.incoming.organisation,
+                                  target->name,   state.incoming.request_class,
+                                  state.priority, state.deadline};
+    const admission_decision decision = admission_.offer(ticket, now);
+    if (const auto* refused = std::get_if<admission_refused>(&decision))
+        return refuse(request, outcome::not_run, refused->reason,
+                      refused->retry_after, now);
     retries_.earn();
     requests_.emplace(request, std::move(state));
-    if (claims)
+    if (std::holds_alternative<admission_granted>(decision))
+        enter(request, now);
+}
+
+void broker_state::enter(request_id request, instant now) {
+    if (requests_.at(request).incoming.non_idempotent)
         start_claim(request, now);
     else
         choose_later(request, now);
 }
 
+void broker_state::admit_waiting(instant now) {
+    for (const auto& [name, names] : subsets_)
+        admission_.set_slots(name, slots_of(name, now));
+    for (const request_id id : admission_.take_hopeless(now))
+        give_up(id, "overloaded", now);
+    for (const request_id id : admission_.take_startable(now))
+        enter(id, now);
+}
+
 request_state broker_state::make_request(incoming_request incoming,
                                          const service& target,
                                          instant now) const {
@@ -164,7 +189,7 @@
     return state;
 }
 
-void broker_state::cancel(request_id request) {
+void broker_state::cancel(request_id request, instant now) {
     const auto found = requests_.find(request);
     if (found == requests_.end())
         return;
@@ -173,7 +198,7 @@
         send_to_agent(state.attempt->agent, cancel_order{state.attempt->id});
     else if (!state.unsealed)
         release_claim(state);
-    forget(request);
+    forget(request, false, now);
 }
 
 void broker_state::tick(instant now) {
@@ -183,13 +208,14 @@
         ids.push_back(id);
     for (const request_id id : ids)
         check_deadline(id, now);
+    admit_waiting(now);
     for (const request_id id : requests_in(request_phase::claiming))
         check_claim(id, now);
     for (const request_id id : requests_in(request_phase::choosing))
         dispatch(id, now);
     for (const request_id id : requests_in(request_phase::resolving)) {
         if (requests_.at(id).wait_until <= now)
-            give_up(id, "agent_unreachable");
+            give_up(id, "agent_unreachable", now);
     }
 }
 
@@ -209,7 +235,7 @@
         if (in_flight)
             send_to_agent(state.attempt->agent,
                           cancel_order{state.attempt->id});
-        give_up(request, "deadline");
+        give_up(request, "deadline", now);
         return;
     }
     if (!in_flight || state.attempt->begun || state.attempt->seal_sent ||
@@ -221,16 +247,18 @@
 }
 
 void broker_state::refuse(request_id request, outcome result,
-                          const std::string& reason, milliseconds retry_after) {
+                          const std::string& reason, milliseconds retry_after,
+                          instant now) {
     if (result == outcome::not_run)
         ++not_run_total_;
     else
         ++unknown_total_;
     out_.emplace_back(refuse_action{request, result, reason, retry_after});
-    forget(request);
+    forget(request, false, now);
 }
 
-void broker_state::give_up(request_id request, const std::string& reason) {
+void broker_state::give_up(request_id request, const std::string& reason,
+                           instant now) {
     request_state& state = requests_.at(request);
     const bool may_have_run = state.unsealed || state.attempt.has_value();
     const milliseconds retry_after =
@@ -238,10 +266,11 @@
     if (!may_have_run)
         release_claim(state);
     refuse(request, may_have_run ? outcome::unknown : outcome::not_run, reason,
-           retry_after);
+           retry_after, now);
 }
 
-void broker_state::forget(request_id request) {
+void broker_state::forget(request_id request, bool answered, instant now) {
+    admission_.end(request, answered, now);
     const auto found = requests_.find(request);
     if (found == requests_.end())
         return;
--- a/tests/balancer.cpp
+++ b/tests/balancer.cpp
@@ -19,6 +19,7 @@
 
 std::vector<std::string> names(const std::string& prefix, int count) {
     std::vector<std::string> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         list.push_back(fmt::format("{}-{:03}", prefix, index));
     return list;
