--- a/include/ospreystage/swarm_types.hpp
+++ b/include/ospreystage/swarm_types.hpp
@@ -30,7 +30,7 @@
     std::uint32_t max_origin_requests = 1;   ///< Outstanding to the origin.
     /// Outstanding to peers; bounds the memory that replies take.
     std::uint64_t max_request_bytes = 4 * 1024 * 1024;
-    std::uint32_t max_uploads_queued = 16; ///< Requests of peers.
+    std::uint32_t max_uploads_queued = 3; ///< Requests of peers.
 
     milliseconds announce_interval{50};   ///< Between two `announce`.
     milliseconds keepalive_interval{500}; ///< Of readers among each other.
--- a/tests/support/swarm_experiment.cpp
+++ b/tests/support/swarm_experiment.cpp
@@ -120,7 +120,7 @@
 }
 
 void experiment::add_node(const std::string& name, std::uint32_t centre) {
-    swarm_options options;
+    swarm_options options = scenario_.options;
     options.strategy = scenario_.strategy;
     options.seed = scenario_.seed;
     node_record& node = nodes_[name];
--- a/tests/support/swarm_experiment.hpp
+++ b/tests/support/swarm_experiment.hpp
@@ -18,6 +18,7 @@
     bool shared_directions = false;
     distribution_strategy strategy = rendezvous_strategy{};
     std::uint64_t seed = 1;
+    swarm_options options; ///< Strategy and seed are those above.
 
     std::uint32_t killed = 0;  ///< Members killed and replaced, one by one.
     std::uint32_t stalled = 0; ///< Members that fall silent.
