Add the service that distributes weights

Cause: the decisions of the swarm need links, the origin and the store. Change: distribution binds swarm and chunk_store to links and to an origin client on worker threads; chunks are checked off the kernel thread. A peer whose connection ended is left alone for half a second.

--- /dev/null
+++ b/include/ospreystage/distribution.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <ospreystage/chunk_store.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/links.hpp>
+#include <ospreystage/origin_client.hpp>
+#include <ospreystage/settings.hpp>
+#include <ospreystage/swarm.hpp>
+#include <ospreystage/worker_pool.hpp>
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ospreystage {
+
+/// Service that brings the wanted versions to this VM and serves them to peers.
+///
+/// Binds the decisions of `swarm` to `links`, the origin and `chunk_store`.
+/// Register it as "distribution" after "network" and "links", then call
+/// `start` before `links::start`. From then on, on the kernel thread:
+/// `set_members` whenever the table of members changes, `want` whenever the
+/// document in force changes, and `yield_link` whenever the load of requests
+/// on the link changes. Peers are addressed by process name through the
+/// directory of `links`. `manifest_text` and `read_chunk` answer the HTTP
+/// endpoint that the engine pulls from, on any thread.
+///
+///     auto& spread = core.add("distribution",
+///         std::make_unique<distribution>(core, configuration));
+///     spread.on_complete([](const digest& version) { … });
+///     spread.start();
+class distribution {
+  public:
+    using completion_handler = std::function<void(const digest&)>;
+
+    // ---- Construction ------------------------------------------------------
+
+    distribution(kernel& core, const settings& configuration);
+    ~distribution();
+    distribution(const distribution&) = delete;
+    distribution& operator=(const distribution&) = delete;
+
+    /// Subscribes to the messages of peers and starts the timer.
+    void start();
+
+    /// Calls `handler` (kernel thread) when a version has become complete.
+    void on_complete(completion_handler handler);
+
+    // ---- Modifiers (kernel thread) -----------------------------------------
+
+    /// Sets the members; agents that are alive or suspect take part.
+    void set_members(const std::vector<member>& members);
+
+    /// Sets the versions to hold; all others are dropped at once.
+    ///
+    /// A version that has not the form of a digest is ignored.
+    void want(const std::vector<wanted_version>& versions);
+
+    /// Leaves room for requests that now take `bytes_per_second` of the link;
+    /// an eighth of the link stays with the distribution.
+    void yield_link(std::uint64_t bytes_per_second);
+
+    // ---- Observers (kernel thread) -----------------------------------------
+
+    [[nodiscard]] const swarm_counters& counters() const noexcept;
+    [[nodiscard]] nlohmann::json dump() const;
+
+    // ---- Observers (any thread) --------------------------------------------
+
+    /// Returns true if every chunk of `version` is held and was checked.
+    [[nodiscard]] bool complete(const digest& version) const;
+
+    /// Returns the manifest of a held version, or `not_found`.
+    [[nodiscard]] leaf::result<std::string>
+    manifest_text(const digest& version) const;
+
+    /// Returns a checked chunk, or `not_found`.
+    [[nodiscard]] leaf::result<std::string>
+    read_chunk(const digest& version, std::uint32_t index) const;
+
+  private:
+    void subscribe();
+    void on_have(const link_peer& peer, const chunk_have& have);
+    void on_manifest_request(const link_peer& peer,
+                             const manifest_request& asked);
+    void on_chunk_data(const link_peer& peer, const chunk_data& data);
+    void on_down(const std::string& peer);
+
+    void update();
+    void schedule(instant now);
+    void report_complete();
+
+    void perform(const fetch_chunk& action);
+    void perform(const fetch_manifest& action);
+    void perform(const announce_chunks& action);
+    void perform(const serve_chunk& action);
+    void perform(const refuse_chunk& action);
+    void perform(const give_up_peer& action);
+
+    void read_origin_chunk(const digest& version, std::uint32_t index);
+    void read_origin_manifest(const digest& version);
+    void accept_manifest(const chunk_source& source, const digest& version,
+                         const std::string& json);
+    void keep(const chunk_source& source, const digest& version,
+              std::uint32_t index, const std::string& data);
+    void finish_fetch(const chunk_source& source, const digest& version,
+                      std::uint32_t index, fetch_outcome outcome);
+
+    kernel& core_;
+    const settings& configuration_;
+    links& links_;
+    network& network_;
+    swarm decisions_;
+    chunk_store store_;
+    std::vector<completion_handler> handlers_;
+    std::vector<wanted_version> wanted_;
+    absl::flat_hash_set<digest> reported_;
+    std::optional<timer_id> timer_;
+    instant wake_{};
+    std::uint64_t unsent_ = 0; ///< Uploads that a peer did not read.
+    origin_client origin_;
+    worker_pool origin_pool_;
+    worker_pool check_pool_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/origin_client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/error.hpp>
+#include <ospreystage/ids.hpp>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace httplib {
+class Client;
+}
+
+namespace ospreystage {
+
+/// Reads manifests and chunks from the origin over HTTP; does not check them.
+///
+/// Calls block; they may come from several threads and keep connections open
+/// between them.
+class origin_client {
+  public:
+    // ---- Construction ------------------------------------------------------
+
+    /// Reads from `url` (`http://host:port` or with a path after it).
+    explicit origin_client(const std::string& url);
+    ~origin_client();
+    origin_client(const origin_client&) = delete;
+    origin_client& operator=(const origin_client&) = delete;
+
+    // ---- Calls -------------------------------------------------------------
+
+    /// Reads the manifest text of a version.
+    ///
+    /// Errors: `unavailable`, `not_found`, `timeout`, `too_large`.
+    [[nodiscard]] leaf::result<std::string> manifest(const digest& version);
+
+    /// Reads the bytes of a chunk; errors as for `manifest`.
+    [[nodiscard]] leaf::result<std::string> chunk(const digest& version,
+                                                  std::uint32_t index);
+
+    /// Breaks off the calls in progress and fails later ones.
+    void stop();
+
+  private:
+    [[nodiscard]] leaf::result<std::string> read(const std::string& path,
+                                                 std::size_t limit_bytes);
+    [[nodiscard]] std::shared_ptr<httplib::Client> acquire();
+    void release(const std::shared_ptr<httplib::Client>& client,
+                 bool is_reusable);
+
+    std::string host_; ///< Scheme, host and port.
+    std::string path_; ///< Prefix of every path.
+    absl::Mutex mutex_;
+    bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+    std::vector<std::shared_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
+    std::vector<std::shared_ptr<httplib::Client>> busy_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace ospreystage
--- a/include/ospreystage/placement.hpp
+++ b/include/ospreystage/placement.hpp
@@ -13,7 +13,7 @@
 struct swarm_member {
     std::string name;
     std::string data_centre;
-    friend auto operator<=>(const swarm_member&, const swarm_member&) = default;
+    friend bool operator==(const swarm_member&, const swarm_member&) = default;
 };
 
 /// Rendezvous hashing picks the origin reader and the owner of each chunk.
--- a/include/ospreystage/swarm.hpp
+++ b/include/ospreystage/swarm.hpp
@@ -41,7 +41,7 @@
   public:
     // ---- Construction ------------------------------------------------------
 
-    swarm(swarm_options options, std::string self);
+    swarm(const swarm_options& options, std::string self);
 
     // ---- Observers ---------------------------------------------------------
 
@@ -107,7 +107,8 @@
         bool proven = false; ///< Has delivered a chunk.
         std::uint32_t outstanding = 0;
         std::uint32_t strikes = 0;
-        instant avoided_until{};
+        instant avoided_until{};     ///< It gave no or bad answers.
+        instant unreachable_until{}; ///< Its connection ended.
         instant delivered{};
         instant heard{};
         microseconds latency{}; ///< Smoothed time to an answer.
--- a/include/ospreystage/swarm_types.hpp
+++ b/include/ospreystage/swarm_types.hpp
@@ -38,7 +38,8 @@
     milliseconds refusal_pause{50};       ///< After a refusal of a peer.
     milliseconds avoidance{5000};         ///< After a bad or missing answer.
     milliseconds max_avoidance{60'000};
-    milliseconds origin_pause{500}; ///< After a failure of the origin.
+    milliseconds reconnect_pause{500}; ///< After a connection ended.
+    milliseconds origin_pause{500};    ///< After a failure of the origin.
 };
 
 /// Source of chunks: a peer by name.
--- /dev/null
+++ b/include/ospreystage/worker_pool.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace ospreystage {
+
+/// Threads that run tasks in order of arrival, for work that blocks.
+class worker_pool {
+  public:
+    using task = std::function<void()>;
+
+    // ---- Construction ------------------------------------------------------
+
+    explicit worker_pool(std::uint32_t threads);
+
+    /// Drops waiting tasks and waits for running ones.
+    ~worker_pool();
+    worker_pool(const worker_pool&) = delete;
+    worker_pool& operator=(const worker_pool&) = delete;
+
+    // ---- Work --------------------------------------------------------------
+
+    /// Queues a task; may be called from any thread.
+    void run(task work);
+
+  private:
+    void work();
+
+    absl::Mutex mutex_;
+    std::deque<task> waiting_ ABSL_GUARDED_BY(mutex_);
+    bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/distribution.cpp
@@ -0,0 +1,400 @@
+#include <ospreystage/distribution.hpp>
+#include <ospreystage/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr const char* service_name = "distribution";
+constexpr std::uint32_t origin_threads = 2;
+constexpr std::uint32_t check_threads = 1;
+/// Bytes that a peer may leave unread before it is sent nothing more.
+constexpr std::size_t max_unread_bytes = 8 * 1024 * 1024;
+/// Chunks that an announcement may speak of.
+constexpr std::uint32_t max_chunks = 1U << 20U;
+/// Part of the link that requests never displace, as a divisor.
+constexpr std::uint64_t least_share_divisor = 8;
+constexpr milliseconds shortest_wait{1};
+
+distribution_strategy strategy_of(const settings& configuration) {
+    if (configuration.distribution.baseline == "direct")
+        return direct_strategy{};
+    if (configuration.distribution.baseline == "tree")
+        return tree_strategy{};
+    return rendezvous_strategy{configuration.distribution.origin_copies};
+}
+
+swarm_options options_of(const settings& configuration) {
+    swarm_options options;
+    options.strategy = strategy_of(configuration);
+    options.seed = new_incarnation();
+    return options;
+}
+
+chunk_backend backend_of(const settings& configuration) {
+    if (configuration.distribution.chunk_folder.empty())
+        return memory_chunks{};
+    return file_chunks(configuration.distribution.chunk_folder);
+}
+
+/// Stores a chunk; a source is to blame for wrong bytes alone.
+fetch_outcome put(chunk_store& store, const digest& version,
+                  std::uint32_t index, const std::string& data) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<fetch_outcome> {
+            BOOST_LEAF_CHECK(store.put(version, index, data));
+            return fetch_outcome::stored;
+        },
+        [](const error& failure) {
+            return failure.code == error_code::malformed
+                       ? fetch_outcome::corrupt
+                       : fetch_outcome::refused;
+        },
+        [] { return fetch_outcome::refused; });
+}
+
+} // namespace
+
+distribution::distribution(kernel& core, const settings& configuration)
+    : core_(core), configuration_(configuration),
+      links_(core.find<links>("links")),
+      network_(core.find<network>("network")),
+      decisions_(options_of(configuration), configuration.process.name),
+      store_(backend_of(configuration)), origin_(configuration.origin.url),
+      origin_pool_(origin_threads), check_pool_(check_threads) {}
+
+distribution::~distribution() {
+    origin_.stop();
+}
+
+void distribution::start() {
+    subscribe();
+    yield_link(0);
+    set_members({});
+    update();
+}
+
+void distribution::on_complete(completion_handler handler) {
+    handlers_.push_back(std::move(handler));
+}
+
+// ---- Modifiers -------------------------------------------------------------
+
+void distribution::set_members(const std::vector<member>& members) {
+    const auto& self = configuration_.process;
+    std::vector<swarm_member> live{{self.name, self.data_centre}};
+    for (const member& entry : members) {
+        const bool is_live = entry.state == member_state::alive ||
+                             entry.state == member_state::suspect;
+        if (entry.role == process_role::agent && is_live &&
+            entry.id.name != self.name)
+            live.push_back({entry.id.name, entry.data_centre});
+    }
+    decisions_.set_members(std::move(live), steady::now());
+    update();
+}
+
+void distribution::want(const std::vector<wanted_version>& versions) {
+    std::vector<wanted_version> valid = versions;
+    std::erase_if(valid, [](const wanted_version& entry) {
+        return !is_digest(entry.version);
+    });
+    const auto is_wanted = [&](const digest& version) {
+        return std::any_of(valid.begin(), valid.end(),
+                           [&](const wanted_version& entry) {
+                               return entry.version == version;
+                           });
+    };
+    for (const wanted_version& entry : wanted_) {
+        if (is_wanted(entry.version))
+            continue;
+        store_.drop(entry.version);
+        reported_.erase(entry.version);
+    }
+    wanted_ = std::move(valid);
+    decisions_.set_wanted(wanted_, steady::now());
+    update();
+}
+
+void distribution::yield_link(std::uint64_t bytes_per_second) {
+    const auto& section = configuration_.distribution;
+    const std::uint64_t link = section.link_bytes_per_second;
+    const std::uint64_t least = link / least_share_divisor;
+    const std::uint64_t left =
+        bytes_per_second < link ? link - bytes_per_second : 0;
+    decisions_.set_budget({std::max(left, least), section.shared_directions},
+                          steady::now());
+}
+
+// ---- Observers -------------------------------------------------------------
+
+const swarm_counters& distribution::counters() const noexcept {
+    return decisions_.counters();
+}
+
+nlohmann::json distribution::dump() const {
+    nlohmann::json state = decisions_.dump();
+    state["unsent"] = unsent_;
+    return state;
+}
+
+bool distribution::complete(const digest& version) const {
+    return store_.complete(version);
+}
+
+leaf::result<std::string>
+distribution::manifest_text(const digest& version) const {
+    return store_.manifest_text(version);
+}
+
+leaf::result<std::string> distribution::read_chunk(const digest& version,
+                                                   std::uint32_t index) const {
+    return store_.read(version, index);
+}
+
+// ---- Messages of peers -----------------------------------------------------
+
+void distribution::subscribe() {
+    links_.on<chunk_have>(
+        [this](const link_peer& peer, const chunk_have& have) {
+            on_have(peer, have);
+        });
+    links_.on<manifest_request>(
+        [this](const link_peer& peer, const manifest_request& asked) {
+            on_manifest_request(peer, asked);
+        });
+    links_.on<manifest_reply>(
+        [this](const link_peer& peer, const manifest_reply& answer) {
+            accept_manifest(peer_source{peer.process.name}, answer.version,
+                            answer.json);
+        });
+    links_.on<chunk_request>(
+        [this](const link_peer& peer, const chunk_request& asked) {
+            decisions_.on_request(peer.process.name,
+                                  static_cast<std::uint64_t>(peer.connection),
+                                  asked.version, asked.index);
+            update();
+        });
+    links_.on<chunk_data>(
+        [this](const link_peer& peer, const chunk_data& data) {
+            on_chunk_data(peer, data);
+        });
+    links_.on_down([this](const link_peer& peer, const std::string&) {
+        on_down(peer.process.name);
+    });
+}
+
+void distribution::on_have(const link_peer& peer, const chunk_have& have) {
+    if (have.chunks > max_chunks)
+        return;
+    chunk_bitmap held(have.chunks, have.bitmap);
+    if (have.complete)
+        held.fill();
+    decisions_.on_have(peer.process.name, have.version, held, steady::now());
+    update();
+}
+
+void distribution::on_manifest_request(const link_peer& peer,
+                                       const manifest_request& asked) {
+    error ignored;
+    auto text = value_or_error(
+        [&] { return store_.manifest_text(asked.version); }, ignored);
+    links_.reply(peer.connection,
+                 manifest_reply{asked.version, text.value_or("")});
+}
+
+void distribution::on_chunk_data(const link_peer& peer,
+                                 const chunk_data& data) {
+    const peer_source source{peer.process.name};
+    if (data.data.empty()) {
+        finish_fetch(source, data.version, data.index, fetch_outcome::refused);
+        return;
+    }
+    check_pool_.run([this, source, data] {
+        keep(source, data.version, data.index, data.data);
+    });
+}
+
+void distribution::on_down(const std::string& peer) {
+    // Posted: `links` may be in the middle of a call of this service.
+    core_.post(service_name, [this, peer] {
+        decisions_.on_peer_down(peer, steady::now());
+        update();
+    });
+}
+
+// ---- Results ---------------------------------------------------------------
+
+/// Checks and stores a chunk (worker thread).
+void distribution::keep(const chunk_source& source, const digest& version,
+                        std::uint32_t index, const std::string& data) {
+    const fetch_outcome outcome = put(store_, version, index, data);
+    core_.post(service_name, [this, source, version, index, outcome] {
+        finish_fetch(source, version, index, outcome);
+    });
+}
+
+void distribution::finish_fetch(const chunk_source& source,
+                                const digest& version, std::uint32_t index,
+                                fetch_outcome outcome) {
+    decisions_.on_fetched(source, version, index, outcome, steady::now());
+    update();
+}
+
+void distribution::accept_manifest(const chunk_source& source,
+                                   const digest& version,
+                                   const std::string& json) {
+    const bool is_wanted = std::any_of(
+        wanted_.begin(), wanted_.end(),
+        [&](const wanted_version& entry) { return entry.version == version; });
+    if (!is_wanted)
+        return;
+    if (json.empty()) {
+        decisions_.on_manifest_failed(version, source, steady::now());
+        update();
+        return;
+    }
+    error failure;
+    const auto description = value_or_error(
+        [&]() -> leaf::result<manifest> {
+            BOOST_LEAF_AUTO(parsed, parse_manifest(json, version));
+            BOOST_LEAF_CHECK(store_.add(version, parsed));
+            return parsed;
+        },
+        failure);
+    if (description) {
+        decisions_.on_manifest(version, *description, store_.bitmap(version),
+                               steady::now());
+    } else {
+        log_event(log_level::warn, "manifest_refused",
+                  {{"version", version}, {"error", to_string(failure)}});
+        decisions_.on_manifest_failed(version, source, steady::now());
+    }
+    update();
+}
+
+// ---- Actions ---------------------------------------------------------------
+
+void distribution::update() {
+    const instant now = steady::now();
+    for (const swarm_action& action : decisions_.tick(now))
+        std::visit([this](const auto& chosen) { perform(chosen); }, action);
+    report_complete();
+    schedule(now);
+}
+
+void distribution::schedule(instant now) {
+    const instant wake = decisions_.next_wake(now);
+    if (timer_ && wake_ > now && wake_ <= wake)
+        return;
+    if (timer_)
+        core_.cancel(*timer_);
+    wake_ = wake;
+    const auto wait =
+        std::max<std::chrono::nanoseconds>(wake - now, shortest_wait);
+    timer_ = core_.after(service_name, wait, [this] {
+        timer_.reset();
+        update();
+    });
+}
+
+void distribution::report_complete() {
+    std::vector<digest> completed;
+    for (const wanted_version& entry : wanted_)
+        if (decisions_.complete(entry.version) &&
+            reported_.insert(entry.version).second)
+            completed.push_back(entry.version);
+    for (const digest& version : completed) {
+        log_event(log_level::info, "version_complete", {{"version", version}});
+        for (const completion_handler& handler : handlers_)
+            handler(version);
+    }
+}
+
+void distribution::perform(const fetch_chunk& action) {
+    const auto* peer = std::get_if<peer_source>(&action.source);
+    if (peer == nullptr) {
+        read_origin_chunk(action.version, action.index);
+        return;
+    }
+    if (!links_.send(peer->name, chunk_request{action.version, action.index}))
+        on_down(peer->name);
+}
+
+void distribution::perform(const fetch_manifest& action) {
+    const auto* peer = std::get_if<peer_source>(&action.source);
+    if (peer == nullptr)
+        read_origin_manifest(action.version);
+    else if (!links_.send(peer->name, manifest_request{action.version}))
+        on_down(peer->name);
+}
+
+void distribution::perform(const announce_chunks& action) {
+    const chunk_bitmap held = decisions_.held(action.version);
+    const bool is_complete = decisions_.complete(action.version);
+    chunk_have have{links_.self(), action.version, held.size(), {}, false};
+    have.complete = is_complete;
+    if (!is_complete)
+        have.bitmap = held.bytes();
+    for (const std::string& peer : action.peers)
+        links_.send(peer, have);
+}
+
+void distribution::perform(const serve_chunk& action) {
+    const connection_id connection{action.connection};
+    if (network_.pending_bytes(connection) > max_unread_bytes) {
+        ++unsent_;
+        return;
+    }
+    error ignored;
+    auto data = value_or_error(
+        [&] { return store_.read(action.version, action.index); }, ignored);
+    links_.reply(connection, chunk_data{action.version, action.index,
+                                        std::move(data).value_or("")});
+}
+
+void distribution::perform(const refuse_chunk& action) {
+    links_.reply(connection_id{action.connection},
+                 chunk_data{action.version, action.index, ""});
+}
+
+void distribution::perform(const give_up_peer& action) {
+    links_.reset(action.peer, "no answer to a chunk request");
+}
+
+// ---- Origin ----------------------------------------------------------------
+
+void distribution::read_origin_chunk(const digest& version,
+                                     std::uint32_t index) {
+    origin_pool_.run([this, version, index] {
+        error failure;
+        const auto data = value_or_error(
+            [&] { return origin_.chunk(version, index); }, failure);
+        if (data) {
+            keep(origin_source{}, version, index, *data);
+            return;
+        }
+        log_event(log_level::warn, "origin_failed",
+                  {{"error", to_string(failure)}});
+        core_.post(service_name, [this, version, index] {
+            finish_fetch(origin_source{}, version, index,
+                         fetch_outcome::failed);
+        });
+    });
+}
+
+void distribution::read_origin_manifest(const digest& version) {
+    origin_pool_.run([this, version] {
+        error failure;
+        const auto text =
+            value_or_error([&] { return origin_.manifest(version); }, failure);
+        core_.post(service_name, [this, version, json = text.value_or("")] {
+            accept_manifest(origin_source{}, version, json);
+        });
+    });
+}
+
+} // namespace ospreystage
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -31,7 +31,10 @@
                      const digest& version, std::uint32_t chunks,
                      const std::vector<std::string>& silent)
     : version_hash_(stable_hash(version)), roles_(chunks) {
-    std::sort(members.begin(), members.end());
+    std::sort(members.begin(), members.end(),
+              [](const swarm_member& left, const swarm_member& right) {
+                  return left.name < right.name;
+              });
     absl::flat_hash_map<std::string, std::uint32_t> centres;
     for (swarm_member& entry : members) {
         const auto next = static_cast<std::uint32_t>(centres.size());
--- a/src/swarm.cpp
+++ b/src/swarm.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-swarm::swarm(swarm_options options, std::string self)
-    : options_(std::move(options)), self_(std::move(self)),
+swarm::swarm(const swarm_options& options, std::string self)
+    : options_(options), self_(std::move(self)),
       random_(mix_hash(options_.seed, stable_hash(self_))) {}
 
 // ---- Observers -------------------------------------------------------------
@@ -62,7 +62,10 @@
 // ---- Configuration ---------------------------------------------------------
 
 void swarm::set_members(std::vector<swarm_member> members, instant now) {
-    std::sort(members.begin(), members.end());
+    std::sort(members.begin(), members.end(),
+              [](const swarm_member& left, const swarm_member& right) {
+                  return left.name < right.name;
+              });
     if (members == members_)
         return;
     members_ = std::move(members);
@@ -242,8 +245,9 @@
         if (take_request(request.source, request.version, request.index))
             release(request, true);
     uploads_.drop_peer(peer);
-    if (!lost.empty())
+    if (!lost.empty() && is_usable(id, now))
         strike(id, now);
+    at(id).unreachable_until = now + options_.reconnect_pause;
     for (version_record& version : versions_)
         forget_view(version, id);
 }
@@ -343,7 +347,8 @@
 
 bool swarm::is_usable(peer_id id, instant now) const {
     const peer_record& peer = at(id);
-    return peer.is_member && peer.avoided_until <= now;
+    return peer.is_member && peer.avoided_until <= now &&
+           peer.unreachable_until <= now;
 }
 
 } // namespace ospreystage
