Run the whole path in separate processes

Cause: the parts existed side by side; no request crossed them. Change: entry and agent processes, operators' interface and console, claim and fleet-status services, load generator and quickstart. Superseded versions answer on agents that do not hold the current one yet, so that a rollout does not refuse traffic while it lands.

--- /dev/null
+++ b/include/ospreystage/claim_service.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <ospreystage/claim_ledger.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/links.hpp>
+
+namespace ospreystage {
+
+/// Shell of the claim ledger on an entry that is a witness.
+class claim_service {
+  public:
+    claim_service(kernel& core, const settings& configuration);
+
+    /// Subscribes to links and starts the tick; before `links::start`.
+    void start();
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+    /// The platform's service said after this start that nothing was ever
+    /// accepted.
+    void recovered_fresh();
+
+  private:
+    kernel& core_;
+    links& links_;
+    claim_ledger ledger_;
+};
+
+} // namespace ospreystage
--- a/include/ospreystage/commands.hpp
+++ b/include/ospreystage/commands.hpp
@@ -26,7 +26,8 @@
     std::string token;                           ///< Operator's token.
     std::string file;                            ///< Rollout document.
     std::string operation_id;                    ///< Empty: a new one is made.
-    revision number = 0; ///< Revision to show or to roll back to.
+    /// Revision to show, to roll back to, or that an operation was based on.
+    revision number = 0;
 };
 
 /// Prints what blocks a document, as the entry sees it.
--- a/include/ospreystage/configuration.hpp
+++ b/include/ospreystage/configuration.hpp
@@ -50,6 +50,10 @@
     /// Calls `handler` with every document that is put in force.
     void on_in_force(in_force_handler handler);
 
+    /// Calls `handler` when the platform's service says that nothing was ever
+    /// accepted.
+    void on_nothing_accepted(std::function<void()> handler);
+
     // ---- Operations --------------------------------------------------------
 
     /// Replaces the accepted document; `done` is called on the kernel thread.
@@ -83,6 +87,7 @@
     config_register register_;
     kv_client client_;
     std::vector<in_force_handler> in_force_handlers_;
+    std::vector<std::function<void()>> nothing_accepted_handlers_;
     std::optional<instant> read_started_;
     bool reading_ = false;
     std::optional<instant> poll_started_;
--- a/include/ospreystage/engine_service.hpp
+++ b/include/ospreystage/engine_service.hpp
@@ -24,7 +24,7 @@
   public:
     /// What the service needs; all called on the kernel thread.
     struct dependencies {
-        std::function<engine_target()> target;
+        std::function<engine_target(const engine_state&)> target;
         std::function<void(const engine_state&, std::vector<std::uint64_t>)>
             observed;
         std::function<void()> unreachable;
--- a/include/ospreystage/exchange_table.hpp
+++ b/include/ospreystage/exchange_table.hpp
@@ -39,6 +39,9 @@
     [[nodiscard]] std::optional<exchange_event> next(request_id id,
                                                      milliseconds wait);
 
+    /// Ends every open request as `unknown`: no kernel answers it any more.
+    void abandon_all();
+
     /// Closes a queue and forgets its events.
     void close(request_id id);
 
--- /dev/null
+++ b/include/ospreystage/fleet_status.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/membership_service.hpp>
+#include <ospreystage/rollout.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace ospreystage {
+
+/// What is in force on each VM, since when, and which VMs are missing.
+class fleet_status {
+  public:
+    explicit fleet_status(kernel& core);
+
+    /// Describes every member, and the VMs of `document` (may be null) that
+    /// no member reports for.
+    [[nodiscard]] nlohmann::json
+    describe(const rollout_document* document) const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+  private:
+    struct observation {
+        process_id process;
+        revision in_force = 0;
+        instant since{};
+    };
+
+    void observe();
+
+    membership_service& members_;
+    absl::flat_hash_map<std::string, observation> observations_;
+};
+
+} // namespace ospreystage
--- a/include/ospreystage/impl/broker_state.hpp
+++ b/include/ospreystage/impl/broker_state.hpp
@@ -144,6 +144,12 @@
     void dispatch(request_id request, instant now);
     [[nodiscard]] bool dispatch_version(request_id request,
                                         const digest& version, instant now);
+    /// Version of the document before that may answer instead of `version` on
+    /// agents that do not hold it yet; nothing if the current document still
+    /// names that version and so rules its traffic.
+    [[nodiscard]] std::optional<digest>
+    superseded_version(request_id request, const request_state& state,
+                       const digest& version) const;
     [[nodiscard]] std::vector<digest>
     wanted_versions(request_id request, const request_state& state) const;
     [[nodiscard]] bool is_wanted(const agent_state& agent,
@@ -202,6 +208,9 @@
     retry_budget retries_;
     absl::BitGen random_;
     std::shared_ptr<const rollout_document> document_;
+    /// Document before `document_`: its versions answer on agents that do not
+    /// hold the current ones yet.
+    std::shared_ptr<const rollout_document> superseded_;
     std::vector<std::string> entries_;
     bool leaving_ = false;
     std::map<request_id, request_state> requests_;
--- a/include/ospreystage/process.hpp
+++ b/include/ospreystage/process.hpp
@@ -36,6 +36,10 @@
     /// once `idle` holds for a moment or the drain limit has passed.
     void on_stop(std::function<void()> drain, std::function<bool()> idle);
 
+    /// Calls `ended` after the kernel has stopped and before HTTP does, on the
+    /// thread of `run`: nothing posted to the kernel is done any more.
+    void on_kernel_ended(std::function<void()> ended);
+
     /// Stops at once, as when a newer incarnation has replaced this process.
     void stop_now(const std::string& reason);
 
@@ -56,6 +60,7 @@
     http_server http_;
     std::function<void()> drain_;
     std::function<bool()> idle_;
+    std::function<void()> kernel_ended_;
     int signals_ = -1;
     bool draining_ = false;
     instant drain_started_{};
--- a/include/ospreystage/request_service.hpp
+++ b/include/ospreystage/request_service.hpp
@@ -42,6 +42,9 @@
     /// Replaces the agents that may get work.
     void set_agents(std::vector<member> agents);
 
+    /// Tells which entries share the agents.
+    void set_entries(std::vector<std::string> entries);
+
     /// Refuses new requests; those in progress go on.
     void set_leaving();
 
--- /dev/null
+++ b/src/admin_api.cpp
@@ -0,0 +1,402 @@
+#include <ospreystage/admin_api.hpp>
+#include <ospreystage/console_page.hpp>
+#include <ospreystage/fleet_status.hpp>
+#include <ospreystage/http_server.hpp>
+#include <ospreystage/log.hpp>
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+using nlohmann::json;
+
+/// Bound on the wait for an acceptance; its own calls end earlier.
+constexpr seconds acceptance_wait{12};
+/// Revisions that the history lists.
+constexpr revision listed_revisions = 50;
+constexpr std::size_t max_operation_id_bytes = 128;
+
+json document_json(const rollout_document& document) {
+    return json::parse(to_json_text(document));
+}
+
+json problems_json(const std::vector<rollout_problem>& problems) {
+    json out = json::array();
+    for (const rollout_problem& problem : problems)
+        out.push_back({{"field", problem.field}, {"message", problem.message}});
+    return out;
+}
+
+json changes_json(const std::vector<rollout_change>& changes) {
+    json out = json::array();
+    for (const rollout_change& change : changes)
+        out.push_back({{"field", change.field},
+                       {"before", change.before},
+                       {"after", change.after}});
+    return out;
+}
+
+json clashes_json(const std::vector<rollout_clash>& clashes) {
+    json out = json::array();
+    for (const rollout_clash& clash : clashes)
+        out.push_back({{"field", clash.field},
+                       {"ours", clash.ours},
+                       {"theirs", clash.theirs},
+                       {"changed_by", clash.changed_by},
+                       {"changed_in", clash.changed_in}});
+    return out;
+}
+
+int status_of(rejection reason) {
+    switch (reason) {
+    case rejection::invalid:
+        return 422;
+    case rejection::outdated:
+        return 409;
+    case rejection::unavailable:
+        return 503;
+    case rejection::damaged:
+        return 500;
+    }
+    return 500;
+}
+
+void answer_error(httplib::Response& response, int status,
+                  const std::string& detail) {
+    answer_json(response, status, {{"error", detail}});
+}
+
+void answer_result(httplib::Response& response, const acceptance_result& result,
+                   revision based_on) {
+    if (const auto* success = std::get_if<accepted>(&result)) {
+        answer_json(response, 200,
+                    {{"result", "accepted"}, {"revision", success->number}});
+        return;
+    }
+    if (const auto* open = std::get_if<not_yet_known>(&result)) {
+        answer_json(response, 202,
+                    {{"result", "not-yet-known"},
+                     {"operation_id", open->operation_id},
+                     {"based_on", based_on},
+                     {"detail", open->detail}});
+        return;
+    }
+    const auto& refusal = std::get<rejected>(result);
+    answer_json(response, status_of(refusal.reason),
+                {{"result", "rejected"},
+                 {"reason", to_string(refusal.reason)},
+                 {"detail", refusal.detail},
+                 {"revision", refusal.current},
+                 {"problems", problems_json(refusal.problems)},
+                 {"clashes", clashes_json(refusal.clashes)}});
+}
+
+/// Parses a document; answers 422 and returns nothing if it is malformed.
+std::optional<rollout_document> read_document(const std::string& text,
+                                              httplib::Response& response) {
+    error failure;
+    auto document =
+        value_or_error([&] { return parse_rollout(text); }, failure);
+    if (!document)
+        answer_json(response, 422,
+                    {{"result", "rejected"},
+                     {"reason", "invalid"},
+                     {"detail", failure.detail},
+                     {"problems", problems_json({{"", failure.detail}})}});
+    return document;
+}
+
+/// Removes what belongs to the named organisations.
+rollout_document without(rollout_document document,
+                         const std::set<std::string>& organisations) {
+    std::erase_if(document.organisations, [&](const organisation& entry) {
+        return organisations.contains(entry.name);
+    });
+    for (deployment& entry : document.deployments)
+        std::erase_if(entry.traffic, [&](const traffic_rule& rule) {
+            return organisations.contains(rule.organisation);
+        });
+    return document;
+}
+
+bool is_operation_id(const std::string& text) {
+    return !text.empty() && text.size() <= max_operation_id_bytes;
+}
+
+} // namespace
+
+bool may_change(const std::vector<std::string>& organisations,
+                const rollout_document& before, const rollout_document& after) {
+    const std::set<std::string> names(organisations.begin(),
+                                      organisations.end());
+    if (names.contains("*"))
+        return true;
+    return diff(without(before, names), without(after, names)).empty();
+}
+
+admin_api::admin_api(const settings& values, kernel& core,
+                     configuration& register_)
+    : values_(values), core_(core), configuration_(register_),
+      client_(values.platform.kv_url, values.platform.call_timeout) {}
+
+void admin_api::add_routes(httplib::Server& server) {
+    server.Get("/console",
+               [](const httplib::Request&, httplib::Response& response) {
+                   const std::string_view page = console_page();
+                   response.set_content(page.data(), page.size(), "text/html");
+               });
+    using request = const httplib::Request&;
+    using response = httplib::Response&;
+    using by = const operator_settings&;
+    add(server, false, "/admin/v1/rollout",
+        [this](by, request, response out) { show(out); });
+    add(server, true, "/admin/v1/rollout",
+        [this](by who, request in, response out) { apply(who, in, out); });
+    add(server, true, "/admin/v1/rollout/validate",
+        [this](by, request in, response out) { check(in, out); });
+    add(server, true, "/admin/v1/rollout/diff",
+        [this](by, request in, response out) { compare(in, out); });
+    add(server, true, "/admin/v1/rollout/rollback",
+        [this](by who, request in, response out) { roll_back(who, in, out); });
+    add(server, false, "/admin/v1/rollout/status",
+        [this](by, request, response out) { show_status(out); });
+    add(server, false, "/admin/v1/rollout/history",
+        [this](by, request, response out) { show_history(out); });
+    add(server, false, R"(/admin/v1/rollout/history/(\d{1,18}))",
+        [this](by, request in, response out) { show_revision(in, out); });
+    add(server, false, R"(/admin/v1/rollout/operations/([^/]+))",
+        [this](by, request in, response out) { show_operation(in, out); });
+}
+
+void admin_api::add(httplib::Server& server, bool post, const char* pattern,
+                    handler body) {
+    const auto guarded =
+        [this, body = std::move(body)](const httplib::Request& request,
+                                       httplib::Response& response) {
+            const operator_settings* who = authenticate(request);
+            if (who == nullptr)
+                answer_error(response, 401, "token missing or wrong");
+            else
+                body(*who, request, response);
+        };
+    if (post)
+        server.Post(pattern, guarded);
+    else
+        server.Get(pattern, guarded);
+}
+
+const operator_settings*
+admin_api::authenticate(const httplib::Request& request) const {
+    const auto found =
+        std::find_if(values_.operators.begin(), values_.operators.end(),
+                     [&](const operator_settings& entry) {
+                         return has_token(request, entry.token);
+                     });
+    return found == values_.operators.end() ? nullptr : &*found;
+}
+
+std::shared_ptr<const rollout_document> admin_api::in_force() {
+    auto document =
+        core_.call("admin", [this] { return configuration_.document(); });
+    return std::move(document).value_or(nullptr);
+}
+
+std::optional<rollout_document> admin_api::read_history(revision number) const {
+    error ignored;
+    const auto reading = value_or_error(
+        [&] { return client_.read(history_key(number)); }, ignored);
+    if (!reading || !reading->entry)
+        return std::nullopt;
+    return value_or_error([&] { return parse_rollout(reading->entry->value); },
+                          ignored);
+}
+
+void admin_api::show(httplib::Response& response) {
+    const auto document = in_force();
+    if (!document)
+        answer_error(response, 404, "nothing is in force");
+    else
+        answer_json(response, 200, document_json(*document));
+}
+
+void admin_api::check(const httplib::Request& request,
+                      httplib::Response& response) {
+    error failure;
+    const auto draft =
+        value_or_error([&] { return parse_rollout(request.body); }, failure);
+    const auto problems =
+        draft ? validate(*draft)
+              : std::vector<rollout_problem>{{"", failure.detail}};
+    answer_json(
+        response, 200,
+        {{"valid", problems.empty()}, {"problems", problems_json(problems)}});
+}
+
+void admin_api::compare(const httplib::Request& request,
+                        httplib::Response& response) {
+    const auto draft = read_document(request.body, response);
+    if (!draft)
+        return;
+    const auto current = in_force();
+    const rollout_document before = current ? *current : rollout_document{};
+    answer_json(response, 200,
+                {{"revision", before.number},
+                 {"changes", changes_json(diff(before, *draft))}});
+}
+
+void admin_api::apply(const operator_settings& by,
+                      const httplib::Request& request,
+                      httplib::Response& response) {
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("document") ||
+        !body.contains("operation_id") || !body["operation_id"].is_string()) {
+        answer_error(response, 400, "expected operation_id and document");
+        return;
+    }
+    auto draft = read_document(body["document"].dump(), response);
+    if (draft)
+        submit(by, std::move(*draft), body["operation_id"].get<std::string>(),
+               response);
+}
+
+void admin_api::roll_back(const operator_settings& by,
+                          const httplib::Request& request,
+                          httplib::Response& response) {
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("to") ||
+        !body["to"].is_number_unsigned() || !body.contains("operation_id") ||
+        !body["operation_id"].is_string()) {
+        answer_error(response, 400, "expected operation_id and to");
+        return;
+    }
+    const auto current = in_force();
+    auto earlier = read_history(body["to"].get<revision>());
+    if (!earlier || !current) {
+        answer_error(response, 404, "no such revision can be read");
+        return;
+    }
+    earlier->based_on = current->number;
+    submit(by, std::move(*earlier), body["operation_id"].get<std::string>(),
+           response);
+}
+
+void admin_api::submit(const operator_settings& by, rollout_document draft,
+                       const std::string& operation_id,
+                       httplib::Response& response) {
+    const auto current = in_force();
+    if (!is_operation_id(operation_id)) {
+        answer_error(response, 400, "operation_id is empty or too long");
+        return;
+    }
+    if (!may_change(by.organisations, current ? *current : rollout_document{},
+                    draft)) {
+        answer_error(response, 403,
+                     "the token allows changes of its organisations only");
+        return;
+    }
+    acceptance_request request;
+    request.based_on = draft.based_on;
+    request.draft = std::move(draft);
+    request.operator_name = by.name;
+    request.operation_id = operation_id;
+    request.accepted_at =
+        absl::FormatTime(absl::RFC3339_sec, absl::Now(), absl::UTCTimeZone());
+    const revision based_on = request.based_on;
+    struct shared_result {
+        absl::Notification done;
+        acceptance_result value;
+    };
+    const auto result = std::make_shared<shared_result>();
+    result->value = not_yet_known{operation_id, "still being tried"};
+    core_.post("admin", [this, request, result] {
+        configuration_.accept(request,
+                              [result](const acceptance_result& value) {
+                                  result->value = value;
+                                  result->done.Notify();
+                              });
+    });
+    const bool done = result->done.WaitForNotificationWithTimeout(
+        absl::FromChrono(acceptance_wait));
+    const acceptance_result outcome =
+        done ? result->value
+             : acceptance_result(
+                   not_yet_known{operation_id, "still being tried"});
+    log_event(log_level::info, "acceptance",
+              {{"operator", by.name},
+               {"operation", operation_id},
+               {"based_on", based_on},
+               {"outcome", outcome.index()}});
+    answer_result(response, outcome, based_on);
+}
+
+void admin_api::show_operation(const httplib::Request& request,
+                               httplib::Response& response) {
+    const std::string id = request.matches[1].str();
+    const std::string base = request.get_param_value("based_on");
+    const bool valid = !base.empty() && base.size() < 19 &&
+                       std::all_of(base.begin(), base.end(), [](char digit) {
+                           return digit >= '0' && digit <= '9';
+                       });
+    if (!valid) {
+        answer_error(response, 400, "expected based_on");
+        return;
+    }
+    const revision based_on = std::stoull(base);
+    const acceptance_result result =
+        run(acceptance::resolve(id, based_on), client_);
+    answer_result(response, result, based_on);
+}
+
+void admin_api::show_status(httplib::Response& response) {
+    const auto status = core_.call("admin", [this] {
+        const auto document = configuration_.document();
+        const auto highest = configuration_.highest();
+        json out =
+            core_.find<fleet_status>("fleet_status").describe(document.get());
+        out["in_force"] = document ? document->number : 0;
+        out["highest"] = highest ? highest->number : 0;
+        return out;
+    });
+    answer_json(response, 200, status.value_or(json::object()));
+}
+
+void admin_api::show_history(httplib::Response& response) {
+    const auto current = in_force();
+    json out = json::array();
+    const revision last = current ? current->number : 0;
+    for (revision number = last; number > 0; --number) {
+        if (last - number >= listed_revisions)
+            break;
+        const auto document =
+            number == last ? std::optional(*current) : read_history(number);
+        if (!document)
+            break;
+        out.push_back({{"revision", document->number},
+                       {"based_on", document->based_on},
+                       {"accepted_by", document->accepted_by},
+                       {"accepted_at", document->accepted_at},
+                       {"operation_id", document->operation_id}});
+    }
+    answer_json(response, 200, {{"revisions", out}});
+}
+
+void admin_api::show_revision(const httplib::Request& request,
+                              httplib::Response& response) {
+    const auto document = read_history(std::stoull(request.matches[1].str()));
+    if (!document)
+        answer_error(response, 404, "no such revision can be read");
+    else
+        answer_json(response, 200, document_json(*document));
+}
+
+} // namespace ospreystage
--- a/src/agent_process.cpp
+++ b/src/agent_process.cpp
@@ -1,11 +1,265 @@
+#include <ospreystage/attempt_service.hpp>
 #include <ospreystage/commands.hpp>
+#include <ospreystage/configuration.hpp>
+#include <ospreystage/distribution.hpp>
+#include <ospreystage/engine_service.hpp>
+#include <ospreystage/log.hpp>
+#include <ospreystage/membership_service.hpp>
 #include <ospreystage/process.hpp>
 
+#include <httplib.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace ospreystage {
 
-exit_code run_agent(const settings& configuration) {
-    process self(configuration);
-    return self.run();
+namespace {
+
+bool contains(const std::vector<std::string>& list, const std::string& item) {
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+/// Answers with what `read` returns, or 404 with its error.
+template <typename Read>
+void answer_bytes(httplib::Response& response, const char* content_type,
+                  Read read) {
+    error failure;
+    auto bytes = value_or_error(read, failure);
+    if (bytes) {
+        response.set_content(std::move(*bytes), content_type);
+        return;
+    }
+    answer_json(response, 404, {{"error", to_string(failure)}});
+}
+
+/// Connects the services of one agent: what the document asks of this VM.
+class agent {
+  public:
+    agent(process& self, const settings& values);
+
+    void add_routes(httplib::Server& server);
+    void start();
+    void stop();
+    void drain();
+    [[nodiscard]] bool is_idle() const;
+
+  private:
+    [[nodiscard]] bool has_engine() const;
+    [[nodiscard]] std::vector<deployment> wanted() const;
+    void apply_document();
+    void serve(const std::vector<digest>& held);
+    [[nodiscard]] engine_target target(const engine_state& state) const;
+    void observe(const engine_state& state,
+                 std::vector<std::uint64_t> prefixes);
+
+    process& self_;
+    const settings& values_;
+    membership_service& members_;
+    configuration& configuration_;
+    attempt_service& attempts_;
+    distribution* distribution_ = nullptr;
+    engine_service* engine_ = nullptr;
+};
+
+membership_service& add_membership(process& self, const settings& values) {
+    kernel& core = self.core();
+    return core.add("membership", std::make_unique<membership_service>(
+                                      core, values, self.link_layer()));
+}
+
+configuration& add_configuration(process& self, const settings& values,
+                                 membership_service& members) {
+    kernel& core = self.core();
+    return core.add("configuration",
+                    std::make_unique<configuration>(
+                        core, values, self.link_layer(), members));
+}
+
+agent::agent(process& self, const settings& values)
+    : self_(self), values_(values), members_(add_membership(self, values)),
+      configuration_(add_configuration(self, values, members_)),
+      attempts_(self.core().add(
+          "attempts", std::make_unique<attempt_service>(self.core(), values))) {
+    attempts_.start();
+    members_.on_superseded([this](const process_id& by) {
+        self_.stop_now("replaced by " + to_string(by));
+    });
+    configuration_.on_in_force([this](const auto&) { apply_document(); });
+    if (!has_engine())
+        return;
+    kernel& core = self.core();
+    distribution_ =
+        &core.add("distribution", std::make_unique<distribution>(core, values));
+    distribution_->start();
+    members_.on_change([this](const member&) {
+        distribution_->set_members(members_.members());
+    });
+    engine_service::dependencies needs;
+    needs.target = [this](const engine_state& state) { return target(state); };
+    needs.observed = [this](const engine_state& state,
+                            std::vector<std::uint64_t> prefixes) {
+        observe(state, std::move(prefixes));
+    };
+    needs.unreachable = [this] { serve({}); };
+    engine_ = &core.add(
+        "engine", std::make_unique<engine_service>(
+                      core, values, self.self().incarnation, std::move(needs)));
+}
+
+void agent::add_routes(httplib::Server& server) {
+    if (distribution_ == nullptr)
+        return;
+    server.Get(R"(/weights/([0-9a-f]{64})/manifest)",
+               [this](const httplib::Request& in, httplib::Response& out) {
+                   answer_bytes(out, "application/json", [&] {
+                       return distribution_->manifest_text(in.matches[1].str());
+                   });
+               });
+    server.Get(
+        R"(/weights/([0-9a-f]{64})/chunks/(\d{1,9}))",
+        [this](const httplib::Request& in, httplib::Response& out) {
+            const auto index =
+                static_cast<std::uint32_t>(std::stoul(in.matches[2].str()));
+            answer_bytes(out, "application/octet-stream", [&] {
+                return distribution_->read_chunk(in.matches[1].str(), index);
+            });
+        });
+}
+
+void agent::start() {
+    if (engine_ != nullptr)
+        engine_->start();
+}
+
+void agent::stop() {
+    if (engine_ != nullptr)
+        engine_->stop();
+}
+
+void agent::drain() {
+    members_.set_leaving();
+    attempts_.set_leaving();
+}
+
+bool agent::is_idle() const {
+    return attempts_.idle();
+}
+
+bool agent::has_engine() const {
+    return values_.backend_server.kind == "engine";
+}
+
+std::vector<deployment> agent::wanted() const {
+    std::vector<deployment> out;
+    const auto document = configuration_.document();
+    if (!document)
+        return out;
+    for (const deployment& entry : document->deployments) {
+        if (contains(entry.vms, values_.process.vm))
+            out.push_back(entry);
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](const deployment& left, const deployment& right) {
+                         return left.priority > right.priority;
+                     });
+    return out;
+}
+
+void agent::apply_document() {
+    if (!has_engine()) {
+        serve({});
+        return;
+    }
+    std::vector<wanted_version> versions;
+    for (const deployment& entry : wanted())
+        versions.push_back({entry.version, entry.priority});
+    distribution_->want(versions);
+}
+
+void agent::serve(const std::vector<digest>& held) {
+    gate_service served;
+    served.engine = has_engine();
+    served.versions = held;
+    const auto document = configuration_.document();
+    if (document) {
+        for (const service& entry : document->services) {
+            if (!contains(entry.vms, values_.process.vm))
+                continue;
+            served.name = entry.name;
+            served.in_force = true;
+        }
+    }
+    attempts_.set_service(std::move(served));
+}
+
+engine_target agent::target(const engine_state& state) const {
+    engine_target out;
+    for (const digest& version : state.held) {
+        if (attempts_.uses(version))
+            out.in_use.insert(version);
+    }
+    for (const deployment& entry : wanted()) {
+        out.wanted.push_back(entry.version);
+        if (distribution_->complete(entry.version))
+            out.complete.insert(entry.version);
+    }
+    return out;
+}
+
+void agent::observe(const engine_state& state,
+                    std::vector<std::uint64_t> prefixes) {
+    std::vector<digest> offered;
+    bool all_held = true;
+    for (const deployment& entry : wanted()) {
+        if (state.held.contains(entry.version))
+            offered.push_back(entry.version);
+        else
+            all_held = false;
+    }
+    // Superseded versions answer until this engine holds what replaces them.
+    if (!all_held)
+        offered.assign(state.held.begin(), state.held.end());
+    serve(offered);
+    back_end_load load;
+    load.running = state.running;
+    load.queued = state.queued;
+    load.capacity = state.capacity;
+    load.measured = steady::now() - state.age;
+    load.prefixes = std::move(prefixes);
+    attempts_.set_load(std::move(load));
+}
+
+/// Makes the folder for chunks; prints the fault and returns false otherwise.
+bool make_chunk_folder(const std::string& folder) {
+    std::error_code problem;
+    if (!folder.empty())
+        std::filesystem::create_directories(folder, problem);
+    if (problem)
+        std::cerr << "distribution.chunk_folder " << folder << ": "
+                  << problem.message() << '\n';
+    return !problem;
+}
+
+} // namespace
+
+exit_code run_agent(const settings& values) {
+    if (!make_chunk_folder(values.distribution.chunk_folder))
+        return exit_code::usage;
+    process self(values);
+    agent services(self, values);
+    services.add_routes(self.http().routes());
+    self.core().post("attempts", [&services] { services.start(); });
+    self.on_stop([&services] { services.drain(); },
+                 [&services] { return services.is_idle(); });
+    const exit_code code = self.run();
+    services.stop();
+    return code;
 }
 
 } // namespace ospreystage
--- a/src/back_end.cpp
+++ b/src/back_end.cpp
@@ -129,7 +129,10 @@
     const attempt_id& attempt = current.order.attempt;
     const auto client = std::make_shared<httplib::Client>(url_);
     client->set_connection_timeout(connect_timeout);
-    client->set_read_timeout(std::min(current.deadline, silence_timeout));
+    // An answer in one piece may take its whole deadline.
+    client->set_read_timeout(current.order.stream
+                                 ? std::min(current.deadline, silence_timeout)
+                                 : current.deadline);
     client->set_tcp_nodelay(true);
     {
         const absl::MutexLock lock(&mutex_);
--- a/src/broker_dispatch.cpp
+++ b/src/broker_dispatch.cpp
@@ -75,14 +75,47 @@
 
 bool broker_state::dispatch_version(request_id request, const digest& version,
                                     instant now) {
-    const auto usable = candidates(requests_.at(request), version, now);
+    const request_state& state = requests_.at(request);
+    auto usable = candidates(state, version, now);
+    const std::size_t current = usable.size();
+    const auto older = superseded_version(request, state, version);
+    if (older) {
+        for (balancer_candidate& candidate : candidates(state, *older, now)) {
+            const auto& held = agents_.at(candidate.agent).load.versions;
+            if (!contains(held, version))
+                usable.push_back(std::move(candidate));
+        }
+    }
     const auto chosen = balancer_.choose(usable);
     if (!chosen)
         return false;
-    send_order(request, usable[*chosen].agent, version, now);
+    send_order(request, usable[*chosen].agent,
+               *chosen < current ? version : *older, now);
     return true;
 }
 
+std::optional<digest>
+broker_state::superseded_version(request_id request, const request_state& state,
+                                 const digest& version) const {
+    if (!state.engine || state.passed_begin || !superseded_)
+        return std::nullopt;
+    const auto before =
+        choose_deployments(*superseded_, state.incoming.service,
+                           state.incoming.organisation, request);
+    if (before.empty() || before.front()->version == version)
+        return std::nullopt;
+    const digest& older = before.front()->version;
+    const bool still_current = std::any_of(
+        document_->deployments.begin(), document_->deployments.end(),
+        [&](const deployment& target) {
+            return target.service == state.incoming.service &&
+                   target.version == older;
+        });
+    if (still_current)
+        return std::nullopt;
+    return older;
+}
+
 std::vector<digest>
 broker_state::wanted_versions(request_id request,
                               const request_state& state) const {
--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -104,6 +104,8 @@
 
 void broker_state::set_document(
     std::shared_ptr<const rollout_document> document, instant now) {
+    if (document_ && document && document_->number != document->number)
+        superseded_ = std::move(document_);
     document_ = std::move(document);
     if (document_ != nullptr)
         admission_.set_document(*document_, now);
--- /dev/null
+++ b/src/claim_service.cpp
@@ -0,0 +1,57 @@
+#include <ospreystage/claim_service.hpp>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr milliseconds tick_interval{100};
+
+std::vector<std::string> witness_names(const settings& configuration) {
+    std::vector<std::string> names;
+    for (const witness_settings& witness : configuration.cluster.witnesses)
+        names.push_back(witness.name);
+    return names;
+}
+
+} // namespace
+
+claim_service::claim_service(kernel& core, const settings& configuration)
+    : core_(core), links_(core.find<links>("links")),
+      ledger_(links_.self(), witness_names(configuration),
+              configuration.cluster.claim_retention, steady::now()) {}
+
+void claim_service::start() {
+    links_.on<claim_request>([this](const link_peer& peer,
+                                    const claim_request& request) {
+        links_.reply(peer.connection, ledger_.on_claim(request, steady::now()));
+    });
+    links_.on<claim_release>(
+        [this](const link_peer&, const claim_release& release) {
+            ledger_.on_release(release, steady::now());
+        });
+    links_.on<recover_request>(
+        [this](const link_peer& peer, const recover_request& request) {
+            for (const recover_reply& page :
+                 ledger_.on_recover_request(request, steady::now()))
+                links_.reply(peer.connection, page);
+        });
+    links_.on<recover_reply>(
+        [this](const link_peer&, const recover_reply& reply) {
+            ledger_.on_recover_reply(reply, steady::now());
+        });
+    core_.every("claims", tick_interval, [this] {
+        for (const claim_ledger::recovery_step& step :
+             ledger_.tick(steady::now()))
+            links_.send(step.witness, step.body);
+    });
+}
+
+nlohmann::json claim_service::dump() const {
+    return ledger_.dump(steady::now());
+}
+
+void claim_service::recovered_fresh() {
+    ledger_.recovered_fresh();
+}
+
+} // namespace ospreystage
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -89,6 +89,10 @@
     in_force_handlers_.push_back(std::move(handler));
 }
 
+void configuration::on_nothing_accepted(std::function<void()> handler) {
+    nothing_accepted_handlers_.push_back(std::move(handler));
+}
+
 void configuration::accept(acceptance_request request, result_handler done) {
     start(acceptance(std::move(request)), std::move(done));
 }
@@ -200,6 +204,10 @@
 
 void configuration::on_platform(const kv_reading& reading) {
     platform_problem_.clear();
+    if (!reading.entry) {
+        for (const auto& handler : nothing_accepted_handlers_)
+            handler();
+    }
     apply(register_.platform_read(reading.entry ? reading.entry->value : "",
                                   steady::now()));
 }
--- a/src/console_page.cpp
+++ b/src/console_page.cpp
@@ -165,7 +165,8 @@
                                        document: draft() }));
 };
 at("resolve").onclick = async () =>
-  showOutcome(await call("GET", "/operations/" + operation));
+  showOutcome(await call("GET", "/operations/" + operation +
+                             "?based_on=" + current.revision));
 buildForms({});
 </script>
 </body>
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -125,8 +125,9 @@
 }
 
 exit_code ctl_operation(const ctl_options& options) {
-    return print(get(
-        options, fmt::format("{}/operations/{}", base, options.operation_id)));
+    return print(
+        get(options, fmt::format("{}/operations/{}?based_on={}", base,
+                                 options.operation_id, options.number)));
 }
 
 exit_code ctl_status(const ctl_options& options) {
--- a/src/engine_service.cpp
+++ b/src/engine_service.cpp
@@ -111,7 +111,7 @@
     ++polls_;
     latest_ = seen.state;
     needs_.observed(seen.state, seen.prefixes);
-    auto orders = reconcile(seen.state, needs_.target());
+    auto orders = reconcile(seen.state, needs_.target(seen.state));
     orders_ += orders.size();
     return orders;
 }
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -1,10 +1,120 @@
+#include <ospreystage/admin_api.hpp>
+#include <ospreystage/caller_api.hpp>
+#include <ospreystage/claim_service.hpp>
 #include <ospreystage/commands.hpp>
+#include <ospreystage/configuration.hpp>
+#include <ospreystage/fleet_status.hpp>
+#include <ospreystage/log.hpp>
+#include <ospreystage/membership_service.hpp>
 #include <ospreystage/process.hpp>
+#include <ospreystage/request_service.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace ospreystage {
 
-exit_code run_entry(const settings& configuration) {
-    process self(configuration);
+namespace {
+
+bool is_witness(const settings& values) {
+    const auto& witnesses = values.cluster.witnesses;
+    return std::any_of(witnesses.begin(), witnesses.end(),
+                       [&](const witness_settings& witness) {
+                           return witness.name == values.process.name;
+                       });
+}
+
+/// Addresses that callers may use: entries that take new work.
+std::vector<std::string> entry_urls(const membership_service& members) {
+    std::vector<std::string> urls;
+    for (const member& value : members.alive(process_role::entry))
+        urls.push_back(fmt::format("http://{}", to_string(value.http)));
+    return urls;
+}
+
+/// Adds the services of an entry in the order in which they depend.
+void add_services(process& self, const settings& values,
+                  exchange_table& exchanges) {
+    kernel& core = self.core();
+    auto& members = core.add(
+        "membership",
+        std::make_unique<membership_service>(core, values, self.link_layer()));
+    auto& config = core.add("configuration",
+                            std::make_unique<configuration>(
+                                core, values, self.link_layer(), members));
+    core.add("fleet_status", std::make_unique<fleet_status>(core));
+    auto& requests = core.add(
+        "requests", std::make_unique<request_service>(core, values, exchanges));
+    requests.start();
+    members.on_change([&members, &requests](const member&) {
+        std::vector<std::string> entries;
+        for (const member& value : members.alive(process_role::entry))
+            entries.push_back(value.id.name);
+        requests.set_entries(std::move(entries));
+        requests.set_agents(members.alive(process_role::agent));
+    });
+    config.on_in_force(
+        [&](const auto& document) { requests.set_document(document); });
+    members.on_superseded([&self](const process_id& by) {
+        self.stop_now("replaced by " + to_string(by));
+    });
+    if (is_witness(values)) {
+        auto& claims =
+            core.add("claims", std::make_unique<claim_service>(core, values));
+        claims.start();
+        config.on_nothing_accepted([&claims] { claims.recovered_fresh(); });
+    }
+}
+
+caller_api::dependencies caller_needs(kernel& core) {
+    caller_api::dependencies needs;
+    needs.entries = [&core] {
+        auto urls = core.call("callers", [&core] {
+            return entry_urls(core.find<membership_service>("membership"));
+        });
+        return std::move(urls).value_or(std::vector<std::string>());
+    };
+    needs.begin = [&core](request_id id, incoming_request incoming) {
+        core.post("requests", [&core, id, incoming = std::move(incoming)] {
+            core.find<request_service>("requests").begin(id, incoming);
+        });
+    };
+    needs.cancel = [&core](request_id id) {
+        core.post("requests", [&core, id] {
+            core.find<request_service>("requests").cancel(id);
+        });
+    };
+    return needs;
+}
+
+} // namespace
+
+exit_code run_entry(const settings& values) {
+    exchange_table exchanges;
+    process self(values);
+    kernel& core = self.core();
+    add_services(self, values, exchanges);
+    caller_api callers(values, exchanges, self.measures(), caller_needs(core));
+    callers.add_routes(self.http().routes());
+    admin_api admin(values, core, core.find<configuration>("configuration"));
+    admin.add_routes(self.http().routes());
+    self.measures().gauge("ospreystage_requests_open", [&exchanges] {
+        return static_cast<double>(exchanges.size());
+    });
+    self.on_stop(
+        [&core] {
+            core.find<membership_service>("membership").set_leaving();
+            core.find<request_service>("requests").set_leaving();
+        },
+        [&core, &exchanges] {
+            return exchanges.size() == 0 &&
+                   core.find<request_service>("requests").idle();
+        });
+    self.on_kernel_ended([&exchanges] { exchanges.abandon_all(); });
     return self.run();
 }
 
--- a/src/exchange_table.cpp
+++ b/src/exchange_table.cpp
@@ -39,6 +39,15 @@
     return event;
 }
 
+void exchange_table::abandon_all() {
+    const absl::MutexLock lock(&mutex_);
+    for (auto& [id, entry] : queues_) {
+        entry->events.emplace_back(
+            refuse_action{id, outcome::unknown, "entry_stopped", {}});
+        entry->ready.Signal();
+    }
+}
+
 void exchange_table::close(request_id id) {
     const absl::MutexLock lock(&mutex_);
     queues_.erase(id);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -94,8 +94,13 @@
     needs_file(add("validate", "List what blocks a document", ctl_validate));
     needs_file(add("diff", "Compare a file with what is in force", ctl_diff));
     takes_operation(needs_file(add("apply", "Submit a document", ctl_apply)));
-    add("operation", "Ask what became of an operation", ctl_operation)
-        ->add_option("id", options.operation_id, "Operation id")
+    CLI::App* operation =
+        add("operation", "Ask what became of an operation", ctl_operation);
+    operation->add_option("id", options.operation_id, "Operation id")
+        ->required();
+    operation
+        ->add_option("--based-on", options.number,
+                     "Revision that the edit was made on")
         ->required();
     add("status", "Show what is in force on each VM", ctl_status);
     add("show", "Print a document", ctl_show)
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -54,6 +54,10 @@
     idle_ = std::move(idle);
 }
 
+void process::on_kernel_ended(std::function<void()> ended) {
+    kernel_ended_ = std::move(ended);
+}
+
 void process::stop_now(const std::string& reason) {
     log_event(log_level::error, "stopped", {{"reason", reason}});
     core_.stop();
@@ -78,6 +82,8 @@
                {"peer", to_string(configuration_.listen.peer)}});
     std::cout << "ready" << std::endl;
     core_.run();
+    if (kernel_ended_)
+        kernel_ended_();
     http_.stop();
     log_event(log_level::info, "stopped");
     return exit_code::success;
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -57,6 +57,10 @@
     broker_.set_agents(std::move(agents));
 }
 
+void request_service::set_entries(std::vector<std::string> entries) {
+    broker_.set_entries(std::move(entries));
+}
+
 void request_service::set_leaving() {
     broker_.set_leaving();
 }
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,7 +1,10 @@
-#include <CLI/CLI.hpp>
+#include <tests/bench/quickstart.hpp>
 
 int main(int argc, char** argv) {
     CLI::App app{"Load and experiments against separate processes"};
+    app.require_subcommand(1);
+    int status = 0;
+    ospreystage::bench::add_quickstart(app, status);
     CLI11_PARSE(app, argc, argv);
-    return 0;
+    return status;
 }
