Widen the acceptance model and search the other rule for witnesses

Cause: acceptance had a second entry on one edit only; the second round in spread has an alternative that is simpler to write and had not been searched. Change: two entries on two of three edits; ALT_KEY_ONLY (witnesses recover from the platform's key alone, one round), which must hold; LOWER_ACCEPTED breaks witnesses alone, NODE_LOWER_ACCEPTED nodes. The search of spread as it stands is unchanged. Conclusion: either rule keeps a revision in force; the two-round rule also lets witnesses recover during an outage.

--- a/spec/acceptance.pml
+++ b/spec/acceptance.pml
@@ -2,8 +2,8 @@
  * Acceptance of documents by compare-and-swap on one key.
  *
  * Each edit has an operation id and a base: the revision that its operator
- * saw. Two entries handle the first edit, the second perhaps after the first
- * died or while it still works; one entry handles each other edit. A write takes effect at any later time, any number
+ * saw. Two entries handle each of the first two edits, the second perhaps after
+ * the first died or while it still works; one entry handles the third. A write takes effect at any later time, any number
  * of times or never, if the key has not changed from what the write expects;
  * its answer may be lost. An entry may die at any point. An outage is that no
  * entry takes a step.
@@ -169,6 +169,7 @@
         run entry(0);
         run entry(0);
         run entry(1);
+        run entry(1);
         run entry(2)
     }
 }
--- a/spec/spread.pml
+++ b/spec/spread.pml
@@ -11,8 +11,10 @@
  * starts after a revision was in force anywhere never puts a lower one in
  * force, and a witness that starts after it never counts with a lower one.
  *
- * Broken variants: LOWER_ACCEPTED, ONE_STALE_PEER, NO_MAJORITY,
- * UNRECOVERED_ANSWERS, NO_CONFIRM, ANY_INCARNATION, CONFIRM_EARLY.
+ * Broken variants: LOWER_ACCEPTED, NODE_LOWER_ACCEPTED, ONE_STALE_PEER,
+ * NO_MAJORITY, UNRECOVERED_ANSWERS, NO_CONFIRM, ANY_INCARNATION,
+ * CONFIRM_EARLY. ALT_KEY_ONLY is another rule that holds: witnesses recover
+ * from the platform's service only, and the second round is not needed.
  * Reachability: REACH_IN_FORCE, REACH_WITNESS_RECOVERY, REACH_NODE_RECOVERY.
  */
 
@@ -64,9 +66,14 @@
 bool confirmed[WITNESSES];
 
 #ifdef LOWER_ACCEPTED
-#define IS_NEWER(number, than) (number != than)
+#define IS_NEWER(number) (number != document[w])
 #else
-#define IS_NEWER(number, than) (number > than)
+#define IS_NEWER(number) (number > document[w])
+#endif
+#ifdef NODE_LOWER_ACCEPTED
+#define IS_NEWER_HERE(number) (number != node_document)
+#else
+#define IS_NEWER_HERE(number) (number > node_document)
 #endif
 
 #ifdef UNRECOVERED_ANSWERS
@@ -115,7 +122,7 @@
 #define RECEIVE_DOCUMENT_PUSH(number) \
     d_step { \
         recovered[w] && number <= accepted && \
-        IS_NEWER(number, document[w]) -> \
+        IS_NEWER(number) -> \
         document[w] = number; \
         report() \
     }
@@ -127,7 +134,9 @@
     }
 
 /* A majority of all witnesses, none of which is this one. */
-#ifdef ONE_STALE_PEER
+#if defined(ALT_KEY_ONLY)
+#define MAY_RECOVER false
+#elif defined(ONE_STALE_PEER)
 #define MAY_RECOVER (REPLY(w, NEXT(w)) != 0 || REPLY(w, LAST(w)) != 0)
 #else
 #define MAY_RECOVER (REPLY(w, NEXT(w)) != 0 && REPLY(w, LAST(w)) != 0)
@@ -179,7 +188,7 @@
 #define RECEIVE_NODE_PUSH(number) \
     d_step { \
         node_recovered && number <= accepted && \
-        IS_NEWER(number, node_document) -> \
+        IS_NEWER_HERE(number) -> \
         node_document = number; \
         forget_counts() \
     }
@@ -274,7 +283,7 @@
         confirmed[w] = true \
     }
 
-#ifdef NO_CONFIRM
+#if defined(NO_CONFIRM) || defined(ALT_KEY_ONLY)
 #define IS_HELD_BY_MAJORITY (COUNTED >= MAJORITY)
 #else
 #define IS_HELD_BY_MAJORITY (CONFIRMED >= MAJORITY)
