Make tests of the detector notice more switched-off rules

Cause: trials with a rule switched off passed: the restart of silences after a pause, and the refusal of what an outdated process says. Change: the paused process suspects somebody before the pause, and the answer to an outdated process must be its only effect; a leaving process must not be seen as suspected. Nothing was eased.

--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -231,17 +231,16 @@
             probe = ping->datagram;
     }
     REQUIRE(probe.sender.incarnation == 1);
+    const auto answer =
+        all.at("p3").receive(fleet::address_of("p9"), probe, all.now);
+    REQUIRE(answer.size() == 1); // nothing it says is taken in
+    const auto* ack = std::get_if<send_ack>(&answer.front());
+    REQUIRE(ack != nullptr);
     bool told = false;
-    for (const membership_action& action :
-         all.at("p3").receive(fleet::address_of("p9"), probe, all.now)) {
-        const auto* ack = std::get_if<send_ack>(&action);
-        if (ack == nullptr)
-            continue;
-        for (const membership_action& effect :
-             older.receive(ack->to, ack->datagram, all.now)) {
-            const auto* by = std::get_if<superseded>(&effect);
-            told = told || (by != nullptr && by->by.incarnation == 2);
-        }
+    for (const membership_action& effect :
+         older.receive(ack->to, ack->datagram, all.now)) {
+        const auto* by = std::get_if<superseded>(&effect);
+        told = told || (by != nullptr && by->by.incarnation == 2);
     }
     CHECK(told);
     all.run(seconds(2));
@@ -252,12 +251,21 @@
     fleet all(2);
     all.start_all(8);
     all.run(seconds(10));
+    // Its last probes before the pause are lost, so it suspects somebody.
+    all.passes = [](const std::string& from, const std::string&) {
+        return from != "p6";
+    };
+    all.run(milliseconds(1250));
+    REQUIRE(all.at("p6").alive(process_role::entry).size() < 8);
+    all.passes = [](const std::string&, const std::string&) { return true; };
     all.frozen = {"p6"};
     all.run(seconds(60));
     CHECK(all.users("p6") == 1); // itself
     all.frozen.clear();
-    all.run(step);
-    CHECK(all.at("p6").alive(process_role::entry).size() == 8);
+    for (int ticks = 0; ticks < 8; ++ticks) {
+        all.run(step);
+        CHECK(all.at("p6").members().size() == 8); // nobody is dead
+    }
     all.run(seconds(15));
     CHECK(all.converged());
     CHECK(all.superseded_by.empty());
@@ -275,6 +283,8 @@
     all.frozen = {"p9"};
     all.run(seconds(2));
     CHECK(all.users("p9") == 0);
+    CHECK(all.count("p9", member_state::suspect) == 0);
+    CHECK(all.count("p9", member_state::leaving) >= 1);
     all.frozen.clear();
     all.run(seconds(20));
     CHECK(all.users("p9") == 0);
