--- a/tests/distribution.cpp
+++ b/tests/distribution.cpp
@@ -94,7 +94,7 @@
         return origin.get("/control/stats").body["versions"][version]["copies"];
     }
 
-    [[nodiscard]] digest publish(const weights_spec& spec) const {
+    [[nodiscard]] digest publish(const weights_spec& spec) {
         return origin
             .post("/control/publish", {{"name", spec.name},
                                        {"bytes", spec.bytes},
