--- a/include/ospreystage/http_server.hpp
+++ b/include/ospreystage/http_server.hpp
@@ -38,6 +38,7 @@
   private:
     std::unique_ptr<httplib::Server> server_;
     std::thread thread_;
+    int descriptor_ = -1; ///< Listening socket, owned by the library.
 };
 
 /// Answers with `body` as JSON.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::time_t keep_alive_seconds = 5;
 constexpr std::size_t keep_alive_requests = 1000;
+constexpr int listen_backlog = 1024;
 constexpr const char* bearer = "Bearer ";
 
 } // namespace
@@ -26,7 +27,8 @@
     server_->set_keep_alive_max_count(keep_alive_requests);
     // The library's default sets SO_REUSEPORT, which would let two processes
     // share an address in use.
-    server_->set_socket_options([](socket_t descriptor) {
+    server_->set_socket_options([this](socket_t descriptor) {
+        descriptor_ = descriptor;
         const int on = 1;
         setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     });
@@ -44,6 +46,8 @@
     if (!server_->bind_to_port(local.host.c_str(), local.port))
         return fail(error_code::unavailable, "http.listen", to_string(local),
                     "address in use or not available");
+    // The library's backlog of 5 drops connections in a burst.
+    ::listen(descriptor_, listen_backlog);
     thread_ = std::thread([this] { server_->listen_after_bind(); });
     return {};
 }
--- a/tests/standin/common.cpp
+++ b/tests/standin/common.cpp
@@ -30,7 +30,13 @@
     void shutdown() override {}
 };
 
+constexpr int listen_backlog = 1024;
+
+/// Listening socket of this process.
+int listener = -1;
+
 void set_socket_options(socket_t descriptor) {
+    listener = descriptor;
     const int enabled = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
 }
@@ -57,6 +63,9 @@
         std::fprintf(stderr, "cannot listen on %s\n", listen.c_str());
         return 1;
     }
+    // The library's backlog of 5 drops connections in a burst.
+    if (::listen(listener, listen_backlog) != 0)
+        return 1;
     std::puts("ready");
     std::fflush(stdout);
     return server.listen_after_bind() ? 0 : 1;
