Replace silent owners of chunks sooner

Cause: a chunk whose owner had announced it and fell silent reached its data centre late: the silent peer still counted as a source, and others waited for one fallback time a rank. Change: a peer that gave no answer is no reason to wait; a request that timed out counts as waiting for the owner; the other members of the data centre follow a quarter of a stall timeout apart.

--- a/include/ospreystage/swarm.hpp
+++ b/include/ospreystage/swarm.hpp
@@ -186,6 +186,8 @@
                  std::uint32_t index);
     void release(const request_record& request, bool refund);
     void expire(instant now);
+    /// Counts the time that a silent source took as time without a source.
+    void mark_blocked(const request_record& request);
     void start_request(version_record& version, std::uint32_t index,
                        chunk_source source, instant now);
     [[nodiscard]] token_bucket& download_bucket();
@@ -202,9 +204,9 @@
     [[nodiscard]] std::optional<peer_id>
     best_source(const version_record& version, std::uint32_t index,
                 instant now) const;
-    [[nodiscard]] bool has_usable_holder(const version_record& version,
-                                         std::uint32_t index, bool local_only,
-                                         instant now) const;
+    [[nodiscard]] bool has_trusted_holder(const version_record& version,
+                                          std::uint32_t index, bool local_only,
+                                          instant now) const;
     [[nodiscard]] bool may_cross(const version_record& version,
                                  std::uint32_t index, instant now) const;
     void check_blocked(version_record& version, instant now);
--- a/src/swarm_downloads.cpp
+++ b/src/swarm_downloads.cpp
@@ -13,11 +13,15 @@
 /// Interval between two looks for chunks that no source is known for.
 constexpr milliseconds check_interval{100};
 /// Missed keepalives after which a reader counts as silent.
-constexpr int silent_keepalives = 4;
-/// Multiples of the stall timeout after which another agent acts.
+constexpr int silent_keepalives = 3;
+/// Multiples of the stall timeout that make up the fallback time.
 constexpr int fallback_stalls = 2;
-/// Multiples of the fallback time before a reader of a higher rank, or an
-/// agent that is no reader, reads from the origin in place of the first one.
+/// Stall timeouts after which others fetch a chunk in place of its owner.
+constexpr int owner_stalls = 2;
+/// Agents that do so one after the other within the time of one stall.
+constexpr int owner_turns_per_stall = 4;
+/// Fallback times before a reader of a higher rank, or an agent that is no
+/// reader, reads from the origin in place of the first one.
 constexpr int stand_in_fallbacks = 1;
 constexpr int last_resort_fallbacks = 4;
 constexpr int stagnation_fallbacks = 4;
@@ -141,7 +145,7 @@
         if (heard * 2 < expected && now - version.wanted_since < join_grace)
             return false;
         const bool is_first = role.origin_rank == 0;
-        return !has_usable_holder(version, index, !is_first, now);
+        return !has_trusted_holder(version, index, !is_first, now);
     }
     if (!version.roles->has_stand_ins())
         return false;
@@ -155,7 +159,7 @@
     const bool stagnant =
         now - version.progress > fallback * (turn + stagnation_fallbacks);
     return (blocked_long || stagnant) &&
-           !has_usable_holder(version, index, false, now);
+           !has_trusted_holder(version, index, false, now);
 }
 
 bool swarm::may_cross(const version_record& version, std::uint32_t index,
@@ -164,9 +168,11 @@
     if (role.owner_rank == 0)
         return true;
     const instant since = version.chunks[index].blocked_since;
-    const auto fallback =
-        stall_timeout(version.description->chunk_bytes) * fallback_stalls;
-    return is_set(since) && now - since > fallback * role.owner_rank;
+    if (!is_set(since))
+        return false;
+    const auto stall = stall_timeout(version.description->chunk_bytes);
+    const auto turn = stall / owner_turns_per_stall * (role.owner_rank - 1);
+    return now - since > stall * owner_stalls + turn;
 }
 
 std::optional<swarm::peer_id> swarm::best_source(const version_record& version,
@@ -193,16 +199,16 @@
     return best;
 }
 
-bool swarm::has_usable_holder(const version_record& version,
-                              std::uint32_t index, bool local_only,
-                              instant now) const {
+bool swarm::has_trusted_holder(const version_record& version,
+                               std::uint32_t index, bool local_only,
+                               instant now) const {
     if (version.chunks[index].holders == 0)
         return false;
     return std::any_of(
         version.active.begin(), version.active.end(), [&](peer_id id) {
             const peer_view& view = version.views[static_cast<std::size_t>(id)];
             return view.held.test(index) && is_usable(id, now) &&
-                   (!local_only || at(id).is_local);
+                   at(id).strikes == 0 && (!local_only || at(id).is_local);
         });
 }
 
@@ -219,7 +225,7 @@
         const bool is_owner = version.roles->role(index).owner_rank == 0;
         const bool is_blocked =
             chunk.holders > 0 &&
-            !has_usable_holder(version, index, !is_owner, now);
+            !has_trusted_holder(version, index, !is_owner, now);
         if (!is_blocked)
             chunk.blocked_since = instant{};
         else if (!is_set(chunk.blocked_since))
--- a/src/swarm_requests.cpp
+++ b/src/swarm_requests.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Times the time of one chunk on the link that an answer may take.
-constexpr std::uint64_t stall_chunks = 24;
+constexpr std::uint64_t stall_chunks = 16;
 constexpr milliseconds max_stall_timeout{30'000};
 /// The shell reports failures of the origin; this bounds lost reports.
 constexpr milliseconds origin_timeout{60'000};
@@ -49,7 +49,8 @@
 milliseconds swarm::stall_timeout(std::uint32_t bytes) const {
     if (budget_.bytes_per_second == 0)
         return options_.min_stall_timeout;
-    const std::uint64_t limit_ms = stall_chunks * bytes *
+    const std::uint64_t crossings = budget_.shared_directions ? 2 : 1;
+    const std::uint64_t limit_ms = stall_chunks * crossings * bytes *
                                    std::uint64_t{milliseconds::period::den} /
                                    budget_.bytes_per_second;
     return std::clamp(milliseconds(limit_ms), options_.min_stall_timeout,
@@ -109,6 +110,7 @@
             at(id).avoided_until = now + options_.refusal_pause;
             continue;
         }
+        mark_blocked(request);
         if (is_usable(id, now)) {
             strike(id, now);
             actions_.emplace_back(give_up_peer{source->name});
@@ -116,6 +118,16 @@
     }
 }
 
+void swarm::mark_blocked(const request_record& request) {
+    version_record* version = find(request.version);
+    if (version == nullptr || !version->description)
+        return;
+    // The owner had its time while this request waited in vain.
+    instant& since = version->chunks[request.index].blocked_since;
+    const instant earlier = request.started - stall_timeout(request.bytes) * 2;
+    since = since == instant{} ? earlier : std::min(since, earlier);
+}
+
 void swarm::start_request(version_record& version, std::uint32_t index,
                           chunk_source source, instant now) {
     const std::uint32_t bytes = version.description->chunk_size(index);
