Test the spread of versions against the limit of the links

Cause: the users' bounds (time to the limit of the links, origin copies, crossings between data centres) had no test. Ruled out: bounds taken from measured figures; they are the users' own.

--- /dev/null
+++ b/tests/swarm.cpp
@@ -0,0 +1,256 @@
+#include <ospreystage/swarm.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace ospreystage;
+
+namespace {
+
+const std::string self = "agent-1";
+const digest version = sha256("first");
+const digest other_version = sha256("second");
+
+manifest make_description(std::uint32_t chunks) {
+    return make_manifest(std::string(chunks * std::size_t{1000}, 'w'), 1000);
+}
+
+std::vector<swarm_member> one_data_centre(std::uint32_t count) {
+    std::vector<swarm_member> members;
+    for (std::uint32_t index = 0; index < count; ++index)
+        members.push_back({"agent-" + std::to_string(index), "dc-0"});
+    return members;
+}
+
+chunk_bitmap full(std::uint32_t chunks) {
+    chunk_bitmap held(chunks);
+    held.fill();
+    return held;
+}
+
+template <typename Action>
+std::vector<Action> only(const std::vector<swarm_action>& actions) {
+    std::vector<Action> chosen;
+    for (const swarm_action& action : actions)
+        if (const auto* wanted = std::get_if<Action>(&action))
+            chosen.push_back(*wanted);
+    return chosen;
+}
+
+bool is_from(const fetch_chunk& action, const std::string& peer) {
+    return action.source == chunk_source(peer_source{peer});
+}
+
+bool is_from_origin(const fetch_chunk& action) {
+    return std::holds_alternative<origin_source>(action.source);
+}
+
+/// One agent whose time passes by hand.
+class fixture {
+  public:
+    explicit fixture(std::vector<swarm_member> members,
+                     const swarm_options& options = {})
+        : decisions(options, self) {
+        decisions.set_members(std::move(members), now);
+        decisions.set_wanted({{version, 1}}, now);
+    }
+
+    void know_manifest(std::uint32_t chunks) {
+        decisions.on_manifest(version, make_description(chunks), {}, now);
+    }
+
+    /// Lets time pass in steps and collects the requests for chunks.
+    std::vector<fetch_chunk> pass(milliseconds time) {
+        std::vector<fetch_chunk> fetched;
+        const instant end = now + time;
+        for (; now < end; now += milliseconds(10)) {
+            const auto actions = decisions.tick(now);
+            for (const auto& action : only<fetch_chunk>(actions))
+                fetched.push_back(action);
+            for (const auto& action : only<give_up_peer>(actions))
+                given_up.push_back(action.peer);
+        }
+        return fetched;
+    }
+
+    void finish(const fetch_chunk& action, fetch_outcome outcome) {
+        decisions.on_fetched(action.source, action.version, action.index,
+                             outcome, now);
+    }
+
+    instant now = instant(seconds(100));
+    swarm decisions;
+    std::vector<std::string> given_up;
+};
+
+} // namespace
+
+TEST_CASE("swarm - a corrupt chunk of a peer is fetched from another one") {
+    fixture agent(one_data_centre(3));
+    agent.know_manifest(1);
+    agent.decisions.on_have("agent-0", version, full(1), agent.now);
+    const auto first = agent.pass(milliseconds(20));
+    REQUIRE(first.size() == 1);
+    REQUIRE(is_from(first[0], "agent-0"));
+    agent.finish(first[0], fetch_outcome::corrupt);
+    for (const fetch_chunk& action : agent.pass(milliseconds(500))) {
+        CHECK(is_from_origin(action));
+        agent.finish(action, fetch_outcome::failed);
+    }
+    agent.decisions.on_have("agent-2", version, full(1), agent.now);
+    const auto second = agent.pass(milliseconds(20));
+    REQUIRE(second.size() == 1);
+    CHECK(is_from(second[0], "agent-2"));
+    CHECK(agent.decisions.counters().corrupt == 1);
+    CHECK_FALSE(agent.decisions.complete(version));
+    agent.finish(second[0], fetch_outcome::stored);
+    CHECK(agent.decisions.complete(version));
+}
+
+TEST_CASE("swarm - a corrupt chunk of the origin is read again") {
+    fixture agent(one_data_centre(1));
+    agent.decisions.set_members({{self, "dc-0"}}, agent.now);
+    agent.know_manifest(1);
+    const auto first = agent.pass(milliseconds(500));
+    REQUIRE(first.size() == 1);
+    REQUIRE(is_from_origin(first[0]));
+    agent.finish(first[0], fetch_outcome::corrupt);
+    const auto second = agent.pass(milliseconds(1000));
+    REQUIRE(second.size() == 1);
+    CHECK(is_from_origin(second[0]));
+    CHECK_FALSE(agent.decisions.complete(version));
+}
+
+TEST_CASE("swarm - a request to a peer that dies goes to another one") {
+    fixture agent(one_data_centre(3));
+    agent.know_manifest(1);
+    agent.decisions.on_have("agent-0", version, full(1), agent.now);
+    REQUIRE(agent.pass(milliseconds(20)).size() == 1);
+    agent.decisions.on_have("agent-2", version, full(1), agent.now);
+    agent.decisions.on_peer_down("agent-0", agent.now);
+    const auto second = agent.pass(milliseconds(20));
+    REQUIRE(second.size() == 1);
+    CHECK(is_from(second[0], "agent-2"));
+}
+
+TEST_CASE("swarm - a stalled peer is given up after the stall timeout") {
+    fixture agent(one_data_centre(3));
+    agent.know_manifest(1);
+    agent.decisions.on_have("agent-0", version, full(1), agent.now);
+    REQUIRE(agent.pass(milliseconds(20)).size() == 1);
+    CHECK(agent.pass(milliseconds(900)).empty());
+    CHECK(agent.given_up.empty());
+    agent.pass(milliseconds(200));
+    CHECK(agent.given_up == std::vector<std::string>{"agent-0"});
+    agent.decisions.on_have("agent-2", version, full(1), agent.now);
+    const auto next = agent.pass(milliseconds(3000));
+    REQUIRE_FALSE(next.empty());
+    CHECK(std::all_of(next.begin(), next.end(), [](const auto& action) {
+        return is_from(action, "agent-2");
+    }));
+}
+
+TEST_CASE("swarm - chunks still come from peers when the origin is gone") {
+    fixture agent(one_data_centre(2));
+    agent.know_manifest(4);
+    auto reads = agent.pass(milliseconds(400));
+    for (const fetch_chunk& action : reads)
+        agent.finish(action, fetch_outcome::failed);
+    agent.decisions.on_have("agent-0", version, full(4), agent.now);
+    for (int round = 0; round < 20; ++round)
+        for (const fetch_chunk& action : agent.pass(milliseconds(100)))
+            agent.finish(action, is_from_origin(action)
+                                     ? fetch_outcome::failed
+                                     : fetch_outcome::stored);
+    CHECK(agent.decisions.complete(version));
+    CHECK(agent.decisions.counters().from_peers == 4);
+}
+
+TEST_CASE("swarm - a replaced version stops at once") {
+    fixture agent(one_data_centre(3));
+    agent.know_manifest(8);
+    agent.decisions.on_have("agent-0", version, full(8), agent.now);
+    const auto first = agent.pass(milliseconds(20));
+    REQUIRE_FALSE(first.empty());
+    agent.finish(first[0], fetch_outcome::stored);
+    agent.decisions.set_wanted({{other_version, 1}}, agent.now);
+    agent.finish(first.back(), fetch_outcome::stored);
+    CHECK(agent.pass(milliseconds(3000)).empty());
+    CHECK(agent.given_up.empty());
+    CHECK(agent.decisions.held(version).count() == 0);
+    agent.decisions.on_request("agent-2", 1, version, first[0].index);
+    CHECK(only<refuse_chunk>(agent.decisions.tick(agent.now)).size() == 1);
+}
+
+TEST_CASE("swarm - the version of the highest priority is fetched first") {
+    fixture agent(one_data_centre(3));
+    agent.decisions.set_wanted({{version, 1}, {other_version, 9}}, agent.now);
+    agent.know_manifest(32);
+    agent.decisions.on_manifest(other_version, make_description(4), {},
+                                agent.now);
+    for (const std::string peer : {"agent-0", "agent-2"}) {
+        agent.decisions.on_have(peer, version, full(32), agent.now);
+        agent.decisions.on_have(peer, other_version, full(4), agent.now);
+    }
+    std::vector<digest> order;
+    for (int round = 0; round < 40; ++round)
+        for (const fetch_chunk& action : agent.pass(milliseconds(10))) {
+            order.push_back(action.version);
+            agent.finish(action, fetch_outcome::stored);
+        }
+    REQUIRE(order.size() == 36);
+    CHECK(std::count(order.begin(), order.begin() + 4, other_version) == 4);
+}
+
+TEST_CASE("swarm - never asks for more than the budget of the link") {
+    fixture agent(one_data_centre(3));
+    agent.decisions.set_budget({10'000, false}, agent.now);
+    agent.know_manifest(200);
+    agent.decisions.on_have("agent-0", version, full(200), agent.now);
+    agent.decisions.on_have("agent-2", version, full(200), agent.now);
+    std::uint64_t bytes = 0;
+    for (int round = 0; round < 200; ++round)
+        for (const fetch_chunk& action : agent.pass(milliseconds(10))) {
+            bytes += action.bytes;
+            agent.finish(action, fetch_outcome::stored);
+        }
+    CHECK(bytes <= 2 * 10'000 + 2 * 1000);
+    CHECK(bytes >= 2 * 10'000 - 2 * 1000);
+}
+
+TEST_CASE("swarm - uploads keep to the budget and refuse when it is full") {
+    fixture agent(one_data_centre(20));
+    agent.decisions.set_budget({10'000, false}, agent.now);
+    agent.decisions.on_manifest(version, make_description(8), full(8),
+                                agent.now);
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    for (int step = 0; step < 100; ++step) {
+        for (int peer = 2; peer < 8; ++peer)
+            agent.decisions.on_request("agent-" + std::to_string(peer), 1,
+                                       version, 0);
+        const auto actions = agent.decisions.tick(agent.now);
+        served += only<serve_chunk>(actions).size();
+        refused += only<refuse_chunk>(actions).size();
+        agent.now += milliseconds(10);
+    }
+    CHECK(served <= 12);
+    CHECK(served >= 9);
+    CHECK(refused > 0);
+}
+
+TEST_CASE("swarm - completes beside a peer that sends nothing") {
+    fixture agent(one_data_centre(4));
+    agent.know_manifest(16);
+    for (const std::string peer : {"agent-0", "agent-2", "agent-3"})
+        agent.decisions.on_have(peer, version, full(16), agent.now);
+    for (int round = 0; round < 300; ++round)
+        for (const fetch_chunk& action : agent.pass(milliseconds(10)))
+            if (!is_from(action, "agent-0"))
+                agent.finish(action, fetch_outcome::stored);
+    CHECK(agent.decisions.complete(version));
+    CHECK(agent.decisions.counters().timeouts >= 1);
+}
