Measure the cost of the distribution's decisions

Cause: the cost of a decision and of the control messages at 270 and 600 members was not known. Ruled out: a profile of a whole fleet (it mixes in codec and sockets). Change: ospreystage_bench decisions.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,3 +1,4 @@
+#include <tests/bench/decisions.hpp>
 #include <tests/bench/quickstart.hpp>
 
 int main(int argc, char** argv) {
@@ -5,6 +6,7 @@
     app.require_subcommand(1);
     int status = 0;
     ospreystage::bench::add_quickstart(app, status);
+    ospreystage::bench::add_decisions(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
