--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -106,6 +106,8 @@
     void cut_origin_after_one_copy();
     [[nodiscard]] std::size_t live_survivors() const;
     [[nodiscard]] nlohmann::json report();
+    /// Adds up a counter of the survivors' distribution service.
+    [[nodiscard]] double counter_sum(const char* name) const;
     [[nodiscard]] double remote_copies() const;
 
     run_options run_;
@@ -162,10 +164,12 @@
 }
 
 void distribution_run::cut_origin_after_one_copy() {
-    copies_at_cut_ = origin_copies(system_, version_.version);
-    if (copies_at_cut_ < 1)
+    // The origin's own count includes chunks that are still on their way.
+    const auto chunks = version_.description.chunks.size();
+    if (counter_sum("from_origin") < static_cast<double>(chunks))
         return;
     system_.set_faults("origin", {{"down", true}});
+    copies_at_cut_ = origin_copies(system_, version_.version);
     origin_cut_ = true;
 }
 
@@ -188,19 +192,21 @@
     }
 }
 
-double distribution_run::remote_copies() const {
-    double chunks = 0;
-    for (const std::string& name : system_.agent_names()) {
-        if (not_survivors_.contains(name))
-            continue;
-        const auto dump = dump_of(system_, name);
-        if (!dump.is_object())
+double distribution_run::counter_sum(const char* name) const {
+    double sum = 0;
+    for (const std::string& agent : system_.agent_names()) {
+        if (not_survivors_.contains(agent))
             continue;
-        const auto& state = dump["services"]["distribution"]["state"];
-        chunks += state.value("/decisions/counters/from_remote"_json_pointer,
-                              state.value("from_remote", 0.0));
+        const auto dump = dump_of(system_, agent);
+        if (dump.is_object())
+            sum += dump["services"]["distribution"]["state"].value(name, 0.0);
     }
-    return chunks / static_cast<double>(version_.description.chunks.size());
+    return sum;
+}
+
+double distribution_run::remote_copies() const {
+    return counter_sum("from_remote") /
+           static_cast<double>(version_.description.chunks.size());
 }
 
 nlohmann::json distribution_run::report() {
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,3 +1,4 @@
+#include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/quickstart.hpp>
 
@@ -7,6 +8,7 @@
     int status = 0;
     ospreystage::bench::add_quickstart(app, status);
     ospreystage::bench::add_distribution(app, status);
+    ospreystage::bench::add_decisions(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
