Confirm with a majority before a revision is put in force

Cause: reports of what witnesses hold are of different times. The model of spreading reaches a state in which a node counts a witness that has lost its memory since and recovered with less (NO_CONFIRM). The rule before this one, that a restarted witness is noted by those who answer it, has the same hole: a witness that recovers from the platform's service has not heard of the other's restart.

Ruled out: questions over links, which would leave a connection from every agent to every witness.

Change: a second round. Once a majority was heard to hold the document, each of them is asked by a datagram without members; a majority has to answer, from the same incarnation, that it still holds it. A round that is not complete by the next tick begins anew. A revision that any process has in force needs no question.

--- a/include/ospreystage/config_register.hpp
+++ b/include/ospreystage/config_register.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/clock.hpp>
 #include <ospreystage/messages.hpp>
+#include <ospreystage/revisions_heard.hpp>
 #include <ospreystage/rollout.hpp>
 
 #include <nlohmann/json.hpp>
@@ -30,6 +31,12 @@
     sync_request request;
 };
 
+/// Ask a witness, by a datagram, what it holds now; report the question with
+/// `asked`.
+struct ask_witness {
+    std::string witness;
+};
+
 /// A document is now in force on this process.
 struct put_in_force {
     std::shared_ptr<const rollout_document> document;
@@ -41,23 +48,24 @@
 };
 
 /// What the register asks of its shell.
-using register_action =
-    std::variant<push_document, ask_document, put_in_force, document_refused>;
+using register_action = std::variant<push_document, ask_document, ask_witness,
+                                     put_in_force, document_refused>;
 
 /// Decides which accepted document is in force on this process.
 ///
-/// Holds the highest document heard of. Puts it in force once a majority of
-/// the witnesses hold it or a higher one, so that every later majority knows
-/// it. A process starts unrecovered: it puts nothing in force, and as a
-/// witness reports nothing, before it has read the platform's service or has
-/// heard from a majority of the witnesses that are recovered themselves; it
-/// then needs a document at least as high as the highest it heard of. What is
-/// in force never goes down.
+/// Holds the highest document heard of. Puts it in force in two rounds: once
+/// it has heard that a majority of the witnesses hold it or a higher one, it
+/// asks each of them, and a majority has to answer from the same incarnation
+/// that it still does. So a majority held it at one instant, and every later
+/// majority knows it; reports alone may be of different times, from witnesses
+/// that have restarted since. That a revision is in force at any other process
+/// is proof as well.
 ///
-/// Reports of a witness count for its newest known incarnation only: a
-/// restarted witness that recovers from others has lost what its earlier run
-/// held, and a majority that counted the earlier run could be missed by the
-/// majority that a starting process asks. Pure: time is an argument.
+/// A process starts unrecovered: it puts nothing in force, and as a witness
+/// reports nothing, before it has read the platform's service or has heard
+/// from a majority of the witnesses that are recovered themselves; it then
+/// needs a document at least as high as the highest it heard of. What is in
+/// force never goes down. Pure: time is an argument.
 class config_register {
   public:
     using actions = std::vector<register_action>;
@@ -105,17 +113,33 @@
     [[nodiscard]] actions receive(const sync_reply& reply, instant now);
 
     /// A peer's datagram told what it holds.
-    [[nodiscard]] actions heard(const process_id& peer, revision document,
-                                const std::vector<held_revision>& held,
-                                instant now);
+    [[nodiscard]] actions heard(const revisions_heard& told, instant now);
+
+    /// Another process has revision `number` in force.
+    [[nodiscard]] actions heard_in_force(revision number);
+
+    /// The witness was asked in a datagram of this sequence.
+    void asked(const std::string& witness, std::uint64_t sequence);
 
     /// Answers a peer's `sync_request`; the members are left to the shell.
-    [[nodiscard]] sync_reply answer(const sync_request& request);
+    [[nodiscard]] sync_reply answer(const sync_request& request) const;
 
     /// Repeats what was not answered; call it about twice a second.
     [[nodiscard]] actions tick(instant now);
 
   private:
+    /// A witness that was heard to hold the document, and is asked again.
+    struct confirmation {
+        std::uint64_t incarnation = 0; ///< That was heard to hold it.
+        std::uint64_t sequence = 0;    ///< Of the question; 0: not sent.
+        bool confirmed = false;
+    };
+    /// Second round: the witnesses that were heard to hold a revision.
+    struct confirmation_round {
+        revision number = 0;
+        std::map<std::string, confirmation> witnesses;
+    };
+
     void offer(const std::string& json, const std::string& from, actions& out);
     void merge(const std::vector<held_revision>& held);
     void merge(const held_revision& heard);
@@ -128,10 +152,13 @@
     void push_to(const std::string& peer, actions& out);
     void recover();
     void hold();
+    [[nodiscard]] bool may_put_in_force() const;
+    void begin_round(actions& out);
+    void confirm(const revisions_heard& told);
+    [[nodiscard]] bool is_proven() const;
     void settle(actions& out);
     [[nodiscard]] bool is_witness(const std::string& name) const;
     [[nodiscard]] std::size_t majority() const noexcept;
-    [[nodiscard]] revision held_by_majority() const;
 
     process_id self_;
     process_role role_;
@@ -141,8 +168,10 @@
     std::shared_ptr<const rollout_document> highest_;
     std::string highest_json_;
     std::shared_ptr<const rollout_document> in_force_;
-    revision heard_of_ = 0; ///< Highest revision any peer named.
-    revision floor_ = 0;    ///< Least revision to put in force.
+    revision heard_of_ = 0;           ///< Highest revision any peer named.
+    revision floor_ = 0;              ///< Least revision to put in force.
+    revision in_force_elsewhere_ = 0; ///< Highest that any peer has in force.
+    std::optional<confirmation_round> round_;
     bool recovered_ = false;
     std::set<std::string> answered_; ///< Recovered witnesses that replied.
     std::map<std::string, held_revision> held_;
--- a/include/ospreystage/configuration.hpp
+++ b/include/ospreystage/configuration.hpp
@@ -77,6 +77,7 @@
     void apply(const config_register::actions& actions);
     void apply(const push_document& action);
     void apply(const ask_document& action);
+    void apply(const ask_witness& action);
     void apply(const put_in_force& action);
     void apply(const document_refused& action);
 
--- a/include/ospreystage/membership.hpp
+++ b/include/ospreystage/membership.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/clock.hpp>
 #include <ospreystage/member_table.hpp>
 #include <ospreystage/messages.hpp>
+#include <ospreystage/revisions_heard.hpp>
 #include <ospreystage/settings.hpp>
 #include <ospreystage/vm_list.hpp>
 
@@ -40,13 +41,6 @@
     process_id by;
 };
 
-/// A peer told what it holds of the configuration.
-struct revisions_heard {
-    process_id peer;
-    revision document = 0; ///< Highest revision that the peer has.
-    std::vector<held_revision> held;
-};
-
 /// What the failure detector asks of its shell.
 using membership_action = std::variant<send_ping, send_ack, member_changed,
                                        superseded, revisions_heard>;
@@ -95,6 +89,12 @@
     [[nodiscard]] actions receive(const address& from, const gossip_ack& ack,
                                   instant now);
 
+    /// Pings a member or witness apart from the probes, without members.
+    ///
+    /// The ping's sequence is that of the one action returned; nothing is
+    /// returned if the address of `name` is not known.
+    [[nodiscard]] actions question(const std::string& name);
+
     /// Takes in the members of a `sync_reply`.
     [[nodiscard]] actions merge(const std::vector<member>& heard, instant now);
 
@@ -137,6 +137,7 @@
               actions& out);
     void acknowledge(const address& to, const process_id& asker,
                      gossip_ack datagram, actions& out);
+    void answer_question(const address& to, gossip_ack datagram, actions& out);
     void relay(const address& from, const gossip_ping& ping, instant now,
                actions& out);
     [[nodiscard]] std::size_t member_bytes() const;
--- a/include/ospreystage/membership_service.hpp
+++ b/include/ospreystage/membership_service.hpp
@@ -5,7 +5,9 @@
 #include <ospreystage/membership.hpp>
 #include <ospreystage/settings.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace ospreystage {
@@ -58,6 +60,11 @@
     void merge(const std::vector<member>& heard);
     void listed(const std::vector<listed_vm>& vms);
 
+    /// Asks a process what it holds of the configuration; the answer arrives
+    /// as `revisions_heard`. Returns the question's sequence, 0 if the address
+    /// is not known.
+    std::uint64_t question(const std::string& name);
+
   private:
     void apply(const membership::actions& actions);
     void apply(const send_ping& action);
--- /dev/null
+++ b/include/ospreystage/revisions_heard.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <ospreystage/messages.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace ospreystage {
+
+/// What a peer's datagram tells of the configuration.
+struct revisions_heard {
+    process_id peer;
+    revision document = 0; ///< Highest revision that the peer has.
+    std::vector<held_revision> held;
+    /// Sequence of this process's ping that it answers; 0 for a ping.
+    std::uint64_t answers = 0;
+};
+
+} // namespace ospreystage
--- a/src/config_register.cpp
+++ b/src/config_register.cpp
@@ -131,23 +131,35 @@
     return out;
 }
 
-config_register::actions
-config_register::heard(const process_id& peer, revision document,
-                       const std::vector<held_revision>& held, instant now) {
+config_register::actions config_register::heard(const revisions_heard& told,
+                                                instant now) {
     actions out;
-    merge(held);
-    heard_of_ = std::max(heard_of_, document);
-    if (document > this->document())
-        ask_behind(peer.name, now, out);
+    merge(told.held);
+    confirm(told);
+    heard_of_ = std::max(heard_of_, told.document);
+    if (told.document > document())
+        ask_behind(told.peer.name, now, out);
     settle(out);
     return out;
 }
 
-sync_reply config_register::answer(const sync_request& request) {
-    // A restarted witness is noted before it is answered, so that what its
-    // earlier run held is not counted beside what this process holds later.
-    if (is_witness(request.sender.name) && request.sender.name != self_.name)
-        merge(held_revision{request.sender, 0});
+config_register::actions config_register::heard_in_force(revision number) {
+    actions out;
+    in_force_elsewhere_ = std::max(in_force_elsewhere_, number);
+    settle(out);
+    return out;
+}
+
+void config_register::asked(const std::string& witness,
+                            std::uint64_t sequence) {
+    if (!round_)
+        return;
+    const auto found = round_->witnesses.find(witness);
+    if (found != round_->witnesses.end())
+        found->second.sequence = sequence;
+}
+
+sync_reply config_register::answer(const sync_request& request) const {
     sync_reply reply;
     reply.sender = self_;
     reply.recovered = recovered_;
@@ -165,6 +177,9 @@
     if (heard_of_ > document())
         ask_behind("", now, out);
     ask_routinely(now, out);
+    // Questions or answers of the last round may be lost.
+    round_.reset();
+    settle(out);
     return out;
 }
 
@@ -284,17 +299,72 @@
         held_[self_.name].number = document();
 }
 
+bool config_register::may_put_in_force() const {
+    const revision current = in_force_ ? in_force_->number : 0;
+    return recovered_ && document() >= floor_ && document() > current;
+}
+
 void config_register::settle(actions& out) {
     hold();
-    if (!recovered_ || document() < floor_)
+    if (!may_put_in_force())
         return;
-    const revision current = in_force_ ? in_force_->number : 0;
-    if (document() <= current || held_by_majority() < document())
+    if (!round_ || round_->number != document())
+        begin_round(out);
+    if (!is_proven())
         return;
+    round_.reset();
     in_force_ = highest_;
     out.emplace_back(put_in_force{in_force_});
 }
 
+/// Begins the second round if the first one is complete: every question is
+/// asked after the last report was heard.
+void config_register::begin_round(actions& out) {
+    round_.reset();
+    if (in_force_elsewhere_ >= document())
+        return;
+    confirmation_round next;
+    next.number = document();
+    for (const auto& [name, item] : held_) {
+        if (item.number >= document())
+            next.witnesses[name] = {item.witness.incarnation, 0,
+                                    name == self_.name};
+    }
+    if (next.witnesses.size() < majority())
+        return;
+    for (const auto& [name, item] : next.witnesses) {
+        if (!item.confirmed)
+            out.emplace_back(ask_witness{name});
+    }
+    round_ = std::move(next);
+}
+
+void config_register::confirm(const revisions_heard& told) {
+    if (!round_ || told.answers == 0)
+        return;
+    const auto found = round_->witnesses.find(told.peer.name);
+    if (found == round_->witnesses.end() ||
+        found->second.sequence != told.answers ||
+        found->second.incarnation != told.peer.incarnation)
+        return;
+    for (const held_revision& item : told.held) {
+        // A witness that is not recovered reports revision 0 for itself.
+        if (item.witness == told.peer && item.number >= round_->number)
+            found->second.confirmed = true;
+    }
+}
+
+bool config_register::is_proven() const {
+    if (in_force_elsewhere_ >= document())
+        return true;
+    if (!round_ || round_->number != document())
+        return false;
+    const auto confirmed =
+        std::count_if(round_->witnesses.begin(), round_->witnesses.end(),
+                      [](const auto& item) { return item.second.confirmed; });
+    return static_cast<std::size_t>(confirmed) >= majority();
+}
+
 bool config_register::is_witness(const std::string& name) const {
     return witnesses_.contains(name);
 }
@@ -303,14 +373,4 @@
     return witnesses_.size() / 2 + 1;
 }
 
-revision config_register::held_by_majority() const {
-    std::vector<revision> numbers;
-    for (const auto& [name, item] : held_)
-        numbers.push_back(item.number);
-    if (numbers.size() < majority())
-        return 0;
-    std::sort(numbers.begin(), numbers.end(), std::greater<>());
-    return numbers[majority() - 1];
-}
-
 } // namespace ospreystage
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -65,8 +65,11 @@
             apply(register_.receive(known, steady::now()));
         });
     members_.on_revisions([this](const revisions_heard& told) {
-        apply(register_.heard(told.peer, told.document, told.held,
-                              steady::now()));
+        apply(register_.heard(told, steady::now()));
+    });
+    members_.on_change([this](const member& value) {
+        if (value.id.name != members_.self().id.name)
+            apply(register_.heard_in_force(value.in_force));
     });
 }
 
@@ -220,9 +223,10 @@
 }
 
 void configuration::apply(const config_register::actions& actions) {
+    // First, so that the datagrams which the actions send tell of it.
+    members_.set_revisions(register_.document(), register_.held());
     for (const register_action& action : actions)
         std::visit([this](const auto& known) { apply(known); }, action);
-    members_.set_revisions(register_.document(), register_.held());
 }
 
 void configuration::apply(const push_document& action) {
@@ -233,6 +237,10 @@
     connections_.send(action.peer, action.request);
 }
 
+void configuration::apply(const ask_witness& action) {
+    register_.asked(action.witness, members_.question(action.witness));
+}
+
 void configuration::apply(const put_in_force& action) {
     log_event(log_level::info, "in_force",
               {{"revision", action.document->number},
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -175,8 +175,10 @@
         return out;
     }
     merge_into(ping.members, now, out);
-    out.emplace_back(revisions_heard{ping.sender, ping.document, ping.held});
-    if (ping.target.empty())
+    out.emplace_back(revisions_heard{ping.sender, ping.document, ping.held, 0});
+    if (ping.members.empty())
+        answer_question(from, std::move(answer), out);
+    else if (ping.target.empty())
         acknowledge(from, ping.sender, std::move(answer), out);
     else
         relay(from, ping, now, out);
@@ -190,7 +192,8 @@
         return out;
     const std::uint32_t counter = table_.self().counter;
     merge_into(ack.members, now, out);
-    out.emplace_back(revisions_heard{ack.sender, ack.document, ack.held});
+    out.emplace_back(
+        revisions_heard{ack.sender, ack.document, ack.held, ack.sequence});
     if (table_.self().counter != counter)
         ping(from, ack.sender.name, {}, out); // Refutes at once.
     if (probe_ && ack.sequence == probe_->sequence &&
@@ -209,6 +212,20 @@
     return out;
 }
 
+membership::actions membership::question(const std::string& name) {
+    actions out;
+    const auto to = address_of(name);
+    if (!to)
+        return out;
+    gossip_ping datagram;
+    datagram.sequence = next_sequence_++;
+    datagram.sender = table_.self().id;
+    datagram.document = document_;
+    datagram.held = held_;
+    out.emplace_back(send_ping{*to, std::move(datagram)});
+    return out;
+}
+
 membership::actions membership::merge(const std::vector<member>& heard,
                                       instant now) {
     actions out;
@@ -304,6 +321,15 @@
     out.emplace_back(send_ack{to, std::move(datagram)});
 }
 
+/// Many processes may ask a witness at once, so the answer is short.
+void membership::answer_question(const address& to, gossip_ack datagram,
+                                 actions& out) {
+    datagram.sender = table_.self().id;
+    datagram.document = document_;
+    datagram.held = held_;
+    out.emplace_back(send_ack{to, std::move(datagram)});
+}
+
 void membership::relay(const address& from, const gossip_ping& request,
                        instant now, actions& out) {
     const auto* target = table_.find(request.target);
--- a/src/membership_service.cpp
+++ b/src/membership_service.cpp
@@ -95,6 +95,14 @@
     apply(detector_.listed(vms, steady::now()));
 }
 
+std::uint64_t membership_service::question(const std::string& name) {
+    const membership::actions actions = detector_.question(name);
+    if (actions.empty())
+        return 0;
+    apply(actions);
+    return std::get<send_ping>(actions.front()).datagram.sequence;
+}
+
 void membership_service::apply(const membership::actions& actions) {
     for (const membership_action& action : actions)
         std::visit([this](const auto& known) { apply(known); }, action);
