--- a/tests/configuration.cpp
+++ b/tests/configuration.cpp
@@ -53,6 +53,12 @@
         });
     }
 
+    bool watching() {
+        return call([this] {
+            return configuration_->dump().at("watching").get<bool>();
+        });
+    }
+
     std::size_t users_of(const std::string& name) {
         return call([this, name] {
             std::size_t seen = 0;
@@ -118,8 +124,18 @@
             std::make_unique<control_node>(values_.at(name), ++incarnation_);
     }
 
+    void stop(const std::string& name) { nodes_.erase(name); }
+
     control_node& at(const std::string& name) { return *nodes_.at(name); }
 
+    /// Counts the processes that watch the platform's service.
+    std::size_t watchers() {
+        std::size_t count = 0;
+        for (auto& [name, node] : nodes_)
+            count += node->watching() ? 1U : 0U;
+        return count;
+    }
+
     bool all(const std::function<bool(control_node&)>& holds) {
         return std::all_of(nodes_.begin(), nodes_.end(),
                            [&](auto& item) { return holds(*item.second); });
@@ -267,3 +283,20 @@
         [](control_node& node) { return node.users_of("a2") == 1; },
         seconds(1)));
 }
+
+TEST_CASE("configuration - the first entries of a data centre watch, and "
+          "another one takes over") {
+    control_plane system;
+    REQUIRE(system.await_ready());
+    const auto only_two = [&](control_node&) {
+        return system.watchers() == 2 && !system.at("a1").watching();
+    };
+    CHECK(system.await(only_two, seconds(5)));
+    CHECK(system.at("e1").watching());
+    CHECK_FALSE(system.at("e3").watching());
+    system.stop("e1");
+    CHECK(
+        system.await([&](control_node&) { return system.at("e3").watching(); },
+                     seconds(10)));
+    CHECK(system.watchers() == 2);
+}
