Drop datagrams that do not start with the cluster's key

Cause: datagrams carried no proof of their sender; anyone on the network could raise suspicions or revisions heard of. Ruled out: a token in each message, which costs as many bytes and is checked only after decoding. Change: a digest of the token starts every datagram and is checked before anything is decoded. Conclusion: a stranger's datagram costs one comparison.

--- a/include/ospreystage/network.hpp
+++ b/include/ospreystage/network.hpp
@@ -40,6 +40,10 @@
     /// Sets the receiver of all events; call it once before `listen`.
     void set_callbacks(callbacks handlers);
 
+    /// Sets the bytes that every datagram starts with; datagrams of another
+    /// cluster or of a stranger are dropped.
+    void set_datagram_key(std::string key);
+
     /// Listens on TCP and UDP; an address in use is an error.
     [[nodiscard]] leaf::result<void> listen(const address& local);
 
@@ -101,6 +105,8 @@
     std::uint64_t next_connection_ = 1;
     std::uint64_t sent_bytes_ = 0;
     std::uint64_t received_bytes_ = 0;
+    std::uint64_t strange_datagrams_ = 0;
+    std::string datagram_key_;
     int listener_ = -1;
     int datagrams_ = -1;
 };
--- a/src/links.cpp
+++ b/src/links.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t max_waiting_messages = 4096;
+constexpr std::size_t datagram_key_bytes = 16;
 
 } // namespace
 
@@ -31,6 +32,8 @@
             handler(from, value);
     };
     network_.set_callbacks(std::move(handlers));
+    network_.set_datagram_key(
+        sha256(configuration_.cluster.token).substr(0, datagram_key_bytes));
     BOOST_LEAF_CHECK(network_.listen(configuration_.listen.peer));
     core_.every("links", configuration_.cluster.heartbeat_interval,
                 [this] { tick(); });
--- a/src/network.cpp
+++ b/src/network.cpp
@@ -71,6 +71,10 @@
     handlers_ = std::move(handlers);
 }
 
+void network::set_datagram_key(std::string key) {
+    datagram_key_ = std::move(key);
+}
+
 leaf::result<void> network::listen(const address& local) {
     const auto raw = to_socket_address(local);
     if (!raw)
@@ -113,6 +117,7 @@
     state["sent_bytes"] = sent_bytes_;
     state["received_bytes"] = received_bytes_;
     state["connections"] = connections_.size();
+    state["strange_datagrams"] = strange_datagrams_;
     return state;
 }
 
@@ -167,7 +172,7 @@
 
 void network::send_datagram(const address& remote, const message& value) {
     const auto raw = to_socket_address(remote);
-    const std::string payload = encode_payload(value);
+    const std::string payload = datagram_key_ + encode_payload(value);
     if (!raw || payload.size() > max_datagram_bytes)
         return;
     const auto sent =
@@ -338,14 +343,16 @@
             return;
         received_bytes_ += static_cast<std::uint64_t>(count);
         const address from = from_socket_address(raw);
+        std::string_view payload{buffer.data(),
+                                 static_cast<std::size_t>(count)};
+        if (!payload.starts_with(datagram_key_)) {
+            ++strange_datagrams_;
+            continue;
+        }
+        payload.remove_prefix(datagram_key_.size());
         error ignored;
         auto value = value_or_error(
-            [&] {
-                return decode_payload(
-                    {buffer.data(), static_cast<std::size_t>(count)},
-                    to_string(from));
-            },
-            ignored);
+            [&] { return decode_payload(payload, to_string(from)); }, ignored);
         if (value)
             handlers_.datagram(from, std::move(*value));
     }
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -188,3 +188,36 @@
     CHECK_THROWS_WITH(second.start(),
                       Catch::Contains("network.listen (127.0.0.1:"));
 }
+
+TEST_CASE("links - a datagram without the cluster's key is dropped") {
+    const std::uint16_t port = free_port();
+    local_node server("agent-1", port, 1);
+    local_node stranger("entry-9", free_port(), 1, "guess");
+    local_node peer("entry-1", free_port(), 1);
+    std::atomic<std::uint64_t> received{0};
+    server.link_layer->on_datagram<gossip_ping>(
+        [&](const address&, const gossip_ping& ping) {
+            received = ping.sequence;
+        });
+    server.start();
+    stranger.start();
+    peer.start();
+    gossip_ping ping;
+    ping.sequence = 9;
+    stranger.core.post("links", [&] {
+        stranger.link_layer->send_datagram({"127.0.0.1", port}, ping);
+    });
+    const auto strange = [&] {
+        return server.core.call("links", [&] {
+            return server.core.find<network>("network").dump().value(
+                "strange_datagrams", 0);
+        });
+    };
+    REQUIRE(eventually([&] { return strange() == 1; }));
+    CHECK(received == 0);
+    ping.sequence = 1;
+    peer.core.post("links", [&] {
+        peer.link_layer->send_datagram({"127.0.0.1", port}, ping);
+    });
+    CHECK(eventually([&] { return received == 1; }));
+}
