--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -81,6 +81,7 @@
              {"service", request.incoming.service},
              {"phase", to_string(request.phase)},
              {"agent", request.attempt ? request.attempt->agent.name : ""},
+             {"attempt", request.attempt ? to_string(request.attempt->id) : ""},
              {"attempts", request.attempts},
              {"claimed", request.claimed}});
     state["agents"] = nlohmann::json::object();
