--- a/include/ospreystage/swarm_types.hpp
+++ b/include/ospreystage/swarm_types.hpp
@@ -30,7 +30,7 @@
     std::uint32_t max_origin_requests = 1;   ///< Outstanding to the origin.
     /// Outstanding to peers; bounds the memory that replies take.
     std::uint64_t max_request_bytes = 4 * 1024 * 1024;
-    std::uint32_t max_uploads_queued = 16; ///< Requests of peers.
+    std::uint32_t max_uploads_queued = 3; ///< Requests of peers.
 
     milliseconds announce_interval{50};   ///< Between two `announce`.
     milliseconds keepalive_interval{500}; ///< Of readers among each other.
@@ -38,7 +38,8 @@
     milliseconds refusal_pause{50};       ///< After a refusal of a peer.
     milliseconds avoidance{5000};         ///< After a bad or missing answer.
     milliseconds max_avoidance{60'000};
-    milliseconds origin_pause{500}; ///< After a failure of the origin.
+    milliseconds reconnect_pause{500}; ///< After a connection ended.
+    milliseconds origin_pause{500};    ///< After a failure of the origin.
 };
 
 /// Source of chunks: a peer by name.
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,7 +1,14 @@
-#include <CLI/CLI.hpp>
+#include <tests/bench/decisions.hpp>
+#include <tests/bench/distribution.hpp>
+#include <tests/bench/quickstart.hpp>
 
 int main(int argc, char** argv) {
     CLI::App app{"Load and experiments against separate processes"};
+    app.require_subcommand(1);
+    int status = 0;
+    ospreystage::bench::add_quickstart(app, status);
+    ospreystage::bench::add_distribution(app, status);
+    ospreystage::bench::add_decisions(app, status);
     CLI11_PARSE(app, argc, argv);
-    return 0;
+    return status;
 }
