Make random choices depend on the seed alone

Ruled out: a seeded absl::BitGen. Abseil's distributions stay, over std::mt19937_64. Conclusion: seeds can be replayed.

--- a/include/ospreystage/balancer.hpp
+++ b/include/ospreystage/balancer.hpp
@@ -4,11 +4,10 @@
 #include <ospreystage/messages.hpp>
 #include <ospreystage/rollout.hpp>
 
-#include <absl/random/random.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,7 +66,7 @@
     two_choices(const std::vector<balancer_candidate>& candidates);
 
     routing routing_;
-    absl::BitGen random_;
+    std::mt19937_64 random_;
 };
 
 /// Returns the agents of one service that an entry connects to.
--- a/include/ospreystage/impl/broker_state.hpp
+++ b/include/ospreystage/impl/broker_state.hpp
@@ -10,13 +10,13 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
-#include <absl/random/random.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -206,7 +206,7 @@
     balancer balancer_;
     admission admission_;
     retry_budget retries_;
-    absl::BitGen random_;
+    std::mt19937_64 random_;
     std::shared_ptr<const rollout_document> document_;
     /// Document before `document_`: its versions answer on agents that do not
     /// hold the current ones yet.
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1,9 +1,8 @@
 #include <ospreystage/balancer.hpp>
 
-#include <absl/random/uniform_int_distribution.h>
+#include <absl/random/distributions.h>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace ospreystage {
@@ -32,12 +31,6 @@
     return two_choice_routing{};
 }
 
-absl::BitGen make_generator(std::uint64_t seed) {
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed),
-                           static_cast<std::uint32_t>(seed >> 32U)};
-    return absl::BitGen(sequence);
-}
-
 std::uint32_t percent_of(const std::string& text) {
     const std::string head = sha256(text).substr(0, hash_digits);
     return static_cast<std::uint32_t>(std::stoul(head, nullptr, hexadecimal) %
@@ -63,7 +56,7 @@
 }
 
 balancer::balancer(const std::string& name, std::uint64_t seed)
-    : routing_(make_routing(name)), random_(make_generator(seed)) {}
+    : routing_(make_routing(name)), random_(seed) {}
 
 std::optional<std::size_t>
 balancer::choose(const std::vector<balancer_candidate>& candidates) {
--- a/src/broker_claims.cpp
+++ b/src/broker_claims.cpp
@@ -1,6 +1,6 @@
 #include <ospreystage/impl/broker_state.hpp>
 
-#include <absl/random/uniform_int_distribution.h>
+#include <absl/random/distributions.h>
 #include <fmt/format.h>
 
 #include <algorithm>
--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -1,7 +1,6 @@
 #include <ospreystage/impl/broker_state.hpp>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace ospreystage::impl {
@@ -17,12 +16,6 @@
 /// Time after which a caller may come back after a refusal without another.
 constexpr milliseconds default_retry_after{500};
 
-absl::BitGen make_generator(std::uint64_t seed) {
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed),
-                           static_cast<std::uint32_t>(seed >> 32U), 1U};
-    return absl::BitGen(sequence);
-}
-
 bool is_at_most_once(const incoming_request& incoming, const service& target) {
     const auto& routes = target.non_idempotent_routes;
     const std::string route = incoming.path.substr(0, incoming.path.find('?'));
@@ -64,8 +57,7 @@
       witnesses_(names_of(configuration)),
       balancer_(configuration.requests.routing, seed),
       admission_(configuration.requests.queue),
-      retries_(configuration.requests.retry_percent),
-      random_(make_generator(seed)) {}
+      retries_(configuration.requests.retry_percent), random_(seed) {}
 
 bool broker_state::idle() const {
     return requests_.empty();
--- a/tests/bench/claims.cpp
+++ b/tests/bench/claims.cpp
@@ -1,7 +1,7 @@
 #include <ospreystage/claim_ledger.hpp>
 #include <ospreystage/claim_tally.hpp>
 
-#include <absl/random/random.h>
+#include <absl/random/distributions.h>
 #include <fmt/format.h>
 #include <tests/bench/claims.hpp>
 
@@ -41,7 +41,7 @@
 struct kv_claims {
     std::set<std::string> taken;
 
-    bool claim(const std::string& key, instant now, absl::BitGen& random,
+    bool claim(const std::string& key, instant now, std::mt19937_64& random,
                claim_costs& costs) {
         costs.messages += 1;
         if (now.time_since_epoch() % kv_outage_period < kv_outage)
@@ -101,7 +101,7 @@
 
     /// Two concurrent claims of a key if `both`; returns who won.
     std::pair<bool, bool> claim_pair(const std::string& key, bool both,
-                                     instant now, absl::BitGen& random,
+                                     instant now, std::mt19937_64& random,
                                      claim_costs& costs) {
         recover(now, costs);
         std::vector<claim_tally> tallies;
@@ -179,8 +179,7 @@
 /// Runs one way; `claim(key, both, now)` says whether the tries won.
 template <typename Claim, typename Fail>
 claim_costs run_way(std::uint64_t seed, Claim claim, Fail fail) {
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed)};
-    absl::BitGen random(sequence);
+    std::mt19937_64 random(seed);
     claim_costs costs;
     std::map<std::string, int> runs;
     const double fails_per_request =
@@ -230,7 +229,7 @@
         run_way(
             seed,
             [&](const std::string& key, bool both, instant now,
-                absl::BitGen& random, claim_costs& costs) {
+                std::mt19937_64& random, claim_costs& costs) {
                 const bool first = kv.claim(key, now, random, costs);
                 const bool second = both && kv.claim(key, now, random, costs);
                 return std::pair{first, second};
@@ -240,7 +239,7 @@
     print("voters", run_way(
                         seed,
                         [&](const std::string& key, bool both, instant now,
-                            absl::BitGen& random, claim_costs& costs) {
+                            std::mt19937_64& random, claim_costs& costs) {
                             return voters.claim_pair(key, both, now, random,
                                                      costs);
                         },
@@ -251,8 +250,8 @@
     print("home at the first try",
           run_way(
               seed,
-              [&](const std::string& key, bool both, instant now, absl::BitGen&,
-                  claim_costs&) {
+              [&](const std::string& key, bool both, instant now,
+                  std::mt19937_64&, claim_costs&) {
                   const bool first = home.claim(key, now);
                   const bool second = both && home.claim(key, now);
                   return std::pair{first, second};
--- a/tests/support/request_cluster.cpp
+++ b/tests/support/request_cluster.cpp
@@ -1,9 +1,8 @@
-#include <absl/random/uniform_int_distribution.h>
+#include <absl/random/distributions.h>
 #include <fmt/format.h>
 #include <tests/support/request_cluster.hpp>
 
 #include <algorithm>
-#include <random>
 
 namespace ospreystage::support {
 
@@ -24,12 +23,6 @@
 const digest version_a(64, 'a');
 const digest version_b(64, 'b');
 
-absl::BitGen make_generator(std::uint64_t seed) {
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed),
-                           static_cast<std::uint32_t>(seed >> 32U)};
-    return absl::BitGen(sequence);
-}
-
 deployment half(const std::string& name, const digest& version) {
     deployment value;
     value.name = name;
@@ -75,10 +68,9 @@
 } // namespace
 
 request_cluster::request_cluster(std::uint64_t seed, request_faults faults)
-    : random_(make_generator(seed)), faults_(faults),
-      now_(std::chrono::hours{1}), document_(make_document()),
-      entries_(entry_count), agents_(engine_agents + plain_agents),
-      witnesses_(witness_count) {
+    : random_(seed), faults_(faults), now_(std::chrono::hours{1}),
+      document_(make_document()), entries_(entry_count),
+      agents_(engine_agents + plain_agents), witnesses_(witness_count) {
     for (std::size_t index = 0; index < witness_count; ++index)
         configuration_.cluster.witnesses.push_back(
             {fmt::format("w-{}", index), {}});
--- a/tests/support/request_cluster.hpp
+++ b/tests/support/request_cluster.hpp
@@ -4,14 +4,13 @@
 #include <ospreystage/claim_ledger.hpp>
 #include <ospreystage/gate.hpp>
 
-#include <absl/random/random.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -152,7 +151,7 @@
     [[nodiscard]] connection* find_link(std::size_t entry,
                                         const std::string& agent);
 
-    absl::BitGen random_;
+    std::mt19937_64 random_;
     request_faults faults_;
     instant now_;
     instant ticked_{};
