--- a/tests/swarm.cpp
+++ b/tests/swarm.cpp
@@ -221,6 +221,22 @@
     CHECK(bytes >= 2 * 10'000 - 2 * 1000);
 }
 
+TEST_CASE("swarm - a lowered budget holds from then on") {
+    fixture agent(one_data_centre(3));
+    agent.decisions.set_budget({100'000, false}, agent.now);
+    agent.know_manifest(400);
+    agent.decisions.on_have("agent-0", version, full(400), agent.now);
+    agent.decisions.on_have("agent-2", version, full(400), agent.now);
+    agent.decisions.set_budget({10'000, false}, agent.now);
+    std::uint64_t bytes = 0;
+    for (int round = 0; round < 100; ++round)
+        for (const fetch_chunk& action : agent.pass(milliseconds(10))) {
+            bytes += action.bytes;
+            agent.finish(action, fetch_outcome::stored);
+        }
+    CHECK(bytes <= 10'000 + 2 * 1000);
+}
+
 TEST_CASE("swarm - uploads keep to the budget and refuse when it is full") {
     fixture agent(one_data_centre(20));
     agent.decisions.set_budget({10'000, false}, agent.now);
