Add the bench of requests under faults

Cause: nothing measured what callers see while a process fails.

Change: `bench requests` runs one fleet of separate processes per case and prints a line of JSON: steady, agent-killed, entry-killed, entry-frozen, connections-silenced, rolling-replacement and burst. A caller repeats what was told not-run after its retry_after; only where an entry is made to fail it also repeats, with the same key, after a connection that died or went silent. In the other cases a dead connection counts as lost or cut.

Ruled out: one caller model for all cases, since repeats would hide a stream that a living entry cut.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,10 +1,12 @@
 #include <tests/bench/quickstart.hpp>
+#include <tests/bench/requests.hpp>
 
 int main(int argc, char** argv) {
     CLI::App app{"Load and experiments against separate processes"};
     app.require_subcommand(1);
     int status = 0;
     ospreystage::bench::add_quickstart(app, status);
+    ospreystage::bench::add_requests(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -24,6 +24,7 @@
     std::string organisation;
     std::string request_class;
     std::string idempotency_key;
+    milliseconds patience; ///< Longest wait for bytes; 0: the limit.
 };
 
 /// How the exchange with an entry ended.
@@ -55,9 +56,11 @@
     raw_answer answer;
     httplib::Client client(url);
     client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(std::max(
+    const milliseconds left = std::max(
         milliseconds(1),
-        std::chrono::duration_cast<milliseconds>(limit - steady::now())));
+        std::chrono::duration_cast<milliseconds>(limit - steady::now()));
+    client.set_read_timeout(
+        call.patience.count() == 0 ? left : std::min(left, call.patience));
     client.set_tcp_nodelay(true);
     httplib::Request request = make_request(call);
     request.response_handler = [&](const httplib::Response& head) {
@@ -154,15 +157,24 @@
 }
 
 call_outcome caller::chat(const chat_call& call) {
+    return chat_with([this] { return next_entry(); }, call);
+}
+
+call_outcome caller::chat_at(const std::string& entry, const chat_call& call) {
+    return chat_with([&entry] { return entry; }, call);
+}
+
+call_outcome caller::chat_with(const entry_source& entry,
+                               const chat_call& call) {
     const instant began = steady::now();
     const instant limit = began + call.deadline + answer_grace;
     call_outcome outcome;
     answer_reader reader(call.stream, began);
     const raw_call raw = {"/v1/chat/completions", chat_body(call),
-                          call.organisation, call.request_class,
-                          call.idempotency_key};
+                          call.organisation,      call.request_class,
+                          call.idempotency_key,   call.patience};
     const raw_answer answer = exchange_with_any(
-        [this] { return next_entry(); }, raw, limit, outcome.entry,
+        entry, raw, limit, outcome.entry,
         [&](std::string_view bytes) { reader.receive(bytes, steady::now()); });
     outcome.total =
         std::chrono::duration_cast<microseconds>(steady::now() - began);
@@ -189,14 +201,27 @@
 }
 
 call_outcome caller::plain(const plain_call& call) {
+    return plain_with([this] { return next_entry(); }, call);
+}
+
+call_outcome caller::plain_at(const std::string& entry,
+                              const plain_call& call) {
+    return plain_with([&entry] { return entry; }, call);
+}
+
+call_outcome caller::plain_with(const entry_source& entry,
+                                const plain_call& call) {
     const instant began = steady::now();
     const instant limit = began + call.deadline + answer_grace;
     call_outcome outcome;
     const raw_call raw = {"/v1/services/" + call.service + "/" + call.path,
-                          call.body, call.organisation, call.request_class,
-                          call.idempotency_key};
+                          call.body,
+                          call.organisation,
+                          call.request_class,
+                          call.idempotency_key,
+                          call.patience};
     const raw_answer answer = exchange_with_any(
-        [this] { return next_entry(); }, raw, limit, outcome.entry,
+        entry, raw, limit, outcome.entry,
         [&](std::string_view bytes) { outcome.body.append(bytes); });
     outcome.total =
         std::chrono::duration_cast<microseconds>(steady::now() - began);
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,7 @@
     std::uint64_t max_tokens = 16;
     bool stream = true;
     milliseconds deadline{10'000};
+    milliseconds patience{0}; ///< Longest wait for bytes; 0: the deadline.
 };
 
 /// A request to a plain service.
@@ -48,6 +50,7 @@
     std::string request_class;
     std::string idempotency_key;
     milliseconds deadline{10'000};
+    milliseconds patience{0}; ///< Longest wait for bytes; 0: the deadline.
 };
 
 /// What the caller saw of one call.
@@ -80,13 +83,27 @@
     /// Makes a chat request and checks its tokens.
     [[nodiscard]] call_outcome chat(const chat_call& call);
 
+    /// Makes a chat request at the entry with this URL.
+    [[nodiscard]] call_outcome chat_at(const std::string& entry,
+                                       const chat_call& call);
+
     /// Makes a POST request to a plain service.
     [[nodiscard]] call_outcome plain(const plain_call& call);
 
+    /// Makes a POST request to a plain service at the entry with this URL.
+    [[nodiscard]] call_outcome plain_at(const std::string& entry,
+                                        const plain_call& call);
+
     /// Returns the entries to use, asking again once their ttl has passed.
     [[nodiscard]] std::vector<std::string> entries();
 
   private:
+    using entry_source = std::function<std::string()>;
+
+    [[nodiscard]] call_outcome chat_with(const entry_source& entry,
+                                         const chat_call& call);
+    [[nodiscard]] call_outcome plain_with(const entry_source& entry,
+                                          const plain_call& call);
     [[nodiscard]] std::string next_entry();
     void refresh_entries();
     [[nodiscard]] std::map<digest, digest> known_versions();
--- a/tests/support/load.hpp
+++ b/tests/support/load.hpp
@@ -7,10 +7,12 @@
 #include <nlohmann/json.hpp>
 #include <tests/support/caller.hpp>
 #include <tests/support/fleet.hpp>
+#include <tests/support/repeating_caller.hpp>
 
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,12 +32,29 @@
     std::uint64_t max_tokens = 16;
     milliseconds deadline{10'000};
     milliseconds pause{0}; ///< Between two requests of a caller.
+    /// Mean arrivals of all callers together; 0: the next request of a caller
+    /// follows its last answer and `pause`.
+    double requests_per_second = 0;
+    /// Target of `served_in_class`: to the first token of a stream.
+    milliseconds first_token_target{1000};
+    repeat_options repeats;
+};
+
+/// One request of a caller, with all of its tries.
+struct call_record {
+    instant begun;
+    std::string organisation;
+    std::string key; ///< `organisation/key`, or empty.
+    call_result first_result = call_result::lost;
+    call_result result = call_result::lost;
+    bool in_class = false;
 };
 
 /// What callers saw, and what the back ends ran.
 struct load_summary {
     std::uint64_t sent = 0;
     std::uint64_t served = 0;
+    std::uint64_t served_in_class = 0; ///< First token and end in time.
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
     std::uint64_t lost = 0;
@@ -45,9 +64,12 @@
     std::uint64_t doubled = 0;
     /// Requests told `not-run` whose key did start.
     std::uint64_t ran_after_not_run = 0;
-    std::vector<microseconds> first_tokens;       ///< Sorted.
-    std::vector<microseconds> token_gaps;         ///< Sorted.
+    std::uint64_t repeats = 0;              ///< Tries after the first.
+    std::uint64_t dead_connections = 0;     ///< Tries whose connection died.
+    std::vector<microseconds> first_tokens; ///< Sorted.
+    std::vector<microseconds> token_gaps;   ///< Sorted.
     std::map<std::string, std::uint64_t> reasons; ///< Of refusals.
+    std::vector<call_record> calls;               ///< In order of their end.
 
     /// Returns true if no answer was lost, doubled, mixed or cut, and no
     /// `not-run` was untrue.
@@ -58,6 +80,9 @@
 [[nodiscard]] microseconds percentile(const std::vector<microseconds>& values,
                                       double percent);
 
+/// Adds the counts of `other`, whose load had another seed.
+void add(load_summary& summary, const load_summary& other);
+
 /// Returns the counts as JSON fields.
 [[nodiscard]] nlohmann::json to_json(const load_summary& summary);
 
@@ -75,24 +100,21 @@
     [[nodiscard]] load_summary finish();
 
   private:
-    struct keyed_result {
-        std::string key; ///< `organisation/key`.
-        call_result result = call_result::lost;
-    };
-
     void call_until_stopped(std::uint64_t index);
-    void record(const call_outcome& outcome, const std::string& key);
+    void call_once(std::uint64_t index, std::uint64_t number,
+                   std::mt19937_64& random);
+    [[nodiscard]] bool in_class(const call_outcome& outcome) const;
+    void record(const repeated_outcome& outcome, call_record call);
     void count_runs(load_summary& summary) const
         ABSL_SHARED_LOCKS_REQUIRED(mutex_);
 
     fleet& system_;
-    caller& client_;
     load_options options_;
+    repeating_caller client_;
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> threads_;
     mutable absl::Mutex mutex_;
     load_summary summary_ ABSL_GUARDED_BY(mutex_);
-    std::vector<keyed_result> keyed_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace ospreystage::support
