Count an entry's own vote on a key

Cause: a claim that an entry sends to itself went to a link to its own name, which no directory knows, so it was dropped. Each key had two votes of three, and none could be decided once a witness was gone.

Ruled out: a link to oneself, which heartbeats and epochs would have to bear.

Change: request_service hands claims for its own name to the claim service of the same process. The broker's dump names the versions that an agent reported.

Conclusion: one lost witness of three no longer refuses keyed requests.

--- a/include/ospreystage/claim_service.hpp
+++ b/include/ospreystage/claim_service.hpp
@@ -16,6 +16,12 @@
 
     [[nodiscard]] nlohmann::json dump() const;
 
+    /// Votes on a claim of this entry's own.
+    [[nodiscard]] claim_reply vote(const claim_request& request);
+
+    /// Withdraws a claim of this entry's own.
+    void release(const claim_release& given);
+
     /// The platform's service said after this start that nothing was ever
     /// accepted.
     void recovered_fresh();
--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -89,7 +89,8 @@
                                  {"up", agent.up},
                                  {"incarnation", agent.id.incarnation},
                                  {"outstanding", agent.outstanding},
-                                 {"reported", agent.reported}};
+                                 {"reported", agent.reported},
+                                 {"versions", agent.load.versions}};
     state["subsets"] = subsets_;
     state["admission"] = admission_.dump();
     state["leaving"] = leaving_;
--- a/src/claim_service.cpp
+++ b/src/claim_service.cpp
@@ -21,13 +21,13 @@
               configuration.cluster.claim_retention, steady::now()) {}
 
 void claim_service::start() {
-    links_.on<claim_request>([this](const link_peer& peer,
-                                    const claim_request& request) {
-        links_.reply(peer.connection, ledger_.on_claim(request, steady::now()));
-    });
+    links_.on<claim_request>(
+        [this](const link_peer& peer, const claim_request& request) {
+            links_.reply(peer.connection, vote(request));
+        });
     links_.on<claim_release>(
-        [this](const link_peer&, const claim_release& release) {
-            ledger_.on_release(release, steady::now());
+        [this](const link_peer&, const claim_release& given) {
+            release(given);
         });
     links_.on<recover_request>(
         [this](const link_peer& peer, const recover_request& request) {
@@ -46,6 +46,14 @@
     });
 }
 
+claim_reply claim_service::vote(const claim_request& request) {
+    return ledger_.on_claim(request, steady::now());
+}
+
+void claim_service::release(const claim_release& given) {
+    ledger_.on_release(given, steady::now());
+}
+
 nlohmann::json claim_service::dump() const {
     return ledger_.dump(steady::now());
 }
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -1,7 +1,9 @@
+#include <ospreystage/claim_service.hpp>
 #include <ospreystage/request_service.hpp>
 
 #include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace ospreystage {
 
@@ -93,7 +95,10 @@
     // are up, and a lost message is resolved when the link comes up again.
     if (std::holds_alternative<claim_request>(body) ||
         std::holds_alternative<claim_release>(body)) {
-        links_.send(process, body);
+        if (process == links_.self().name)
+            deliver_to_own_ledger(body);
+        else
+            links_.send(process, body);
         return;
     }
     const auto peer = links_.find(process);
@@ -101,6 +106,20 @@
         links_.reply(peer->connection, body);
 }
 
+void request_service::deliver_to_own_ledger(const message& body) {
+    // Posted, since the broker is still carrying out its actions.
+    core_.post("requests", [this, body] {
+        auto* ledger = core_.find_if<claim_service>("claims");
+        if (ledger == nullptr)
+            return;
+        if (const auto* release = std::get_if<claim_release>(&body))
+            ledger->release(*release);
+        if (const auto* request = std::get_if<claim_request>(&body))
+            perform(broker_.on_message(links_.self(), ledger->vote(*request),
+                                       steady::now()));
+    });
+}
+
 void request_service::probe(const std::string& agent) {
     if (links_.find(agent) || links_.open(agent))
         return;
