Do not say not-run of a key that another attempt holds

Cause: a repeat whose claim found no majority was told not-run, although the remaining voter named the earlier attempt of the key, which had run.

Ruled out: unknown for every vote without a majority; tests/broker.cpp asks for not-run when no vote came, and that check is not eased here. So a repeat that reaches no voter which knows the key is still told not-run.

Change: give_up answers unknown while a claim is undecided and a vote names another attempt (claim_tally::names_other; smallest change in the broker).

Conclusion: mended for the voters that answer; the rest is open.

--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -266,10 +266,14 @@
     const bool may_have_run = state.unsealed || state.attempt.has_value();
     const milliseconds retry_after =
         std::max(state.retry_after, default_retry_after);
+    // Without a majority an earlier try with this key may have run.
+    const bool undecided =
+        state.phase == request_phase::claiming && state.tally.names_other();
     if (!may_have_run)
         release_claim(state);
-    refuse(request, may_have_run ? outcome::unknown : outcome::not_run, reason,
-           retry_after, now);
+    refuse(request,
+           may_have_run || undecided ? outcome::unknown : outcome::not_run,
+           reason, retry_after, now);
 }
 
 void broker_state::forget(request_id request, bool answered, instant now) {
--- a/tests/system_requests.cpp
+++ b/tests/system_requests.cpp
@@ -148,6 +148,19 @@
     }
 }
 
+TEST_CASE("system - a key that ran is not told not-run without a majority") {
+    serving_fleet running(small_fleet());
+    chat_call call = long_stream("ran-before");
+    call.max_tokens = 4;
+    REQUIRE(chat(running, "entry-2", call).result == call_result::served);
+    running.system().kill("entry-2");
+    running.system().kill("entry-3");
+    const call_outcome repeat = chat(running, "entry-1", call);
+    INFO(repeat.reason);
+    CHECK(repeat.result != call_result::not_run);
+    CHECK(runs_of(running.system(), "head-office", "ran-before") == 1);
+}
+
 TEST_CASE("system - an engine that restarts mid-answer mixes nothing") {
     serving_fleet running(small_fleet());
     fleet& system = running.system();
