--- a/include/ospreystage/request_service.hpp
+++ b/include/ospreystage/request_service.hpp
@@ -40,7 +40,7 @@
     void set_document(std::shared_ptr<const rollout_document> document);
 
     /// Replaces the agents that may get work.
-    void set_agents(std::vector<member> agents);
+    void set_agents(const std::vector<member>& agents);
 
     /// Tells which entries share the agents.
     void set_entries(std::vector<std::string> entries);
@@ -52,6 +52,7 @@
     template <typename Message>
     void forward();
     void perform(broker::actions actions);
+    void answer(request_id id, exchange_event event);
     void deliver(const std::string& process, const message& body);
     void deliver_to_own_ledger(const message& body);
     void probe(const std::string& agent);
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -55,8 +55,8 @@
     broker_.set_document(std::move(document), steady::now());
 }
 
-void request_service::set_agents(std::vector<member> agents) {
-    broker_.set_agents(std::move(agents));
+void request_service::set_agents(const std::vector<member>& agents) {
+    broker_.set_agents(agents);
 }
 
 void request_service::set_entries(std::vector<std::string> entries) {
@@ -84,12 +84,16 @@
                 else if constexpr (std::is_same_v<type, probe_action>)
                     probe(action.agent);
                 else
-                    exchanges_.push(action.request, std::move(action));
+                    answer(action.request, std::move(action));
             },
             each);
     }
 }
 
+void request_service::answer(request_id id, exchange_event event) {
+    exchanges_.push(id, std::move(event));
+}
+
 void request_service::deliver(const std::string& process, const message& body) {
     // Never queued for a later connection: the broker was told which links
     // are up, and a lost message is resolved when the link comes up again.
--- a/tests/system_requests.cpp
+++ b/tests/system_requests.cpp
@@ -70,8 +70,8 @@
         const http_answer answer =
             get_json(member.backend_url, "/control/runs");
         REQUIRE(answer.status == 200);
-        runs += answer.body["by_key"].value(organisation + "/" + key,
-                                            std::uint64_t{0});
+        runs += answer.body["by_key"].value(
+            fmt::format("{}/{}", organisation, key), std::uint64_t{0});
     }
     return runs;
 }
@@ -91,7 +91,7 @@
 std::string await_busy_agent(const fleet& system) {
     const instant limit = steady::now() + settle_limit;
     while (steady::now() < limit) {
-        const std::string name = busy_agent(system);
+        std::string name = busy_agent(system);
         if (!name.empty())
             return name;
         std::this_thread::sleep_for(poll_interval);
@@ -228,6 +228,7 @@
             begin_chat(running, fmt::format("entry-{}", number % 3 + 1), call));
     }
     std::vector<call_outcome> outcomes;
+    outcomes.reserve(calls.size());
     for (auto& call : calls)
         outcomes.push_back(call.get());
     for (const std::string& name : system.agent_names())
