--- a/include/ospreystage/request_service.hpp
+++ b/include/ospreystage/request_service.hpp
@@ -52,7 +52,6 @@
     template <typename Message>
     void forward();
     void perform(broker::actions actions);
-    void answer(request_id id, exchange_event event);
     void deliver(const std::string& process, const message& body);
     void deliver_to_own_ledger(const message& body);
     void probe(const std::string& agent);
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -83,17 +83,15 @@
                     deliver(action.process, action.body);
                 else if constexpr (std::is_same_v<type, probe_action>)
                     probe(action.agent);
-                else
-                    answer(action.request, std::move(action));
+                else {
+                    const request_id id = action.request;
+                    exchanges_.push(id, std::move(action));
+                }
             },
             each);
     }
 }
 
-void request_service::answer(request_id id, exchange_event event) {
-    exchanges_.push(id, std::move(event));
-}
-
 void request_service::deliver(const std::string& process, const message& body) {
     // Never queued for a later connection: the broker was told which links
     // are up, and a lost message is resolved when the link comes up again.
