--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -82,7 +82,8 @@
                                  {"up", agent.up},
                                  {"incarnation", agent.id.incarnation},
                                  {"outstanding", agent.outstanding},
-                                 {"reported", agent.reported}};
+                                 {"reported", agent.reported},
+                                 {"versions", agent.load.versions}};
     state["subsets"] = subsets_;
     state["admission"] = admission_.dump();
     state["leaving"] = leaving_;
@@ -258,10 +259,14 @@
     const bool may_have_run = state.unsealed || state.attempt.has_value();
     const milliseconds retry_after =
         std::max(state.retry_after, default_retry_after);
+    // Without a majority an earlier try with this key may have run.
+    const bool undecided =
+        state.phase == request_phase::claiming && state.tally.names_other();
     if (!may_have_run)
         release_claim(state);
-    refuse(request, may_have_run ? outcome::unknown : outcome::not_run, reason,
-           retry_after, now);
+    refuse(request,
+           may_have_run || undecided ? outcome::unknown : outcome::not_run,
+           reason, retry_after, now);
 }
 
 void broker_state::forget(request_id request, bool answered, instant now) {
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -1,7 +1,9 @@
+#include <ospreystage/claim_service.hpp>
 #include <ospreystage/request_service.hpp>
 
 #include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace ospreystage {
 
@@ -53,8 +55,8 @@
     broker_.set_document(std::move(document), steady::now());
 }
 
-void request_service::set_agents(std::vector<member> agents) {
-    broker_.set_agents(std::move(agents));
+void request_service::set_agents(const std::vector<member>& agents) {
+    broker_.set_agents(agents);
 }
 
 void request_service::set_entries(std::vector<std::string> entries) {
@@ -81,8 +83,10 @@
                     deliver(action.process, action.body);
                 else if constexpr (std::is_same_v<type, probe_action>)
                     probe(action.agent);
-                else
-                    exchanges_.push(action.request, std::move(action));
+                else {
+                    const request_id id = action.request;
+                    exchanges_.push(id, std::move(action));
+                }
             },
             each);
     }
@@ -93,7 +97,10 @@
     // are up, and a lost message is resolved when the link comes up again.
     if (std::holds_alternative<claim_request>(body) ||
         std::holds_alternative<claim_release>(body)) {
-        links_.send(process, body);
+        if (process == links_.self().name)
+            deliver_to_own_ledger(body);
+        else
+            links_.send(process, body);
         return;
     }
     const auto peer = links_.find(process);
@@ -101,6 +108,20 @@
         links_.reply(peer->connection, body);
 }
 
+void request_service::deliver_to_own_ledger(const message& body) {
+    // Posted, since the broker is still carrying out its actions.
+    core_.post("requests", [this, body] {
+        auto* ledger = core_.find_if<claim_service>("claims");
+        if (ledger == nullptr)
+            return;
+        if (const auto* release = std::get_if<claim_release>(&body))
+            ledger->release(*release);
+        if (const auto* request = std::get_if<claim_request>(&body))
+            perform(broker_.on_message(links_.self(), ledger->vote(*request),
+                                       steady::now()));
+    });
+}
+
 void request_service::probe(const std::string& agent) {
     if (links_.find(agent) || links_.open(agent))
         return;
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -2,12 +2,14 @@
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/quickstart.hpp>
+#include <tests/bench/requests.hpp>
 
 int main(int argc, char** argv) {
     CLI::App app{"Load and experiments against separate processes"};
     app.require_subcommand(1);
     int status = 0;
     ospreystage::bench::add_quickstart(app, status);
+    ospreystage::bench::add_requests(app, status);
     ospreystage::bench::add_distribution(app, status);
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
