Let a recovering witness vote on keys whose other voters have answered

Cause: of two witnesses that restarted together each waited for the other until the retention had passed, and refused every key meanwhile. Ruled out: counting answers of recovering witnesses, which spec/claim.pml shows to let a key run twice. Change: a vote on a key needs the answers of that key's other voters only, which is the rule that spec/claim.pml searches; a release of contradicting claims is ignored, as there, and its assertion is replaced: the key stays refused until the retention has passed. Conclusion: better, not good: a third witness that restarts meanwhile still waits.

--- a/include/ospreystage/claim_ledger.hpp
+++ b/include/ospreystage/claim_ledger.hpp
@@ -47,6 +47,11 @@
     /// start, or nothing can have been claimed before the start.
     [[nodiscard]] bool is_recovered(instant now) const;
 
+    /// Returns true if this witness may vote on `key`: it is recovered, or the
+    /// other voters of that key have sent their records. Only those can hold a
+    /// claim for it.
+    [[nodiscard]] bool may_vote(const claim_key& key, instant now) const;
+
     [[nodiscard]] std::size_t size() const noexcept;
 
     /// Describes counts and the recovery for the state dump.
--- a/src/claim_ledger.cpp
+++ b/src/claim_ledger.cpp
@@ -39,6 +39,17 @@
         });
 }
 
+bool claim_ledger::may_vote(const claim_key& key, instant now) const {
+    if (is_recovered(now))
+        return true;
+    const std::vector<std::string> voters = claim_voters(key, witnesses_);
+    return voters.size() > 1 &&
+           std::all_of(
+               voters.begin(), voters.end(), [&](const std::string& voter) {
+                   return voter == self_.name || answered_.contains(voter);
+               });
+}
+
 std::size_t claim_ledger::size() const noexcept {
     return expiry_.size();
 }
@@ -68,7 +79,7 @@
     reply.witness = self_;
     reply.known = known();
     const std::uint64_t meant = request.witness.incarnation;
-    reply.recovering = !is_recovered(now) ||
+    reply.recovering = !may_vote(request.record.key, now) ||
                        request.witness.name != self_.name ||
                        (meant != 0 && meant != self_.incarnation);
     if (reply.recovering)
@@ -97,6 +108,9 @@
     if (found == claims_.end())
         return;
     claims& held = found->second;
+    // Which of contradicting claims was dispatched is not known.
+    if (held.size() > 1)
+        return;
     const auto claim =
         std::find_if(held.begin(), held.end(), [&](const stored_claim& stored) {
             return stored.record.attempt == release.attempt;
@@ -149,7 +163,7 @@
         reply.sender.incarnation < known_.at(reply.sender.name))
         return;
     // A recovered witness decides by its own records only.
-    if (is_recovered(now))
+    if (is_recovered(now) || answered_.contains(reply.sender.name))
         return;
     for (const claim_record& record : reply.records)
         store(record, now);
