Refuse requests that arrive after the kernel has ended

Cause: a request that opened its exchange between the end of an entry's kernel and the stop of its HTTP server was never begun, and waited ten minutes.

Ruled out: stopping the HTTP server first, which would reset callers whose connection stands.

Change: exchange_table refuses what is opened after abandon_all as not-run; its begin is posted to a kernel that runs no more, so that is true.

Conclusion: every request of a stopping entry has an outcome.

--- a/include/ospreystage/exchange_table.hpp
+++ b/include/ospreystage/exchange_table.hpp
@@ -40,6 +40,8 @@
                                                      milliseconds wait);
 
     /// Ends every open request as `unknown`: no kernel answers it any more.
+    ///
+    /// A request that is opened later is refused as `not-run`.
     void abandon_all();
 
     /// Closes a queue and forgets its events.
@@ -52,6 +54,7 @@
     };
 
     mutable absl::Mutex mutex_;
+    bool ended_ ABSL_GUARDED_BY(mutex_) = false;
     request_id next_id_ ABSL_GUARDED_BY(mutex_) = 1;
     absl::flat_hash_map<request_id, std::shared_ptr<queue>>
         queues_ ABSL_GUARDED_BY(mutex_);
--- a/src/exchange_table.cpp
+++ b/src/exchange_table.cpp
@@ -7,7 +7,11 @@
 request_id exchange_table::open() {
     const absl::MutexLock lock(&mutex_);
     const request_id id = next_id_++;
-    queues_.emplace(id, std::make_shared<queue>());
+    const auto entry = std::make_shared<queue>();
+    if (ended_)
+        entry->events.emplace_back(
+            refuse_action{id, outcome::not_run, "leaving", {}});
+    queues_.emplace(id, entry);
     return id;
 }
 
@@ -41,6 +45,7 @@
 
 void exchange_table::abandon_all() {
     const absl::MutexLock lock(&mutex_);
+    ended_ = true;
     for (auto& [id, entry] : queues_) {
         entry->events.emplace_back(
             refuse_action{id, outcome::unknown, "entry_stopped", {}});
