Report cached prefixes under the hash that entries know

Cause: the agent passed the engine's block hashes on; entries hash the prompt without the version, so no request ever matched a cached prefix. The entry also hashed the last message, while an engine caches a prompt from its start.

Ruled out: the version in the entry's hash, since the version is chosen after the prefix is read.

Change: prompt_prefix hashes the first block of all messages; the agent notes the block of each prompt that it forwards and translates the engine's events.

Conclusion: load_report.prefixes matches incoming_request.prefix_hash.

--- a/include/ospreystage/attempt_service.hpp
+++ b/include/ospreystage/attempt_service.hpp
@@ -4,6 +4,7 @@
 #include <ospreystage/gate.hpp>
 #include <ospreystage/kernel.hpp>
 #include <ospreystage/links.hpp>
+#include <ospreystage/prompt_prefix.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -19,7 +20,7 @@
     std::uint32_t queued = 0;
     std::uint32_t capacity = 0;
     instant measured{};
-    std::vector<std::uint64_t> prefixes; ///< Hashes of cached prefixes.
+    std::vector<std::uint64_t> prefixes; ///< Blocks that it caches.
 };
 
 /// Shell of the agent's gate: carries its actions to links and the back end,
@@ -69,6 +70,7 @@
     gate gate_;
     gate_service served_;
     back_end_load load_;
+    prefix_map prefixes_;
     absl::flat_hash_map<process_id, connection_id> entries_;
     absl::flat_hash_map<std::uint64_t, gate::actions> after_greeting_;
     back_end back_end_;
--- a/src/attempt_service.cpp
+++ b/src/attempt_service.cpp
@@ -132,6 +132,9 @@
     for (gate_action& each : actions) {
         std::visit(overloaded{
                        [&](const gate_start& start) {
+                           if (served_.engine)
+                               prefixes_.note(start.order.version,
+                                              start.order.body);
                            back_end_.start(start.order, start.deadline);
                        },
                        [&](const gate_cancel& cancel) {
@@ -170,7 +173,7 @@
                         : static_cast<std::uint32_t>(age / milliseconds(1));
     report.leaving = gate_.is_leaving();
     report.versions = served_.versions;
-    report.prefixes = load_.prefixes;
+    report.prefixes = prefixes_.translate(load_.prefixes);
     return report;
 }
 
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -1,5 +1,6 @@
 #include <ospreystage/caller_api.hpp>
 #include <ospreystage/http_server.hpp>
+#include <ospreystage/prompt_prefix.hpp>
 
 #include <absl/hash/hash.h>
 #include <httplib.h>
@@ -20,8 +21,6 @@
 constexpr milliseconds caller_check_interval{250};
 constexpr const char* default_organisation = "default";
 constexpr const char* stream_end = "data: [DONE]\n\n";
-/// Bytes of the prompt whose hash stands for its cacheable prefix.
-constexpr std::size_t prefix_bytes = 32;
 
 nlohmann::json refusal_body(const refuse_action& refusal) {
     return {{"error",
@@ -55,19 +54,6 @@
     answer_refusal(response, refusal);
 }
 
-std::uint64_t prompt_prefix(const nlohmann::json& body) {
-    const auto messages = body.find("messages");
-    if (messages == body.end() || !messages->is_array() || messages->empty())
-        return 0;
-    const nlohmann::json& last = messages->back();
-    if (!last.is_object() || !last.contains("content") ||
-        !last["content"].is_string())
-        return 0;
-    const auto text = last["content"].get<std::string>();
-    return std::stoull(sha256(text.substr(0, prefix_bytes)).substr(0, 15),
-                       nullptr, 16);
-}
-
 void read_headers(const httplib::Request& request, incoming_request& out) {
     out.organisation = request.get_header_value("X-Organisation");
     if (out.organisation.empty())
@@ -93,7 +79,7 @@
     const auto stream = body.find("stream");
     out.stream =
         stream != body.end() && stream->is_boolean() && stream->get<bool>();
-    out.prefix_hash = prompt_prefix(body);
+    out.prefix_hash = prefix_hash(first_prompt_block(body));
     return true;
 }
 
--- a/src/engine_service.cpp
+++ b/src/engine_service.cpp
@@ -1,5 +1,6 @@
 #include <ospreystage/engine_service.hpp>
 #include <ospreystage/log.hpp>
+#include <ospreystage/prompt_prefix.hpp>
 
 #include <absl/time/time.h>
 #include <fmt/format.h>
@@ -15,8 +16,6 @@
 constexpr milliseconds poll_interval{150};
 constexpr milliseconds call_timeout{1000};
 constexpr std::size_t max_prefixes = 256;
-/// Hexadecimal digits of a block's hash that a load report carries.
-constexpr std::size_t prefix_digits = 15;
 
 httplib::Client make_client(const std::string& url) {
     httplib::Client client(url);
@@ -143,11 +142,10 @@
         return;
     next_cache_event_ = body.value("next", next_cache_event_);
     for (const auto& event : body["events"]) {
-        const std::string block = event.value("block", std::string());
-        if (block.size() < prefix_digits)
-            continue;
         const std::uint64_t hash =
-            std::stoull(block.substr(0, prefix_digits), nullptr, 16);
+            engine_block_number(event.value("block", std::string()));
+        if (hash == 0)
+            continue;
         std::erase(prefixes_, hash);
         if (event.value("type", std::string()) == "stored")
             prefixes_.push_back(hash);
--- a/tests/system_requests.cpp
+++ b/tests/system_requests.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t long_answer = 200; ///< Tokens; about two seconds.
 constexpr milliseconds mid_answer{600};    ///< Into such an answer.
 constexpr seconds settle_limit{10};
+/// Time in which a cache event reaches the entries.
+constexpr milliseconds cache_event_time{1500};
 constexpr milliseconds poll_interval{50};
 
 fleet_options small_fleet() {
@@ -483,3 +485,26 @@
     CHECK(outcome.result == call_result::served);
     CHECK(outcome.total < seconds(9));
 }
+
+TEST_CASE("system - prompts with a cached prefix go to the same engine") {
+    serving_fleet running(small_fleet());
+    fleet& system = running.system();
+    chat_call call = long_stream("");
+    call.prompt = "summarise the ledger of this cooperative, part ";
+    call.max_tokens = 2;
+    REQUIRE(chat(running, "entry-1", call).result == call_result::served);
+    std::this_thread::sleep_for(cache_event_time);
+    const auto attempts_at = [&](const std::string& agent) {
+        const http_answer answer =
+            get_json(system.url("backend-" + agent), "/control/runs");
+        return answer.body["by_attempt"].size();
+    };
+    const std::string holder = attempts_at("vm-1") == 1 ? "vm-1" : "vm-2";
+    constexpr std::size_t repeats = 12;
+    for (std::size_t number = 0; number < repeats; ++number) {
+        chat_call next = call;
+        next.prompt += std::to_string(number);
+        CHECK(chat(running, "entry-1", next).result == call_result::served);
+    }
+    CHECK(attempts_at(holder) == repeats + 1);
+}
