Compare the routing strategies and measure the path

Cause: the choice of the agent and the cost of the path had no figures.

Timed arrivals stop at once.

--- a/tests/bench/requests.cpp
+++ b/tests/bench/requests.cpp
@@ -1,5 +1,7 @@
+#include <tests/bench/path_costs.hpp>
 #include <tests/bench/request_cases.hpp>
 #include <tests/bench/requests.hpp>
+#include <tests/bench/routing_comparison.hpp>
 
 #include <iostream>
 #include <memory>
@@ -13,6 +15,8 @@
     std::string only; ///< Name of the one case to run, or empty.
     int window_seconds = 20;
     std::uint64_t seed = 1;
+    bool compare_routing = false;
+    bool path_latency = false;
 };
 
 /// Prints the line of one case; returns true if it missed no bar.
@@ -34,6 +38,12 @@
 
 int run_requests(const requests_options& chosen) {
     const case_options options{seconds(chosen.window_seconds), chosen.seed};
+    if (chosen.compare_routing)
+        return compare_routing(options) ? 0 : 1;
+    if (chosen.path_latency) {
+        measure_path(options);
+        return 0;
+    }
     bool good = true;
     for (const std::string& name : request_case_names()) {
         if (chosen.only.empty() || chosen.only == name)
@@ -53,6 +63,10 @@
     command->add_option("--seconds", chosen->window_seconds,
                         "Time of each case");
     command->add_option("--seed", chosen->seed, "Seed of the requests");
+    command->add_flag("--compare-routing", chosen->compare_routing,
+                      "Compare the routing strategies instead");
+    command->add_flag("--path-latency", chosen->path_latency,
+                      "Measure what the path costs instead");
     command->callback([chosen, &status] { status = run_requests(*chosen); });
 }
 
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr milliseconds stop_check_interval{50};
+
 bool chance(std::mt19937_64& random, std::uint32_t percent) {
     return random() % 100 < percent;
 }
@@ -131,6 +133,12 @@
     return summary;
 }
 
+void load::await_arrival(instant arrival) const {
+    while (!stopping_ && steady::now() < arrival)
+        std::this_thread::sleep_until(
+            std::min(arrival, steady::now() + stop_check_interval));
+}
+
 void load::call_until_stopped(std::uint64_t index) {
     std::mt19937_64 random(options_.seed * 1000 + index);
     const bool timed = options_.requests_per_second > 0;
@@ -143,7 +151,7 @@
         if (timed) {
             next += std::chrono::duration_cast<steady::duration>(
                 std::chrono::duration<double>(interval(random)));
-            std::this_thread::sleep_until(next);
+            await_arrival(next);
             if (stopping_)
                 return;
         }
@@ -183,6 +191,9 @@
     call.idempotency_key = key;
     call.prompt = fmt::format("note {} {}", index, random() % 64);
     call.max_tokens = options_.max_tokens;
+    if (options_.min_tokens > 0)
+        call.max_tokens = std::uniform_int_distribution<std::uint64_t>(
+            options_.min_tokens, options_.max_tokens)(random);
     call.stream = chance(random, options_.stream_percent);
     call.deadline = options_.deadline;
     record(client_.chat(call), std::move(entry));
--- a/tests/support/load.hpp
+++ b/tests/support/load.hpp
@@ -30,6 +30,7 @@
     std::uint32_t non_idempotent_percent = 30;
     std::uint32_t plain_percent = 0; ///< Share for the plain service.
     std::uint64_t max_tokens = 16;
+    std::uint64_t min_tokens = 0; ///< 0: every answer has `max_tokens`.
     milliseconds deadline{10'000};
     milliseconds pause{0}; ///< Between two requests of a caller.
     /// Mean arrivals of all callers together; 0: the next request of a caller
@@ -100,6 +101,7 @@
     [[nodiscard]] load_summary finish();
 
   private:
+    void await_arrival(instant arrival) const;
     void call_until_stopped(std::uint64_t index);
     void call_once(std::uint64_t index, std::uint64_t number,
                    std::mt19937_64& random);
