Measure accepted edits under faults in separate processes

Cause: nothing measured over processes how soon an accepted edit is in force, whether it ever reverts, and what its spreading costs. Ruled out: reading the log for times, since logs are buffered by the host; the dump is polled every 50 ms by a thread per process instead, so a time is at most that much too long, plus the poll itself. Change: `ospreystage_bench control` with eight cases; a monitor of revisions; one plain service for many agents. A case fails on a reverted revision, a lost edit, more than 4 s, or more than 18 KB/s on the busiest node; the line names the figures that miss. Six entries, three data centres, an edit every 2 s. Not run yet: platform-slow, answers-lost, cut-off, frozen-entry.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,3 +1,4 @@
+#include <tests/bench/control.hpp>
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/quickstart.hpp>
@@ -9,6 +10,7 @@
     ospreystage::bench::add_quickstart(app, status);
     ospreystage::bench::add_distribution(app, status);
     ospreystage::bench::add_decisions(app, status);
+    ospreystage::bench::add_control(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t ports_per_agent = 3;
 constexpr std::size_t log_tail_bytes = 2000;
 constexpr const char* loopback = "127.0.0.1";
+constexpr const char* shared_backend = "backend-plain";
 
 std::string to_url(const address& endpoint) {
     return "http://" + to_string(endpoint);
@@ -187,13 +188,18 @@
     standins_.push_back(name);
 }
 
+std::string fleet::backend_of(const fleet_member& member) const {
+    const bool shared =
+        options_.share_plain_backend && member.backend_kind == "plain";
+    return shared ? shared_backend : "backend-" + member.name;
+}
+
 void fleet::add_backend(const fleet_member& member) {
     const std::string capacity = std::to_string(options_.capacity);
     if (member.backend_kind == "plain") {
-        add_standin("backend-" + member.name,
-                    {"plain", "--work-ms",
-                     milliseconds_text(options_.plain_work), "--capacity",
-                     capacity});
+        add_standin(backend_of(member), {"plain", "--work-ms",
+                                         milliseconds_text(options_.plain_work),
+                                         "--capacity", capacity});
         return;
     }
     std::vector<std::string> arguments = {
@@ -227,8 +233,9 @@
             witnesses_.push_back({member.name, member.peer});
         if (member.agent) {
             member.backend_kind = number < options_.agents ? "engine" : "plain";
-            add_backend(member);
-            member.backend_url = url("backend-" + member.name);
+            if (!urls_.contains(backend_of(member)))
+                add_backend(member);
+            member.backend_url = url(backend_of(member));
         }
         members_.push_back(std::move(member));
     }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -97,6 +97,7 @@
   private:
     void add_standin(const std::string& name,
                      std::vector<std::string> arguments);
+    [[nodiscard]] std::string backend_of(const fleet_member& member) const;
     void add_backend(const fleet_member& member);
     void add_members();
     [[nodiscard]] address next_address();
--- a/tests/support/fleet_options.hpp
+++ b/tests/support/fleet_options.hpp
@@ -20,6 +20,8 @@
     std::size_t entries = 3; ///< The first `max_fleet_witnesses` are witnesses.
     std::size_t agents = 2;  ///< VMs with an engine: `vm-1` and on.
     std::size_t plain_agents = 0; ///< VMs with a plain service, after those.
+    /// All plain agents use one plain service, `backend-plain`.
+    bool share_plain_backend = false;
 
     // ---- Platform and backend servers --------------------------------------
 
--- a/tests/support/http_json.cpp
+++ b/tests/support/http_json.cpp
@@ -29,8 +29,14 @@
 
 http_answer get_json(const std::string& url, const std::string& path,
                      milliseconds timeout) {
+    return get_json(url, path, http_headers(), timeout);
+}
+
+http_answer get_json(const std::string& url, const std::string& path,
+                     const http_headers& headers, milliseconds timeout) {
     httplib::Client client = make_client(url, timeout);
-    return to_answer(client.Get(path.c_str()));
+    const httplib::Headers raw(headers.begin(), headers.end());
+    return to_answer(client.Get(path.c_str(), raw));
 }
 
 http_answer post_json(const std::string& url, const std::string& path,
--- a/tests/support/http_json.hpp
+++ b/tests/support/http_json.hpp
@@ -27,6 +27,12 @@
                                    const std::string& path,
                                    milliseconds timeout = default_http_timeout);
 
+/// Calls GET `path` with headers.
+[[nodiscard]] http_answer get_json(const std::string& url,
+                                   const std::string& path,
+                                   const http_headers& headers,
+                                   milliseconds timeout = default_http_timeout);
+
 /// Calls POST `path` with a JSON body.
 http_answer post_json(const std::string& url, const std::string& path,
                       const nlohmann::json& body,
