Exit with 1 when ctl rollout validate lists problems

Cause: the entry answers 200 with `valid: false`, and ctl took every 200 for success, so a script could not tell; the documented code is 1 for invalid. Ruled out: another status of the entry, since the call itself succeeded and the console reads the list of problems. Change: ctl_validate reads `valid`.

--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -98,21 +98,25 @@
     return id;
 }
 
-exit_code post_document(const ctl_options& options, const std::string& path) {
-    const auto document = read_document(options.file);
-    if (!document)
-        return exit_code::usage;
-    return print(post(options, path, *document));
-}
-
 } // namespace
 
 exit_code ctl_validate(const ctl_options& options) {
-    return post_document(options, std::string(base) + "/validate");
+    const auto document = read_document(options.file);
+    if (!document)
+        return exit_code::usage;
+    const reply answer =
+        post(options, fmt::format("{}/validate", base), *document);
+    const exit_code code = print(answer);
+    const bool is_invalid =
+        answer.status == 200 && !answer.body.value("valid", false);
+    return is_invalid ? exit_code::refused : code;
 }
 
 exit_code ctl_diff(const ctl_options& options) {
-    return post_document(options, std::string(base) + "/diff");
+    const auto document = read_document(options.file);
+    if (!document)
+        return exit_code::usage;
+    return print(post(options, fmt::format("{}/diff", base), *document));
 }
 
 exit_code ctl_apply(const ctl_options& options) {
