Explain the refusal of a body that is too large

Cause: the HTTP library answers 413 without a body, so an operator or caller got no reason, and a caller no outcome. Ruled out: a check in each handler, since the library refuses before routing. Change: an error handler fills in empty 413 answers only: the admin form under /admin/, the callers' form with outcome `not-run` elsewhere (nothing ran). Streamed answers of back ends are left alone.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -14,6 +14,26 @@
 constexpr std::size_t keep_alive_requests = 1000;
 constexpr int listen_backlog = 1024;
 constexpr const char* bearer = "Bearer ";
+constexpr const char* too_large = "the body is larger than allowed";
+constexpr int payload_too_large = 413;
+
+/// Gives the library's refusal of a large body, which is empty, the form of
+/// the other errors of the path's interface.
+void explain(const httplib::Request& request, httplib::Response& response) {
+    const bool has_content =
+        !response.body.empty() || response.content_provider_ != nullptr;
+    if (response.status != payload_too_large || has_content)
+        return;
+    if (request.path.starts_with("/admin/")) {
+        answer_json(response, payload_too_large, {{"error", too_large}});
+        return;
+    }
+    const nlohmann::json refusal = {{"outcome", "not-run"},
+                                    {"reason", "invalid_request"},
+                                    {"detail", too_large}};
+    response.set_header("X-Outcome", "not-run");
+    answer_json(response, payload_too_large, {{"error", refusal}});
+}
 
 } // namespace
 
@@ -22,6 +42,7 @@
     server_->new_task_queue = [threads] {
         return new httplib::ThreadPool(threads);
     };
+    server_->set_error_handler(explain);
     server_->set_tcp_nodelay(true);
     server_->set_keep_alive_timeout(keep_alive_seconds);
     server_->set_keep_alive_max_count(keep_alive_requests);
