Authorise a draft against the revision that it is based on

Cause: a token limited to some organisations was checked against the document in force at the entry. An entry that lagged behind (paused, cut off) compared with an older one, so a draft that named the newest revision as its base but carried the older content was accepted and undid another operator's change. Ruled out: comparing with the highest document held, which may lag as well. Change: the base is what is in force if its revision matches, else it is read from the platform's service (current key, then history); 503 if it cannot be read. Tokens for every organisation are not compared, as before.

--- a/include/ospreystage/admin_api.hpp
+++ b/include/ospreystage/admin_api.hpp
@@ -46,6 +46,15 @@
     [[nodiscard]] std::shared_ptr<const rollout_document> in_force();
     [[nodiscard]] std::optional<rollout_document>
     read_history(revision number) const;
+    [[nodiscard]] std::optional<rollout_document>
+    read_key(const std::string& key) const;
+    /// Returns the accepted revision `number`, nothing if it cannot be read.
+    [[nodiscard]] std::optional<rollout_document> base_of(revision number);
+    /// Compares the draft with its own base: what is in force here may be
+    /// older. Answers 403 or 503 and returns false if it is not allowed.
+    [[nodiscard]] bool authorise(const operator_settings& by,
+                                 const rollout_document& draft,
+                                 httplib::Response& response);
 
     void show(httplib::Response& response);
     void check(const httplib::Request& request, httplib::Response& response);
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -129,6 +129,11 @@
     return document;
 }
 
+bool is_unlimited(const std::vector<std::string>& organisations) {
+    return std::find(organisations.begin(), organisations.end(), "*") !=
+           organisations.end();
+}
+
 bool is_operation_id(const std::string& text) {
     return !text.empty() && text.size() <= max_operation_id_bytes;
 }
@@ -137,10 +142,10 @@
 
 bool may_change(const std::vector<std::string>& organisations,
                 const rollout_document& before, const rollout_document& after) {
+    if (is_unlimited(organisations))
+        return true;
     const std::set<std::string> names(organisations.begin(),
                                       organisations.end());
-    if (names.contains("*"))
-        return true;
     return diff(without(before, names), without(after, names)).empty();
 }
 
@@ -212,15 +217,33 @@
 }
 
 std::optional<rollout_document> admin_api::read_history(revision number) const {
+    return read_key(history_key(number));
+}
+
+std::optional<rollout_document>
+admin_api::read_key(const std::string& key) const {
     error ignored;
-    const auto reading = value_or_error(
-        [&] { return client_.read(history_key(number)); }, ignored);
+    const auto reading =
+        value_or_error([&] { return client_.read(key); }, ignored);
     if (!reading || !reading->entry)
         return std::nullopt;
     return value_or_error([&] { return parse_rollout(reading->entry->value); },
                           ignored);
 }
 
+std::optional<rollout_document> admin_api::base_of(revision number) {
+    if (number == 0)
+        return rollout_document{};
+    const auto current = in_force();
+    if (current && current->number == number)
+        return *current;
+    // The current document is copied to the history before it is replaced.
+    auto newest = read_key(current_rollout_key);
+    if (newest && newest->number == number)
+        return newest;
+    return read_history(number);
+}
+
 void admin_api::show(httplib::Response& response) {
     const auto document = in_force();
     if (!document)
@@ -290,20 +313,33 @@
            response);
 }
 
+bool admin_api::authorise(const operator_settings& by,
+                          const rollout_document& draft,
+                          httplib::Response& response) {
+    if (is_unlimited(by.organisations))
+        return true;
+    const auto base = base_of(draft.based_on);
+    if (!base) {
+        answer_error(response, 503,
+                     "the revision that the draft is based on cannot be read");
+        return false;
+    }
+    if (may_change(by.organisations, *base, draft))
+        return true;
+    answer_error(response, 403,
+                 "the token allows changes of its organisations only");
+    return false;
+}
+
 void admin_api::submit(const operator_settings& by, rollout_document draft,
                        const std::string& operation_id,
                        httplib::Response& response) {
-    const auto current = in_force();
     if (!is_operation_id(operation_id)) {
         answer_error(response, 400, "operation_id is empty or too long");
         return;
     }
-    if (!may_change(by.organisations, current ? *current : rollout_document{},
-                    draft)) {
-        answer_error(response, 403,
-                     "the token allows changes of its organisations only");
+    if (!authorise(by, draft, response))
         return;
-    }
     acceptance_request request;
     request.based_on = draft.based_on;
     request.draft = std::move(draft);
--- a/tests/system_control.cpp
+++ b/tests/system_control.cpp
@@ -507,6 +507,29 @@
     CHECK(submit(system, "entry-1", draft, "c", limited).status == 200);
 }
 
+TEST_CASE("system - a lagging entry lets nobody undo what others changed") {
+    running_fleet running(small_options());
+    fleet& system = running.system;
+    rollout_document draft = running.document;
+    organisation_of(draft, "branch-2").weight = 6;
+    system.freeze("entry-1");
+    REQUIRE(submit(system, "entry-2", draft, "second").status == 200);
+    // Names the new revision as its base, with the content of the old one.
+    rollout_document undoing = running.document;
+    undoing.based_on = 2;
+    organisation_of(undoing, "branch-1").weight = 6;
+    http_answer answer;
+    std::thread client(
+        [&] { answer = submit(system, "entry-1", undoing, "third", limited); });
+    std::this_thread::sleep_for(milliseconds(300));
+    system.thaw("entry-1");
+    client.join();
+    INFO(answer.text);
+    CHECK(answer.status == 403);
+    const auto current = admin_get(system, "entry-2", "/admin/v1/rollout").body;
+    CHECK(current["revision"] == 2);
+}
+
 TEST_CASE("system - malformed and oversized bodies get a clear error") {
     running_fleet running(small_options());
     fleet& system = running.system;
