--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,4 +1,5 @@
 #include <tests/bench/claims.hpp>
+#include <tests/bench/control.hpp>
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/quickstart.hpp>
@@ -11,6 +12,7 @@
     ospreystage::bench::add_quickstart(app, status);
     ospreystage::bench::add_requests(app, status);
     ospreystage::bench::add_distribution(app, status);
+    ospreystage::bench::add_control(app, status);
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
     CLI11_PARSE(app, argc, argv);
