Measure the control plane's cost at 20, 60 and 180 nodes

Ruled out: measuring the processor while the dump is polled, since that costs more than the control plane; polling pauses for six seconds without edits.

--- a/tests/bench/control.cpp
+++ b/tests/bench/control.cpp
@@ -3,9 +3,11 @@
 #include <tests/bench/control.hpp>
 #include <tests/support/http_json.hpp>
 #include <tests/support/operations.hpp>
+#include <tests/support/process_usage.hpp>
 #include <tests/support/revision_monitor.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iostream>
 #include <map>
@@ -26,8 +28,18 @@
 constexpr milliseconds poll_interval{50};
 constexpr seconds first_limit{30};
 constexpr seconds settle_time{8};
-constexpr seconds quiet_time{4};
+constexpr seconds quiet_time{6};
+constexpr milliseconds fresh_poll_time{300};
+constexpr double bytes_per_megabyte = 1024 * 1024;
 constexpr seconds in_force_limit{20};
+/// Sizes of `--scale`; the larger ones are polled less often.
+struct scale_step {
+    std::size_t nodes = 0;
+    milliseconds poll{};
+};
+constexpr std::array<scale_step, 3> scale_steps = {{{20, milliseconds(50)},
+                                                    {60, milliseconds(250)},
+                                                    {180, milliseconds(1000)}}};
 constexpr milliseconds edit_interval{2000};
 constexpr milliseconds retry_interval{50};
 constexpr int steady_edits = 10;
@@ -113,6 +125,12 @@
     [[nodiscard]] bool begin();
     [[nodiscard]] bool run_case();
     void note_sent();
+    /// Measures the cost without edits, while nothing is polled.
+    void measure_quiet();
+    [[nodiscard]] std::map<std::string, process_usage> usages();
+    [[nodiscard]] nlohmann::json describe_usage(
+        bool agent, const std::map<std::string, process_usage>& before,
+        const std::map<std::string, process_usage>& after, double spent) const;
 
     void run_steady();
     void run_platform_down();
@@ -190,17 +208,73 @@
         return false;
     }
     std::this_thread::sleep_for(settle_time);
+    measure_quiet();
+    edits_.clear();
+    counts_before_ = counts_of(system_);
+    note_sent();
+    begun_ = steady::now();
+    return true;
+}
+
+void control_run::measure_quiet() {
     note_sent();
     begun_ = steady::now();
+    monitor_->set_paused(true);
+    std::this_thread::sleep_for(fresh_poll_time);
+    const instant paused = steady::now();
+    const double calls = counts_of(system_).calls;
+    const auto before = usages();
     std::this_thread::sleep_for(quiet_time);
+    const auto after = usages();
+    const double spent = to_seconds(steady::now() - paused);
+    extra_["quiet_platform_calls_per_second"] =
+        (counts_of(system_).calls - calls) / spent;
+    for (const bool agent : {false, true})
+        extra_[agent ? "agents" : "entries"] =
+            describe_usage(agent, before, after, spent);
+    monitor_->set_paused(false);
+    std::this_thread::sleep_for(run_.poll + fresh_poll_time);
     std::uint64_t largest = 0;
     extra_["quiet_bytes_per_second_per_node"] =
         std::round(control_bytes(largest));
-    edits_.clear();
-    counts_before_ = counts_of(system_);
-    note_sent();
-    begun_ = steady::now();
-    return true;
+}
+
+std::map<std::string, process_usage> control_run::usages() {
+    std::map<std::string, process_usage> out;
+    for (const fleet_member& member : system_.members()) {
+        const auto usage = usage_of(system_.process(member.name).pid());
+        if (usage)
+            out[member.name] = *usage;
+    }
+    return out;
+}
+
+/// Means and maxima over the entries or the agents.
+nlohmann::json control_run::describe_usage(
+    bool agent, const std::map<std::string, process_usage>& before,
+    const std::map<std::string, process_usage>& after, double spent) const {
+    double processor = 0;
+    double most_processor = 0;
+    double memory = 0;
+    double count = 0;
+    for (const fleet_member& member : system_.members()) {
+        if (member.agent != agent || !before.contains(member.name) ||
+            !after.contains(member.name))
+            continue;
+        const process_usage& last = after.at(member.name);
+        const double percent =
+            100 *
+            to_seconds(last.processor - before.at(member.name).processor) /
+            spent;
+        processor += percent;
+        most_processor = std::max(most_processor, percent);
+        memory += static_cast<double>(last.resident_bytes) / bytes_per_megabyte;
+        ++count;
+    }
+    return {{"count", count},
+            {"cpu_percent", processor / count},
+            {"cpu_percent_largest", most_processor},
+            {"resident_megabytes", memory / count}};
 }
 
 void control_run::note_sent() {
@@ -534,6 +608,7 @@
     const double bytes = control_bytes(largest);
     nlohmann::json line = extra_;
     line["case"] = run_.name;
+    line["poll_ms"] = run_.poll.count();
     line["nodes"] = system_.members().size();
     line["seconds"] = spent;
     line["accepted"] = edits_.size();
@@ -596,6 +671,17 @@
     return status;
 }
 
+int run_scale(run_options run) {
+    int status = 0;
+    for (const scale_step& step : scale_steps) {
+        run.name = "steady";
+        run.nodes = step.nodes;
+        run.poll = step.poll;
+        status |= run_one(run);
+    }
+    return status;
+}
+
 } // namespace
 
 void add_control(CLI::App& app, int& status) {
@@ -603,6 +689,7 @@
         run_options run;
         std::string only;
         int freeze_seconds = 60;
+        bool scale = false;
     };
     auto* command = app.add_subcommand(
         "control", "Accepted edits under faults in separate processes");
@@ -612,9 +699,12 @@
     command->add_option("--nodes", chosen->run.nodes, "Entries and agents");
     command->add_option("--freeze-seconds", chosen->freeze_seconds,
                         "Time for which frozen-entry freezes the entry");
+    command->add_flag("--scale", chosen->scale,
+                      "Run steady at 20, 60 and 180 nodes");
     command->callback([chosen, &status] {
         chosen->run.freeze = seconds(chosen->freeze_seconds);
-        status = run_all(chosen->run, chosen->only);
+        status = chosen->scale ? run_scale(chosen->run)
+                               : run_all(chosen->run, chosen->only);
     });
 }
 
--- /dev/null
+++ b/tests/support/process_usage.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace ospreystage::support {
+
+/// Processor time and memory of a process.
+struct process_usage {
+    milliseconds processor{};         ///< User and system time so far.
+    std::uint64_t resident_bytes = 0; ///< Memory that is in use now.
+};
+
+/// Reads the usage of a process; nothing if it has ended.
+[[nodiscard]] std::optional<process_usage> usage_of(pid_t pid);
+
+} // namespace ospreystage::support
--- a/tests/support/revision_monitor.cpp
+++ b/tests/support/revision_monitor.cpp
@@ -75,6 +75,10 @@
     client.set_read_timeout(call_timeout);
     client.set_bearer_token_auth(token.c_str());
     while (!ended_) {
+        if (paused_) {
+            std::this_thread::sleep_for(await_interval);
+            continue;
+        }
         const auto answer = client.Get("/admin/v1/dump");
         if (answer && answer->status == 200) {
             const auto dump =
--- a/tests/support/revision_monitor.hpp
+++ b/tests/support/revision_monitor.hpp
@@ -29,6 +29,9 @@
     revision_monitor(const revision_monitor&) = delete;
     revision_monitor& operator=(const revision_monitor&) = delete;
 
+    /// Stops or resumes polling, which itself costs the processes time.
+    void set_paused(bool paused) { paused_ = paused; }
+
     // ---- Observers ---------------------------------------------------------
 
     /// Returns when `name` was first seen with `number` or a higher revision,
@@ -71,6 +74,7 @@
     mutable absl::Mutex mutex_;
     std::map<std::string, record> records_;
     std::atomic<bool> ended_ = false;
+    std::atomic<bool> paused_ = false;
     std::vector<std::thread> threads_;
 };
 
