Measure what a request and a token cost

Cause: docs/CAPACITY.md needs slopes of processor time. Change: bench subcommand capacity: 3 caller counts, 3 answer lengths, with and without idempotency keys; prints CPU time and memory by role.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,3 +1,4 @@
+#include <tests/bench/capacity.hpp>
 #include <tests/bench/claims.hpp>
 #include <tests/bench/control.hpp>
 #include <tests/bench/decisions.hpp>
@@ -13,6 +14,7 @@
     ospreystage::bench::add_requests(app, status);
     ospreystage::bench::add_distribution(app, status);
     ospreystage::bench::add_control(app, status);
+    ospreystage::bench::add_capacity(app, status);
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
     CLI11_PARSE(app, argc, argv);
