Never tell not-run for a key before its claim is decided

Cause: a keyed request that was refused before its claim, or whose votes did not come, was told not-run, though an earlier try of the same key at another entry may have run; the caller would then file it again. Ruled out: asking the witnesses before every refusal, which makes an overloaded entry slower; calling the outcome one of the try alone, which is not what callers read. Change: such refusals are unknown; a repeat of the same key is safe.

--- a/include/ospreystage/claim_tally.hpp
+++ b/include/ospreystage/claim_tally.hpp
@@ -53,9 +53,6 @@
 
     [[nodiscard]] claim_verdict verdict() const;
 
-    /// Returns true if a vote names another attempt of the key.
-    [[nodiscard]] bool names_other() const;
-
     // ---- Modifiers ---------------------------------------------------------
 
     /// Takes a reply. One for another attempt, of no voter, or of an older
--- a/src/broker_state.cpp
+++ b/src/broker_state.cpp
@@ -121,8 +121,11 @@
 
 void broker_state::begin(request_id request, incoming_request incoming,
                          instant now) {
+    // Before its claim is won, an earlier try of a key may have run.
+    const outcome untried =
+        incoming.idempotency_key.empty() ? outcome::not_run : outcome::unknown;
     const auto refuse_at_once = [&](const std::string& reason) {
-        refuse(request, outcome::not_run, reason, default_retry_after, now);
+        refuse(request, untried, reason, default_retry_after, now);
     };
     if (leaving_)
         return refuse_at_once("leaving");
@@ -142,8 +145,8 @@
                                   state.priority, state.deadline};
     const admission_decision decision = admission_.offer(ticket, now);
     if (const auto* refused = std::get_if<admission_refused>(&decision))
-        return refuse(request, outcome::not_run, refused->reason,
-                      refused->retry_after, now);
+        return refuse(request, untried, refused->reason, refused->retry_after,
+                      now);
     retries_.earn();
     requests_.emplace(request, std::move(state));
     if (std::holds_alternative<admission_granted>(decision))
@@ -259,9 +262,10 @@
     const bool may_have_run = state.unsealed || state.attempt.has_value();
     const milliseconds retry_after =
         std::max(state.retry_after, default_retry_after);
-    // Without a majority an earlier try with this key may have run.
-    const bool undecided =
-        state.phase == request_phase::claiming && state.tally.names_other();
+    // Before its claim is won, an earlier try of a key may have run.
+    const bool undecided = !state.incoming.idempotency_key.empty() &&
+                           (state.phase == request_phase::waiting ||
+                            state.phase == request_phase::claiming);
     if (!may_have_run)
         release_claim(state);
     refuse(request,
--- a/src/claim_tally.cpp
+++ b/src/claim_tally.cpp
@@ -55,14 +55,6 @@
     return most + left < majority ? claim_verdict::split : claim_verdict::open;
 }
 
-bool claim_tally::names_other() const {
-    const std::vector<const claim_reply*> votes = counted();
-    return std::any_of(votes.begin(), votes.end(),
-                       [this](const claim_reply* vote) {
-                           return vote->held.attempt != wanted_.attempt;
-                       });
-}
-
 void claim_tally::add(const claim_reply& reply) {
     const std::string& name = reply.witness.name;
     if (reply.asked != wanted_.attempt ||
