Add an event-driven HTTP server and client on the kernel's thread

Cause: an entry on the users' platform has a quarter of a core and 260 MB for thousands of connections; a thread a connection does not fit. Ruled out: Boost.Asio's loop beside the kernel's (two loops in one thread); cpp-httplib (a thread a connection). Change: sockets on the kernel's epoll, Boost.Beast's parser for messages. A connection to a server is kept only after a response that ended where it should; a response that repeats another request's id is dropped.

--- /dev/null
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <ospreystage/address.hpp>
+#include <ospreystage/kernel.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace ospreystage {
+
+/// Non-blocking TCP socket with buffers, on the kernel's thread.
+///
+/// The owner drops the socket from within a handler only by `close`.
+class stream_socket {
+  public:
+    /// How a peer ended the connection.
+    enum class end_kind {
+        closed, ///< In order: everything sent has arrived.
+        reset,  ///< Broken off, or it could not be opened.
+    };
+    struct handlers {
+        std::function<void()> connected;
+        std::function<void()> readable; ///< New bytes in `input`.
+        std::function<void(end_kind)> ended;
+        std::function<void()> drained; ///< All output was handed over.
+    };
+
+    explicit stream_socket(kernel& core);
+    ~stream_socket();
+    stream_socket(const stream_socket&) = delete;
+    stream_socket& operator=(const stream_socket&) = delete;
+
+    void set_handlers(handlers callbacks);
+
+    /// Takes over an accepted descriptor.
+    void adopt(int descriptor);
+
+    /// Starts to connect; `connected` or `ended` follows, never at once.
+    void connect(const address& remote);
+
+    /// Queues bytes and sends what the system takes.
+    void write(std::string_view bytes);
+
+    /// Stops or goes on reading, to slow down the peer.
+    void set_reading(bool wanted);
+
+    /// Closes the descriptor; no handler is called afterwards.
+    void close();
+
+    /// Closes once the queued output was handed over; reads no more.
+    void close_after_output();
+
+    [[nodiscard]] bool is_open() const noexcept { return descriptor_ >= 0; }
+    [[nodiscard]] bool is_connected() const noexcept { return connected_; }
+    [[nodiscard]] std::size_t pending_bytes() const noexcept {
+        return output_.size() - written_;
+    }
+
+    std::string input; ///< Bytes received and not yet consumed.
+
+  private:
+    void watch();
+    void update_events();
+    void on_events(std::uint32_t events);
+    void read_all();
+    void flush();
+    void end(end_kind kind);
+    [[nodiscard]] std::uint32_t wanted_events() const noexcept;
+
+    kernel& core_;
+    /// Expires with this object; handlers may destroy their own socket.
+    std::shared_ptr<int> alive_ = std::make_shared<int>();
+    handlers handlers_;
+    std::string output_;
+    std::size_t written_ = 0;
+    int descriptor_ = -1;
+    std::uint32_t events_ = 0;
+    bool connected_ = false;
+    bool reading_ = true;
+    bool closing_ = false;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,106 @@
+#include <ospreystage/http/message.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace ospreystage {
+
+namespace {
+
+/// Fields that describe the connection or the framing of one message.
+constexpr std::array<std::string_view, 8> hop_fields{
+    "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
+    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
+
+absl::string_view to_absl(std::string_view text) {
+    return {text.data(), text.size()};
+}
+
+void append_fields(std::string& out, const http_fields& fields) {
+    for (const http_field& field : fields) {
+        out += field.name;
+        out += ": ";
+        out += field.value;
+        out += "\r\n";
+    }
+}
+
+} // namespace
+
+bool is_same_field(std::string_view left, std::string_view right) noexcept {
+    return absl::EqualsIgnoreCase(to_absl(left), to_absl(right));
+}
+
+const std::string* find_field(const http_fields& fields,
+                              std::string_view name) noexcept {
+    for (const http_field& field : fields)
+        if (is_same_field(field.name, name))
+            return &field.value;
+    return nullptr;
+}
+
+void erase_field(http_fields& fields, std::string_view name) {
+    std::erase_if(fields, [&](const http_field& field) {
+        return is_same_field(field.name, name);
+    });
+}
+
+void erase_hop_fields(http_fields& fields) {
+    std::vector<std::string> listed;
+    for (const http_field& field : fields)
+        if (is_same_field(field.name, "Connection"))
+            for (absl::string_view token : absl::StrSplit(field.value, ','))
+                listed.emplace_back(absl::StripAsciiWhitespace(token));
+    for (const std::string& name : listed)
+        erase_field(fields, name);
+    for (const std::string_view name : hop_fields)
+        erase_field(fields, name);
+}
+
+std::string_view reason_phrase(std::uint16_t status) noexcept {
+    const auto phrase = boost::beast::http::obsolete_reason(
+        static_cast<boost::beast::http::status>(status));
+    return {phrase.data(), phrase.size()};
+}
+
+std::string encode_request(const http_request& request) {
+    std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+    append_fields(out, request.fields);
+    const bool may_be_empty =
+        request.method == "GET" || request.method == "HEAD";
+    if (!request.body.empty() || !may_be_empty)
+        out += fmt::format("Content-Length: {}\r\n", request.body.size());
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+std::string encode_response(const http_response& response, http_framing framing,
+                            bool keep_alive) {
+    std::string out = fmt::format("HTTP/1.1 {} {}\r\n", response.status,
+                                  response.reason.empty()
+                                      ? reason_phrase(response.status)
+                                      : std::string_view(response.reason));
+    append_fields(out, response.fields);
+    if (!keep_alive)
+        out += "Connection: close\r\n";
+    if (framing == http_framing::chunked) {
+        out += "Transfer-Encoding: chunked\r\n\r\n";
+        return out;
+    }
+    out += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
+    out += response.body;
+    return out;
+}
+
+std::string encode_chunk(std::string_view data) {
+    return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/http/message_parser.cpp
@@ -0,0 +1,183 @@
+#include <ospreystage/http/message_parser.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+/// Bytes of a response's head; the platform's own limit for requests.
+constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
+
+std::string to_text(boost::beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+/// Collects what both kinds of message share.
+template <bool IsRequest>
+class parser_base : public beast_http::basic_parser<IsRequest> {
+  public:
+    bool is_head_complete = false;
+
+  protected:
+    using text = boost::beast::string_view;
+
+    virtual http_fields& fields() = 0;
+    virtual void take(text body) = 0;
+    virtual void head_done() {}
+
+    void on_field_impl(beast_http::field, text name, text value,
+                       error_code&) override {
+        fields().push_back({to_text(name), to_text(value)});
+    }
+    void on_header_impl(error_code&) override {
+        is_head_complete = true;
+        head_done();
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                           error_code&) override {}
+    std::size_t on_body_impl(text body, error_code&) override {
+        take(body);
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, text, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, text body,
+                                   error_code&) override {
+        take(body);
+        return body.size();
+    }
+    void on_finish_impl(error_code&) override {}
+};
+
+template <typename Parser>
+parse_progress feed_parser(Parser& parser, std::string_view input) {
+    parse_progress progress;
+    while (progress.consumed < input.size() && !parser.is_done()) {
+        error_code problem;
+        const std::size_t used =
+            parser.put(boost::asio::buffer(input.data() + progress.consumed,
+                                           input.size() - progress.consumed),
+                       problem);
+        progress.consumed += used;
+        if (problem == beast_http::error::need_more)
+            break;
+        if (problem) {
+            progress.failure = problem.message();
+            if (problem == beast_http::error::header_limit)
+                progress.failure_status = 431;
+            if (problem == beast_http::error::body_limit)
+                progress.failure_status = 413;
+            return progress;
+        }
+        if (used == 0)
+            break;
+    }
+    progress.is_complete = parser.is_done();
+    return progress;
+}
+
+} // namespace
+
+// ---- Requests --------------------------------------------------------------
+
+struct request_parser::state final : parser_base<true> {
+    http_request request;
+
+    http_fields& fields() override { return request.fields; }
+    void take(text body) override { request.body.append(body); }
+    void head_done() override { request.keep_alive = keep_alive(); }
+
+    void on_request_impl(beast_http::verb, text method, text target, int,
+                         error_code&) override {
+        request.method = to_text(method);
+        request.target = to_text(target);
+    }
+    void on_response_impl(int, text, int, error_code&) override {}
+};
+
+request_parser::request_parser(std::size_t max_header_bytes,
+                               std::size_t max_body_bytes)
+    : state_(std::make_unique<state>()) {
+    state_->eager(true);
+    state_->header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    state_->body_limit(max_body_bytes);
+}
+
+request_parser::~request_parser() = default;
+request_parser::request_parser(request_parser&&) noexcept = default;
+request_parser& request_parser::operator=(request_parser&&) noexcept = default;
+
+parse_progress request_parser::feed(std::string_view input) {
+    return feed_parser(*state_, input);
+}
+
+bool request_parser::is_head_complete() const noexcept {
+    return state_->is_head_complete;
+}
+
+http_request& request_parser::request() noexcept {
+    return state_->request;
+}
+
+// ---- Responses -------------------------------------------------------------
+
+struct response_parser::state final : parser_base<false> {
+    http_response response;
+    body_handler on_body;
+
+    http_fields& fields() override { return response.fields; }
+    void take(text body) override {
+        if (on_body)
+            on_body({body.data(), body.size()});
+    }
+    void head_done() override { response.keep_alive = keep_alive(); }
+
+    void on_request_impl(beast_http::verb, text, text, int,
+                         error_code&) override {}
+    void on_response_impl(int status, text reason, int, error_code&) override {
+        response.status = static_cast<std::uint16_t>(status);
+        response.reason = to_text(reason);
+    }
+};
+
+response_parser::response_parser(bool is_head_request, body_handler on_body)
+    : state_(std::make_unique<state>()) {
+    state_->eager(true);
+    state_->header_limit(max_response_header_bytes);
+    state_->body_limit(boost::none);
+    state_->skip(is_head_request);
+    state_->on_body = std::move(on_body);
+}
+
+response_parser::~response_parser() = default;
+response_parser::response_parser(response_parser&&) noexcept = default;
+response_parser&
+response_parser::operator=(response_parser&&) noexcept = default;
+
+parse_progress response_parser::feed(std::string_view input) {
+    return feed_parser(*state_, input);
+}
+
+bool response_parser::finish() {
+    if (!state_->is_head_complete)
+        return false;
+    error_code problem;
+    state_->put_eof(problem);
+    return !problem && state_->is_done();
+}
+
+bool response_parser::is_head_complete() const noexcept {
+    return state_->is_head_complete;
+}
+
+http_response& response_parser::response() noexcept {
+    return state_->response;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/http/stream_socket.cpp
@@ -0,0 +1,233 @@
+#include <ospreystage/http/stream_socket.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <memory>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr std::size_t read_bytes = 16 * 1024;
+/// Reads of one wake-up, so that one fast peer does not starve the others.
+constexpr int reads_per_wake = 8;
+
+bool would_block() noexcept {
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+}
+
+} // namespace
+
+stream_socket::stream_socket(kernel& core) : core_(core) {}
+
+stream_socket::~stream_socket() {
+    close();
+}
+
+void stream_socket::set_handlers(handlers callbacks) {
+    handlers_ = std::move(callbacks);
+}
+
+void stream_socket::adopt(int descriptor) {
+    descriptor_ = descriptor;
+    connected_ = true;
+    const int on = 1;
+    setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    watch();
+}
+
+void stream_socket::connect(const address& remote) {
+    descriptor_ =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_port = htons(remote.port);
+    const bool is_numeric =
+        inet_pton(AF_INET, remote.host.c_str(), &raw.sin_addr) == 1;
+    const int on = 1;
+    bool is_started = descriptor_ >= 0 && is_numeric;
+    if (is_started) {
+        setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        is_started =
+            ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&raw),
+                      sizeof(raw)) == 0 ||
+            errno == EINPROGRESS;
+    }
+    if (is_started) {
+        watch();
+        return;
+    }
+    core_.after("http", std::chrono::nanoseconds(0),
+                [this, alive = std::weak_ptr<int>(alive_)] {
+                    if (!alive.expired())
+                        end(end_kind::reset);
+                });
+}
+
+void stream_socket::write(std::string_view bytes) {
+    if (!is_open() || closing_)
+        return;
+    output_.append(bytes);
+    if (connected_)
+        flush();
+}
+
+void stream_socket::set_reading(bool wanted) {
+    reading_ = wanted;
+    update_events();
+}
+
+void stream_socket::close() {
+    if (descriptor_ < 0)
+        return;
+    core_.unwatch(descriptor_);
+    ::close(descriptor_);
+    descriptor_ = -1;
+    connected_ = false;
+}
+
+void stream_socket::close_after_output() {
+    if (!is_open())
+        return;
+    closing_ = true;
+    if (pending_bytes() == 0) {
+        end(end_kind::closed);
+        return;
+    }
+    update_events();
+}
+
+std::uint32_t stream_socket::wanted_events() const noexcept {
+    std::uint32_t wanted = 0;
+    if (!connected_ || pending_bytes() > 0)
+        wanted |= EPOLLOUT;
+    if (connected_ && reading_ && !closing_)
+        wanted |= EPOLLIN | EPOLLRDHUP;
+    return wanted;
+}
+
+void stream_socket::watch() {
+    events_ = wanted_events();
+    core_.watch(descriptor_, events_,
+                [this](std::uint32_t events) { on_events(events); });
+}
+
+void stream_socket::update_events() {
+    if (!is_open())
+        return;
+    const std::uint32_t wanted = wanted_events();
+    if (wanted == events_)
+        return;
+    events_ = wanted;
+    core_.rewatch(descriptor_, wanted);
+}
+
+void stream_socket::on_events(std::uint32_t events) {
+    const std::weak_ptr<int> alive = alive_;
+    if (!connected_) {
+        int problem = 0;
+        socklen_t size = sizeof(problem);
+        getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &problem, &size);
+        if (problem != 0) {
+            end(end_kind::reset);
+            return;
+        }
+        if ((events & EPOLLOUT) == 0U)
+            return;
+        connected_ = true;
+        if (handlers_.connected)
+            handlers_.connected();
+        if (alive.expired() || !is_open())
+            return;
+        flush();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0U) {
+        flush();
+        if (alive.expired() || !is_open())
+            return;
+    }
+    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U)
+        read_all();
+}
+
+void stream_socket::read_all() {
+    std::array<char, read_bytes> buffer{};
+    const std::weak_ptr<int> alive = alive_;
+    bool is_new = false;
+    bool is_ended = false;
+    end_kind kind = end_kind::closed;
+    for (int turn = 0; turn < reads_per_wake; ++turn) {
+        const ssize_t count = ::read(descriptor_, buffer.data(), buffer.size());
+        if (count > 0) {
+            input.append(buffer.data(), static_cast<std::size_t>(count));
+            is_new = true;
+            if (static_cast<std::size_t>(count) < buffer.size())
+                break;
+            continue;
+        }
+        if (count < 0 && (would_block() || errno == EINTR))
+            break;
+        is_ended = true;
+        kind = count == 0 ? end_kind::closed : end_kind::reset;
+        break;
+    }
+    if (is_new && handlers_.readable)
+        handlers_.readable();
+    if (is_ended && !alive.expired() && is_open())
+        end(kind);
+}
+
+void stream_socket::flush() {
+    const std::weak_ptr<int> alive = alive_;
+    const bool had_output = pending_bytes() > 0;
+    while (pending_bytes() > 0) {
+        const ssize_t count = ::send(descriptor_, output_.data() + written_,
+                                     pending_bytes(), MSG_NOSIGNAL);
+        if (count < 0) {
+            if (errno == EINTR)
+                continue;
+            if (would_block())
+                break;
+            // The reader sees what the peer still sent, and then the end.
+            output_.clear();
+            written_ = 0;
+            if (closing_)
+                end(end_kind::reset);
+            else
+                update_events();
+            return;
+        }
+        written_ += static_cast<std::size_t>(count);
+    }
+    if (pending_bytes() == 0) {
+        output_.clear();
+        written_ = 0;
+        if (closing_) {
+            end(end_kind::closed);
+            return;
+        }
+        if (had_output && handlers_.drained) {
+            handlers_.drained();
+            if (alive.expired())
+                return;
+        }
+    }
+    update_events();
+}
+
+void stream_socket::end(end_kind kind) {
+    close();
+    if (handlers_.ended)
+        handlers_.ended(kind);
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/http/web_client.cpp
@@ -0,0 +1,409 @@
+#include <ospreystage/http/web_client.hpp>
+#include <ospreystage/log.hpp>
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr const char* service_name = "web_client";
+/// A server that states no time may close an idle connection early.
+constexpr milliseconds default_max_idle{1000};
+/// Part of a stated idle time after which a connection is not used again: a
+/// request must not cross the server's close.
+constexpr double idle_share = 0.5;
+constexpr milliseconds sweep_interval{250};
+/// Lower statuses are informational: the response itself follows.
+constexpr std::uint16_t first_final_status = 200;
+
+/// Returns how long the connection may be idle, from `Keep-Alive: timeout=N`.
+milliseconds idle_time(const http_response& response) {
+    const std::string* value = find_field(response.fields, "Keep-Alive");
+    if (value == nullptr)
+        return default_max_idle;
+    const std::size_t position = value->find("timeout=");
+    if (position == std::string::npos)
+        return default_max_idle;
+    const std::size_t first = position + std::string_view("timeout=").size();
+    const std::size_t last = value->find_first_not_of("0123456789", first);
+    std::int64_t stated = 0;
+    if (!absl::SimpleAtoi(value->substr(first, last - first), &stated))
+        return default_max_idle;
+    return std::chrono::duration_cast<milliseconds>(seconds(stated) *
+                                                    idle_share);
+}
+
+} // namespace
+
+const char* to_string(call_end end) noexcept {
+    switch (end) {
+    case call_end::complete:
+        return "complete";
+    case call_end::not_connected:
+        return "not_connected";
+    case call_end::no_answer:
+        return "no_answer";
+    case call_end::cut:
+        return "cut";
+    case call_end::malformed:
+        return "malformed";
+    case call_end::timeout:
+        return "timeout";
+    }
+    return "unnamed";
+}
+
+web_client::web_client(kernel& core) : core_(core) {
+    core_.every(service_name, sweep_interval, [this] { sweep(); });
+}
+
+web_client::~web_client() = default;
+
+call_id web_client::start(const address& server, http_request request,
+                          const call_options& options, call_handlers handlers) {
+    const call_id call{next_call_++};
+    auto record = std::make_unique<call_record>();
+    record->is_head_request = request.method == "HEAD";
+    record->echoed_field = options.echoed_field;
+    if (const std::string* value =
+            find_field(request.fields, options.echoed_field))
+        record->echoed_value = *value;
+    record->output = encode_request(request);
+    record->handlers = std::move(handlers);
+    const std::uint64_t connection = acquire(server, options.reuse);
+    record->connection = connection;
+    record->timer = core_.after(service_name, options.timeout, [this, call] {
+        const auto found = calls_.find(static_cast<std::uint64_t>(call));
+        if (found == calls_.end())
+            return;
+        found->second->timer.reset();
+        const bool is_sent = found->second->is_sent;
+        finish(found->second->connection,
+               is_sent ? call_end::timeout : call_end::not_connected);
+    });
+    connection_record& target = *connections_.at(connection);
+    target.call = call;
+    const bool is_open = target.socket.is_connected();
+    if (!is_open)
+        record->connect_timer =
+            core_.after(service_name, options.connect_timeout, [this, call] {
+                const auto found =
+                    calls_.find(static_cast<std::uint64_t>(call));
+                if (found == calls_.end())
+                    return;
+                found->second->connect_timer.reset();
+                if (!found->second->is_sent)
+                    finish(found->second->connection, call_end::not_connected);
+            });
+    calls_.emplace(static_cast<std::uint64_t>(call), std::move(record));
+    if (is_open)
+        begin(connection, call);
+    return call;
+}
+
+call_id web_client::fetch(const address& server, http_request request,
+                          const call_options& options,
+                          std::function<void(call_end, http_response)> done) {
+    auto response = std::make_shared<http_response>();
+    call_handlers handlers;
+    handlers.head = [response](const http_response& head) { *response = head; };
+    handlers.body = [response](std::string_view data) {
+        response->body.append(data);
+    };
+    handlers.ended = [response, done = std::move(done)](call_end end) {
+        done(end, std::move(*response));
+    };
+    return start(server, std::move(request), options, std::move(handlers));
+}
+
+void web_client::cancel(call_id call) {
+    const auto found = calls_.find(static_cast<std::uint64_t>(call));
+    if (found == calls_.end())
+        return;
+    found->second->is_cancelled = true;
+    finish(found->second->connection, call_end::cut);
+}
+
+void web_client::set_reading(call_id call, bool wanted) {
+    const auto found = calls_.find(static_cast<std::uint64_t>(call));
+    if (found != calls_.end())
+        connections_.at(found->second->connection)->socket.set_reading(wanted);
+}
+
+std::size_t web_client::connections(const address& server) const {
+    const auto found = counts_.find(to_string(server));
+    return found == counts_.end() ? 0 : found->second;
+}
+
+nlohmann::json web_client::dump() const {
+    return {{"connections", connections_.size()},
+            {"calls", calls_.size()},
+            {"opened", opened_},
+            {"strange_responses", strange_responses_}};
+}
+
+// ---- Connections -----------------------------------------------------------
+
+std::uint64_t web_client::acquire(const address& server, bool reuse) {
+    const std::string key = to_string(server);
+    if (reuse) {
+        std::vector<std::uint64_t>& idle = idle_[key];
+        const instant now = steady::now();
+        while (!idle.empty()) {
+            const std::uint64_t id = idle.back();
+            idle.pop_back();
+            if (connections_.at(id)->idle_until > now)
+                return id;
+            drop(id);
+        }
+    }
+    const std::uint64_t id = next_connection_++;
+    auto record = std::make_unique<connection_record>(core_);
+    record->server = server;
+    record->socket.set_handlers(
+        {[this, id] { on_connected(id); }, [this, id] { on_readable(id); },
+         [this, id](stream_socket::end_kind kind) { on_ended(id, kind); },
+         nullptr});
+    stream_socket& socket = record->socket;
+    connections_.emplace(id, std::move(record));
+    ++counts_[key];
+    ++opened_;
+    socket.connect(server);
+    return id;
+}
+
+void web_client::on_connected(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    if (record.call)
+        begin(id, *record.call);
+}
+
+void web_client::begin(std::uint64_t connection, call_id call) {
+    call_record& record = *calls_.at(static_cast<std::uint64_t>(call));
+    if (record.connect_timer) {
+        core_.cancel(*record.connect_timer);
+        record.connect_timer.reset();
+    }
+    connection_record& target = *connections_.at(connection);
+    target.has_bytes = false;
+    start_parser(connection);
+    record.is_sent = true;
+    target.socket.write(record.output);
+}
+
+void web_client::start_parser(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    record.is_skipping = false;
+    const call_record& call =
+        *calls_.at(static_cast<std::uint64_t>(*record.call));
+    record.parser = std::make_unique<response_parser>(
+        call.is_head_request, [this, id](std::string_view data) {
+            const auto found = connections_.find(id);
+            if (found == connections_.end() || found->second->is_skipping)
+                return;
+            deliver_head(id);
+            // The owner may have cancelled on the head.
+            const auto still = connections_.find(id);
+            if (still == connections_.end() || still->second->is_skipping ||
+                !still->second->call)
+                return;
+            call_record& target =
+                *calls_.at(static_cast<std::uint64_t>(*still->second->call));
+            if (target.handlers.body)
+                target.handlers.body(data);
+        });
+}
+
+/// Hands over the head once, or finds that the response is a stray one.
+void web_client::deliver_head(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    if (!record.call || record.is_skipping ||
+        record.parser->response().status < first_final_status)
+        return;
+    call_record& call = *calls_.at(static_cast<std::uint64_t>(*record.call));
+    const http_response& response = record.parser->response();
+    const std::string* echoed =
+        call.echoed_field.empty()
+            ? nullptr
+            : find_field(response.fields, call.echoed_field);
+    if (echoed != nullptr && *echoed != call.echoed_value) {
+        record.is_skipping = true;
+        ++strange_responses_;
+        log_event(log_level::warn, "response_of_another_request",
+                  {{"server", to_string(record.server)},
+                   {"expected", call.echoed_value},
+                   {"got", *echoed}});
+        return;
+    }
+    if (call.handlers.head) {
+        // Moved out: the head is handed over once.
+        const auto head = std::move(call.handlers.head);
+        call.handlers.head = nullptr;
+        head(response);
+    }
+}
+
+void web_client::on_readable(std::uint64_t id) {
+    auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    if (!found->second->call) {
+        // Bytes that answer nothing: the connection is not in step any more.
+        std::erase(idle_[to_string(found->second->server)], id);
+        drop(id);
+        return;
+    }
+    while (true) {
+        connection_record& record = *found->second;
+        record.has_bytes = true;
+        const parse_progress progress =
+            record.parser->feed(record.socket.input);
+        found = connections_.find(id);
+        if (found == connections_.end() || !found->second->call)
+            return;
+        record.socket.input.erase(0, progress.consumed);
+        if (!progress.failure.empty()) {
+            log_event(log_level::warn, "response_malformed",
+                      {{"server", to_string(record.server)},
+                       {"error", progress.failure}});
+            finish(id, call_end::malformed);
+            return;
+        }
+        if (record.parser->is_head_complete()) {
+            deliver_head(id);
+            found = connections_.find(id);
+            if (found == connections_.end() || !found->second->call)
+                return;
+        }
+        if (!progress.is_complete)
+            return;
+        const bool is_informational =
+            record.parser->response().status < first_final_status;
+        if (!record.is_skipping && !is_informational) {
+            finish(id, call_end::complete);
+            return;
+        }
+        if (!record.parser->response().keep_alive) {
+            finish(id, call_end::no_answer);
+            return;
+        }
+        start_parser(id);
+        if (record.socket.input.empty())
+            return;
+    }
+}
+
+void web_client::on_ended(std::uint64_t id, stream_socket::end_kind kind) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    connection_record& record = *found->second;
+    if (!record.call) {
+        std::erase(idle_[to_string(record.server)], id);
+        drop(id);
+        return;
+    }
+    const call_record& call =
+        *calls_.at(static_cast<std::uint64_t>(*record.call));
+    if (!call.is_sent) {
+        finish(id, call_end::not_connected);
+        return;
+    }
+    const bool has_head =
+        !record.is_skipping && record.parser->is_head_complete();
+    const bool is_whole = kind == stream_socket::end_kind::closed && has_head &&
+                          record.parser->finish();
+    if (is_whole)
+        finish(id, call_end::complete);
+    else
+        finish(id, has_head ? call_end::cut : call_end::no_answer);
+}
+
+void web_client::finish(std::uint64_t id, call_end end) {
+    connection_record& record = *connections_.at(id);
+    const call_id call = *record.call;
+    auto node = calls_.extract(static_cast<std::uint64_t>(call));
+    std::unique_ptr<call_record> ended = std::move(node.mapped());
+    if (ended->timer)
+        core_.cancel(*ended->timer);
+    if (ended->connect_timer)
+        core_.cancel(*ended->connect_timer);
+    record.call.reset();
+    // Output that is left means that the server answered before it had read
+    // the request; bytes after the response belong to nothing.
+    const bool is_in_step =
+        end == call_end::complete && record.socket.is_open() &&
+        record.socket.input.empty() && record.socket.pending_bytes() == 0 &&
+        record.parser->response().keep_alive;
+    if (is_in_step) {
+        record.max_idle = idle_time(record.parser->response());
+        release(id);
+    } else {
+        drop(id);
+    }
+    call_record& last = *ended;
+    bury(nullptr, std::move(ended));
+    if (!last.is_cancelled && last.handlers.ended)
+        last.handlers.ended(end);
+}
+
+void web_client::release(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    if (record.max_idle <= milliseconds(0)) {
+        drop(id);
+        return;
+    }
+    record.was_used = true;
+    record.idle_until = steady::now() + record.max_idle;
+    record.socket.set_reading(true);
+    idle_[to_string(record.server)].push_back(id);
+}
+
+void web_client::drop(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    std::unique_ptr<connection_record> record = std::move(found->second);
+    connections_.erase(found);
+    const auto count = counts_.find(to_string(record->server));
+    if (count != counts_.end() && --count->second == 0)
+        counts_.erase(count);
+    record->socket.close();
+    bury(std::move(record), nullptr);
+}
+
+/// Keeps what handlers on the stack may still use until they have returned.
+void web_client::bury(std::unique_ptr<connection_record> connection,
+                      std::unique_ptr<call_record> call) {
+    if (dropped_.empty() && ended_.empty())
+        core_.after(service_name, std::chrono::nanoseconds(0), [this] {
+            dropped_.clear();
+            ended_.clear();
+        });
+    if (connection)
+        dropped_.push_back(std::move(connection));
+    if (call)
+        ended_.push_back(std::move(call));
+}
+
+void web_client::sweep() {
+    const instant now = steady::now();
+    std::vector<std::uint64_t> late;
+    for (auto& [server, ids] : idle_)
+        std::erase_if(ids, [&](std::uint64_t id) {
+            const bool is_late = connections_.at(id)->idle_until <= now;
+            if (is_late)
+                late.push_back(id);
+            return is_late;
+        });
+    for (const std::uint64_t id : late)
+        drop(id);
+    absl::erase_if(idle_,
+                   [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/http/web_server.cpp
@@ -0,0 +1,308 @@
+#include <ospreystage/http/web_server.hpp>
+#include <ospreystage/log.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr const char* service_name = "web_server";
+constexpr int listen_backlog = 1024;
+/// Output that a caller may leave unread before its answer is paused.
+constexpr std::size_t max_unread_bytes = 64 * 1024;
+/// Interval between two looks for connections whose time has passed.
+constexpr milliseconds sweep_interval{250};
+constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+web_server::web_server(kernel& core, callbacks handlers)
+    : core_(core), handlers_(std::move(handlers)) {}
+
+web_server::~web_server() {
+    if (listener_ >= 0) {
+        core_.unwatch(listener_);
+        ::close(listener_);
+    }
+}
+
+leaf::result<void> web_server::listen(const address& local) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_port = htons(local.port);
+    if (inet_pton(AF_INET, local.host.c_str(), &raw.sin_addr) != 1)
+        return fail(error_code::invalid_argument, "http.listen",
+                    to_string(local), "not a numeric IPv4 address");
+    if (bind(listener_, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) !=
+            0 ||
+        ::listen(listener_, listen_backlog) != 0)
+        return fail(error_code::unavailable, "http.listen", to_string(local),
+                    std::strerror(errno));
+    core_.watch(listener_, EPOLLIN, [this](std::uint32_t) { accept_all(); });
+    core_.every(service_name, sweep_interval, [this] { sweep(); });
+    return {};
+}
+
+std::size_t web_server::connections() const noexcept {
+    return connections_.size();
+}
+
+std::size_t web_server::exchanges() const noexcept {
+    return exchanges_.size();
+}
+
+nlohmann::json web_server::dump() const {
+    return {{"connections", connections_.size()},
+            {"exchanges", exchanges_.size()},
+            {"refused", refused_},
+            {"draining", is_draining_}};
+}
+
+void web_server::set_limits(const server_limits& limits) {
+    limits_ = limits;
+}
+
+void web_server::drain() {
+    is_draining_ = true;
+    std::vector<std::uint64_t> idle;
+    for (const auto& [id, record] : connections_)
+        if (!record->is_busy && record->socket.input.empty())
+            idle.push_back(id);
+    for (const std::uint64_t id : idle)
+        drop(id);
+}
+
+// ---- Connections -----------------------------------------------------------
+
+void web_server::accept_all() {
+    while (true) {
+        const int descriptor =
+            accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            if (errno == EINTR || errno == ECONNABORTED)
+                continue;
+            if (errno != EAGAIN && errno != EWOULDBLOCK)
+                log_event(log_level::warn, "accept_failed",
+                          {{"error", std::strerror(errno)}});
+            return;
+        }
+        const std::uint64_t id = next_connection_++;
+        auto record = std::make_unique<connection_record>(core_);
+        record->deadline = steady::now() + limits_.idle_timeout;
+        record->socket.set_handlers(
+            {nullptr, [this, id] { on_readable(id); },
+             [this, id](stream_socket::end_kind) { on_ended(id); },
+             [this, id] { on_drained(id); }});
+        stream_socket& socket = record->socket;
+        connections_.emplace(id, std::move(record));
+        socket.adopt(descriptor);
+    }
+}
+
+void web_server::on_readable(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    connection_record& record = *found->second;
+    if (!record.is_busy) {
+        parse(id);
+        return;
+    }
+    // A caller that sends requests ahead waits until they are handled.
+    if (record.socket.input.size() > limits_.max_header_bytes)
+        record.socket.set_reading(false);
+}
+
+void web_server::parse(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    std::string& input = record.socket.input;
+    if (input.empty())
+        return;
+    if (!record.parser) {
+        record.parser = std::make_unique<request_parser>(
+            limits_.max_header_bytes, limits_.max_body_bytes);
+        record.deadline = steady::now() + limits_.header_timeout;
+    }
+    const parse_progress progress = record.parser->feed(input);
+    input.erase(0, progress.consumed);
+    if (!progress.failure.empty()) {
+        refuse(id, progress.failure_status, progress.failure);
+        return;
+    }
+    if (!progress.is_complete) {
+        if (record.parser->is_head_complete() && !record.has_asked) {
+            record.has_asked = true;
+            const std::string* expectation =
+                find_field(record.parser->request().fields, "Expect");
+            if (expectation != nullptr)
+                record.socket.write(continue_answer);
+        }
+        return;
+    }
+    http_request request = std::move(record.parser->request());
+    record.parser.reset();
+    record.has_asked = false;
+    record.is_busy = true;
+    record.is_chunked = false;
+    record.keep_alive = request.keep_alive && !is_draining_;
+    record.exchange = exchange_id{next_exchange_++};
+    exchanges_.emplace(static_cast<std::uint64_t>(record.exchange), id);
+    handlers_.requested(record.exchange, std::move(request));
+}
+
+void web_server::refuse(std::uint64_t id, std::uint16_t status,
+                        const std::string& reason) {
+    ++refused_;
+    log_event(log_level::info, "request_malformed",
+              {{"status", status}, {"error", reason}});
+    connection_record& record = *connections_.at(id);
+    http_response response;
+    response.status = status;
+    response.fields.push_back({"Content-Type", "text/plain"});
+    response.body = reason + "\n";
+    record.socket.write(encode_response(response, http_framing::length, false));
+    record.socket.close_after_output();
+}
+
+void web_server::on_ended(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    const bool was_busy = found->second->is_busy;
+    const exchange_id exchange = found->second->exchange;
+    drop(id);
+    if (was_busy && handlers_.abandoned)
+        handlers_.abandoned(exchange);
+}
+
+void web_server::on_drained(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !found->second->wants_drain)
+        return;
+    found->second->wants_drain = false;
+    if (found->second->is_busy && handlers_.drained)
+        handlers_.drained(found->second->exchange);
+}
+
+void web_server::drop(std::uint64_t id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    std::unique_ptr<connection_record> record = std::move(found->second);
+    connections_.erase(found);
+    exchanges_.erase(static_cast<std::uint64_t>(record->exchange));
+    record->socket.close();
+    if (dropped_.empty())
+        core_.after(service_name, std::chrono::nanoseconds(0),
+                    [this] { dropped_.clear(); });
+    dropped_.push_back(std::move(record));
+}
+
+void web_server::sweep() {
+    const instant now = steady::now();
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, record] : connections_)
+        if (!record->is_busy && record->deadline <= now)
+            late.push_back(id);
+    for (const std::uint64_t id : late) {
+        const connection_record& record = *connections_.at(id);
+        if (record.parser)
+            refuse(id, 408, "request not received in time");
+        else
+            drop(id);
+    }
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+web_server::connection_record* web_server::find(exchange_id exchange) {
+    const auto found = exchanges_.find(static_cast<std::uint64_t>(exchange));
+    if (found == exchanges_.end())
+        return nullptr;
+    return connections_.at(found->second).get();
+}
+
+void web_server::respond(exchange_id exchange, const http_response& response) {
+    connection_record* record = find(exchange);
+    if (record == nullptr)
+        return;
+    const std::uint64_t id =
+        exchanges_.at(static_cast<std::uint64_t>(exchange));
+    record->keep_alive = record->keep_alive && !is_draining_;
+    record->socket.write(
+        encode_response(response, http_framing::length, record->keep_alive));
+    complete(id);
+}
+
+void web_server::begin(exchange_id exchange, const http_response& head) {
+    connection_record* record = find(exchange);
+    if (record == nullptr)
+        return;
+    record->is_chunked = true;
+    record->keep_alive = record->keep_alive && !is_draining_;
+    record->socket.write(
+        encode_response(head, http_framing::chunked, record->keep_alive));
+}
+
+bool web_server::write(exchange_id exchange, std::string_view data) {
+    connection_record* record = find(exchange);
+    if (record == nullptr || data.empty())
+        return true;
+    record->socket.write(encode_chunk(data));
+    record->wants_drain = record->socket.pending_bytes() > max_unread_bytes;
+    return !record->wants_drain;
+}
+
+void web_server::finish(exchange_id exchange) {
+    connection_record* record = find(exchange);
+    if (record == nullptr)
+        return;
+    record->socket.write(last_chunk);
+    complete(exchanges_.at(static_cast<std::uint64_t>(exchange)));
+}
+
+void web_server::abort(exchange_id exchange) {
+    const auto found = exchanges_.find(static_cast<std::uint64_t>(exchange));
+    if (found != exchanges_.end())
+        drop(found->second);
+}
+
+void web_server::complete(std::uint64_t id) {
+    connection_record& record = *connections_.at(id);
+    exchanges_.erase(static_cast<std::uint64_t>(record.exchange));
+    record.is_busy = false;
+    record.exchange = exchange_id{};
+    if (!record.socket.is_open()) {
+        drop(id);
+        return;
+    }
+    if (!record.keep_alive) {
+        record.socket.close_after_output();
+        return;
+    }
+    record.deadline = steady::now() + limits_.idle_timeout;
+    record.socket.set_reading(true);
+    if (record.socket.input.empty())
+        return;
+    // Later, so that a caller's next request is not handled from within the
+    // answer to its last one.
+    core_.after(service_name, std::chrono::nanoseconds(0), [this, id] {
+        const auto found = connections_.find(id);
+        if (found != connections_.end() && !found->second->is_busy)
+            parse(id);
+    });
+}
+
+} // namespace ospreystage
