Route, place and forward callers' requests

Cause: callers of the platform connect to an entry and run nothing of ours. Change: route_table (routes, keys, versions that never go back), backend_registry (the listed servers, kept through outages), backend_load (placing and refusing from own counts and engine reports), repeat_window (the shared budget of repeats), event_splitter and gateway. A stream resumes at another server after its last whole event; a refusal says not-run only if no server may have run the request.

--- /dev/null
+++ b/include/ospreystage/fleet/entry_list.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <ospreystage/address.hpp>
+#include <ospreystage/clock.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ospreystage {
+
+/// Addresses of one entry process.
+struct entry_place {
+    address callers; ///< Where it takes requests.
+    friend bool operator==(const entry_place&, const entry_place&) = default;
+};
+
+/// Entries that callers may be sent to.
+///
+/// After an outage of the store, entries that lapsed meanwhile are kept for as
+/// long as they need to register again.
+class entry_list {
+  public:
+    explicit entry_list(milliseconds return_time) : return_time_(return_time) {}
+
+    void on_listed(const std::string& name, const entry_place& place);
+    void on_removed(const std::string& name, instant now);
+    /// Everything that is not in `names` was removed.
+    void retain(const std::vector<std::string>& names, instant now);
+    void on_store_returned(instant now) { returned_ = now; }
+    void advance(instant now);
+
+    [[nodiscard]] std::vector<address> callers() const;
+    [[nodiscard]] std::size_t size() const noexcept { return places_.size(); }
+
+  private:
+    struct place_record {
+        entry_place place;
+        std::optional<instant> missing_until;
+    };
+
+    milliseconds return_time_;
+    std::optional<instant> returned_;
+    std::map<std::string, place_record> places_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+#include <ospreystage/fleet/backend_registry.hpp>
+#include <ospreystage/routing/routing_configuration.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// What the agent beside an engine last said of it.
+struct engine_status {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    /// Version of which every layer is held; 0: none.
+    std::uint64_t version = 0;
+    bool is_loading = false;
+    friend bool operator==(const engine_status&,
+                           const engine_status&) = default;
+};
+
+/// How an attempt at a backend server ended, for the view of its health.
+enum class attempt_result : std::uint8_t {
+    answered, ///< An answer of the server, whatever it says.
+    refused,  ///< It said that it did not run the request.
+    failed,   ///< It failed, was cut or could not be reached.
+    silent,   ///< Nothing came for too long.
+    given_up, ///< The caller left: says nothing of the server.
+};
+
+/// What is asked of a placement.
+struct placement_request {
+    const service_description* service = nullptr;
+    std::uint32_t prompt_tokens = 0;
+    milliseconds objective{};
+    /// The caller was refused before: the objective has passed already.
+    bool is_late = false;
+    /// Oldest weight version that may answer; 0: any.
+    std::uint64_t least_version = 0;
+    /// Servers that this request has been sent to.
+    const absl::flat_hash_set<std::string>* tried = nullptr;
+};
+
+/// The request goes to this server.
+struct placed_at {
+    std::string server;
+    std::uint64_t version = 0; ///< Engines: that is believed to be held.
+};
+/// No server has room in time.
+struct no_room {
+    milliseconds retry_after{};
+};
+/// No server of the service is known that could answer.
+struct no_server {};
+
+using placement_decision = std::variant<placed_at, no_room, no_server>;
+
+/// Tells where a request goes, from what is known of each server's load.
+///
+/// Answers this load: many entries that each see a part of the requests,
+/// engines that process in batches of `slots`, and demand that passes what
+/// the engines can do. Own requests in flight are known exactly, those of the
+/// other entries through reports; a report is corrected by what this entry
+/// has sent since.
+class backend_load {
+  public:
+    struct options {
+        milliseconds report_lifetime{1000}; ///< Older reports say nothing.
+        /// A server that failed is left alone for this long, doubled with each
+        /// further failure up to `max_rest`.
+        milliseconds first_rest{500};
+        milliseconds max_rest{4000};
+    };
+
+    backend_load(const options& limits, std::uint64_t seed);
+
+    // ---- Placement ---------------------------------------------------------
+
+    [[nodiscard]] placement_decision
+    place(const placement_request& request,
+          const std::vector<const backend_server*>& servers,
+          std::uint32_t entries, instant now);
+
+    /// Estimates the time to the first event of a request that is sent now.
+    [[nodiscard]] milliseconds first_event(const engine_profile& engine,
+                                           double in_flight,
+                                           std::uint32_t prompt_tokens) const;
+
+    /// Requests of all entries at a server, as far as it is known.
+    [[nodiscard]] double in_flight(const std::string& server,
+                                   std::uint32_t entries, instant now) const;
+
+    // ---- Events ------------------------------------------------------------
+
+    void on_sent(const std::string& server, instant now);
+    void on_ended(const std::string& server, attempt_result result,
+                  instant now);
+    void on_status(const std::string& server, const engine_status& status,
+                   instant now);
+    /// Forgets servers that are not listed any more.
+    void retain(const absl::flat_hash_set<std::string>& listed);
+
+    [[nodiscard]] std::optional<engine_status> status(const std::string& server,
+                                                      instant now) const;
+
+    [[nodiscard]] nlohmann::json dump(instant now) const;
+
+  private:
+    struct load_record {
+        std::uint32_t outstanding = 0; ///< Of this entry.
+        std::optional<engine_status> status;
+        instant reported{};
+        std::uint32_t outstanding_then = 0;
+        std::uint32_t failures = 0; ///< In a row.
+        instant rests_until{};
+    };
+
+    [[nodiscard]] const load_record* find(const std::string& server) const;
+    [[nodiscard]] bool has_fresh_status(const load_record& record,
+                                        instant now) const;
+    [[nodiscard]] std::uint64_t version_of(const backend_server& server,
+                                           const engine_profile& engine,
+                                           instant now) const;
+
+    options limits_;
+    std::mt19937_64 random_;
+    absl::flat_hash_map<std::string, load_record> records_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/serving/gateway.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <ospreystage/fleet/backend_registry.hpp>
+#include <ospreystage/http/web_client.hpp>
+#include <ospreystage/http/web_server.hpp>
+#include <ospreystage/kernel.hpp>
+#include <ospreystage/metrics.hpp>
+#include <ospreystage/routing/route_table.hpp>
+#include <ospreystage/serving/backend_load.hpp>
+#include <ospreystage/serving/caller_dialect.hpp>
+#include <ospreystage/serving/event_splitter.hpp>
+#include <ospreystage/serving/repeat_window.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace ospreystage {
+
+/// What the gateway needs to know of the fleet besides the servers.
+struct gateway_context {
+    /// Processes that share the budgets, this one included.
+    std::function<std::uint32_t()> entries;
+    /// Oldest version of a service's weights that may begin a request.
+    std::function<std::uint64_t(const std::string& service)> least_version;
+};
+
+/// Takes callers' requests, sends each to a backend server and hands back its
+/// answer.
+///
+/// A request ends in exactly one of: the server's whole answer; a refusal,
+/// which says that it never runs; a failure that promises nothing; or a
+/// closed connection, if an answer breaks off midway.
+class gateway {
+  public:
+    gateway(kernel& core, web_client& client, const route_table& routes,
+            const backend_registry& servers, backend_load& load,
+            metrics& figures, caller_dialect dialect, gateway_context context,
+            const repeat_window::options& repeats);
+
+    /// Sets the server that requests come from.
+    void attach(web_server& server);
+
+    /// Takes a request of the attached server.
+    void on_request(exchange_id exchange, http_request request);
+    /// The caller of a request has left.
+    void on_abandoned(exchange_id exchange);
+    /// The caller has read what was sent.
+    void on_drained(exchange_id exchange);
+
+    /// Starts the timer that looks for silent servers.
+    void start();
+
+    [[nodiscard]] std::size_t in_progress() const noexcept {
+        return requests_.size();
+    }
+    [[nodiscard]] nlohmann::json dump() const;
+
+  private:
+    /// A request that has no final answer yet.
+    struct request_record {
+        http_request request;
+        caller_request caller;
+        std::string service;
+        std::string organisation;
+        request_kind kind = request_kind::unsafe;
+        milliseconds objective{};
+        milliseconds max_gap{};
+        std::uint32_t priority = 0;
+        std::uint32_t max_attempts = 1;
+        bool is_resumable = false;
+        bool is_late = false; ///< Was refused before, by the time it has left.
+        instant arrived{};
+        instant deadline{};
+        timer_id deadline_timer{};
+
+        std::uint32_t sent = 0; ///< Times sent to a server.
+        std::uint32_t runs = 0; ///< Of these, not known not to have run.
+        absl::flat_hash_set<std::string> tried;
+        std::optional<call_id> call;
+        std::string server; ///< Of the call.
+        instant sent_at{};
+        instant heard{}; ///< Last bytes of the call.
+        /// Last failure of a server that may be handed on.
+        std::optional<http_response> failure;
+
+        http_response head; ///< Of the first server that answered.
+        bool is_event_stream = false;
+        bool has_begun = false; ///< The head was sent to the caller.
+        event_splitter events;
+        std::optional<std::uint64_t> last_event;
+    };
+
+    [[nodiscard]] request_record* find(exchange_id exchange);
+    void route_request(exchange_id exchange, http_request request,
+                       const caller_request& caller,
+                       const routed_request& routed);
+    void place(exchange_id exchange);
+    void send(exchange_id exchange, const placed_at& chosen);
+    void on_head(exchange_id exchange, const http_response& head);
+    void on_body(exchange_id exchange, std::string_view data);
+    void on_call_ended(exchange_id exchange, call_end end);
+    void on_stream_ended(exchange_id exchange, call_end end);
+    void forward(exchange_id exchange, const stream_event& event);
+    void on_failed_attempt(exchange_id exchange, const char* reason,
+                           bool may_have_run);
+    void on_deadline(exchange_id exchange);
+    void check_silence();
+    void end_call(request_record& record, attempt_result result);
+    [[nodiscard]] bool may_repeat(request_record& record);
+
+    void refuse(exchange_id exchange, const char* reason,
+                milliseconds retry_after);
+    void answer(exchange_id exchange, const http_response& response,
+                const char* outcome);
+    void fail_request(exchange_id exchange, std::uint16_t status,
+                      const char* reason);
+    void erase(exchange_id exchange, const char* outcome);
+    repeat_window& repeats_of(const std::string& service);
+
+    kernel& core_;
+    web_client& client_;
+    const route_table& routes_;
+    const backend_registry& servers_;
+    backend_load& load_;
+    metrics& figures_;
+    caller_dialect dialect_;
+    gateway_context context_;
+    repeat_window::options repeat_limits_;
+    web_server* server_ = nullptr;
+    std::mt19937_64 random_;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<request_record>>
+        requests_;
+    absl::flat_hash_map<std::string, repeat_window> repeats_;
+    /// Last bytes heard from each server, on any call.
+    absl::flat_hash_map<std::string, instant> heard_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/serving/repeat_window.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+
+#include <cstdint>
+#include <deque>
+
+namespace ospreystage {
+
+/// Limits how often requests of one service are sent once more.
+///
+/// All entries share one budget: over any window, a part of the requests plus
+/// a fixed allowance. Each entry takes its own requests' part and an equal
+/// share of the allowance.
+class repeat_window {
+  public:
+    struct options {
+        double ratio = 0.1;   ///< Repeats per request.
+        double allowance = 0; ///< Repeats of all entries beside the ratio.
+        milliseconds window{10'000};
+    };
+
+    explicit repeat_window(const options& limits);
+
+    /// Takes note of a request.
+    void on_request(instant now);
+
+    /// Takes one repeat; returns false if the budget is spent. `entries` is
+    /// the number of processes that share it.
+    [[nodiscard]] bool spend(std::uint32_t entries, instant now);
+
+  private:
+    void advance(instant now);
+
+    options limits_;
+    std::deque<instant> requests_;
+    std::deque<instant> repeats_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/fleet/backend_registry.cpp
@@ -0,0 +1,118 @@
+#include <ospreystage/fleet/backend_registry.hpp>
+#include <ospreystage/log.hpp>
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+std::optional<std::uint64_t>
+backend_server::complete_version(std::uint32_t count) const {
+    std::vector<held_layers> sorted = layers;
+    std::sort(sorted.begin(), sorted.end(),
+              [](const held_layers& left, const held_layers& right) {
+                  return left.from < right.from;
+              });
+    std::uint32_t next = 0;
+    std::uint64_t version = 0;
+    for (const held_layers& range : sorted) {
+        if (range.from > next || (next > 0 && range.version != version))
+            return std::nullopt;
+        version = range.version;
+        next = std::max(next, range.to);
+    }
+    if (next < count || next == 0)
+        return std::nullopt;
+    return version;
+}
+
+backend_registry::backend_registry(const options& limits) : limits_(limits) {}
+
+void backend_registry::on_unreachable(instant now) {
+    if (!unreachable_since_)
+        unreachable_since_ = now;
+}
+
+void backend_registry::on_list(std::vector<backend_server> listed,
+                               instant now) {
+    if (unreachable_since_ && now - *unreachable_since_ > limits_.outage_after)
+        returned_ = now;
+    unreachable_since_.reset();
+    heard_ = now;
+    known_ = true;
+    absl::flat_hash_set<std::string> seen;
+    for (backend_server& entry : listed) {
+        seen.insert(entry.id);
+        const auto [found, is_new] = servers_.try_emplace(entry.id);
+        server_record& record = found->second;
+        if (is_new || record.server.is_draining != entry.is_draining ||
+            record.server.started_unix_ms != entry.started_unix_ms)
+            log_event(log_level::info, "backend_server_listed",
+                      {{"id", entry.id},
+                       {"service", entry.service},
+                       {"address", to_string(entry.endpoint)},
+                       {"draining", entry.is_draining},
+                       {"started_unix_ms", entry.started_unix_ms}});
+        record.server = std::move(entry);
+        record.missing_until.reset();
+    }
+    const bool may_return = returned_ && now - *returned_ < limits_.return_time;
+    for (auto& [id, record] : servers_)
+        if (!seen.contains(id) && !record.missing_until)
+            record.missing_until =
+                may_return ? *returned_ + limits_.return_time : now;
+    advance(now);
+}
+
+void backend_registry::advance(instant now) {
+    absl::erase_if(servers_, [&](const auto& entry) {
+        const bool is_gone =
+            entry.second.missing_until && *entry.second.missing_until <= now;
+        if (is_gone)
+            log_event(log_level::info, "backend_server_gone",
+                      {{"id", entry.first}});
+        return is_gone;
+    });
+}
+
+std::vector<const backend_server*>
+backend_registry::serving(const std::string& service) const {
+    std::vector<const backend_server*> result;
+    for (const auto& [id, record] : servers_)
+        if (record.server.service == service && !record.server.is_draining)
+            result.push_back(&record.server);
+    return result;
+}
+
+const backend_server* backend_registry::find(const std::string& id) const {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second.server;
+}
+
+std::vector<const backend_server*> backend_registry::all() const {
+    std::vector<const backend_server*> result;
+    for (const auto& [id, record] : servers_)
+        result.push_back(&record.server);
+    return result;
+}
+
+std::optional<milliseconds> backend_registry::age(instant now) const {
+    if (!heard_)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(now - *heard_);
+}
+
+nlohmann::json backend_registry::dump() const {
+    nlohmann::json state = nlohmann::json::array();
+    for (const auto& [id, record] : servers_)
+        state.push_back({{"id", id},
+                         {"service", record.server.service},
+                         {"address", to_string(record.server.endpoint)},
+                         {"draining", record.server.is_draining},
+                         {"lapsed", record.missing_until.has_value()}});
+    return state;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,94 @@
+#include <ospreystage/routing/route_table.hpp>
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+std::string host_key(std::string_view host) {
+    const std::string_view name = host.substr(0, host.find(':'));
+    return absl::AsciiStrToLower({name.data(), name.size()});
+}
+
+std::string_view path_of(std::string_view target) {
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+bool route_table::apply(routing_configuration configuration) {
+    if (configuration.version <= current_.version)
+        return false;
+    current_ = std::move(configuration);
+    by_host_.clear();
+    by_key_.clear();
+    for (std::size_t index = 0; index < current_.routes.size(); ++index)
+        by_host_[host_key(current_.routes[index].host)].push_back(index);
+    for (auto& [host, indexes] : by_host_)
+        std::stable_sort(indexes.begin(), indexes.end(),
+                         [this](std::size_t left, std::size_t right) {
+                             return current_.routes[left].path_prefix.size() >
+                                    current_.routes[right].path_prefix.size();
+                         });
+    for (std::size_t index = 0; index < current_.organisations.size(); ++index)
+        for (const std::string& key : current_.organisations[index].keys)
+            by_key_.emplace(key, index);
+    return true;
+}
+
+routing_decision route_table::decide(std::string_view host,
+                                     std::string_view target,
+                                     std::string_view key) const {
+    if (!is_configured())
+        return not_configured{};
+    const auto routes = by_host_.find(host_key(host));
+    if (routes == by_host_.end())
+        return no_route{};
+    const std::string_view path = path_of(target);
+    const auto found = std::find_if(
+        routes->second.begin(), routes->second.end(), [&](std::size_t index) {
+            return path.starts_with(current_.routes[index].path_prefix);
+        });
+    if (found == routes->second.end())
+        return no_route{};
+    routed_request routed;
+    routed.path = &current_.routes[*found];
+    routed.priority = routed.path->priority;
+    if (current_.organisations.empty())
+        return routed;
+    const auto holder = by_key_.find(std::string(key));
+    if (holder != by_key_.end()) {
+        routed.organisation = &current_.organisations[holder->second];
+        routed.priority =
+            routed.organisation->priority.value_or(routed.priority);
+    } else if (!routed.path->is_public) {
+        return unknown_key{};
+    }
+    return routed;
+}
+
+const std::string& route_table::choose_service(const route& path, double draw) {
+    double total = 0;
+    for (const route_target& target : path.targets)
+        total += target.weight;
+    double left = draw * total;
+    for (const route_target& target : path.targets) {
+        left -= target.weight;
+        if (left < 0)
+            return target.service;
+    }
+    return path.targets.back().service;
+}
+
+const service_description* route_table::service(const std::string& name) const {
+    const auto found = std::find_if(
+        current_.services.begin(), current_.services.end(),
+        [&](const service_description& entry) { return entry.name == name; });
+    return found == current_.services.end() ? nullptr : &*found;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/serving/backend_load.cpp
@@ -0,0 +1,233 @@
+#include <ospreystage/serving/backend_load.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr double ms_per_s = 1000;
+constexpr double tokens_per_k = 1000;
+constexpr double pairs_per_m = 1e6;
+/// Part of the objective that the estimate may fill: the rest is for the way
+/// and for what other entries send in the same moment.
+constexpr double objective_share = 0.8;
+/// Part of the slots that requests may take which are late already.
+constexpr double late_slots_share = 0.8;
+/// Estimates that differ by less count as equal; one of them is drawn, so
+/// that the entries do not all choose the same server.
+constexpr double equal_ms = 25;
+/// Shortest and longest time after which a refused caller returns.
+constexpr milliseconds least_return{600};
+constexpr milliseconds most_return{1900};
+/// Requests that a plain server may have waiting, by its slots.
+constexpr double plain_queue_factor = 2;
+
+/// Time of one pass over `running` requests, without prompts to read.
+double pass_ms(const engine_profile& engine, double running) {
+    const double context_k =
+        (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2) /
+        tokens_per_k;
+    return engine.steps_per_pass *
+           (engine.step_ms +
+            running * (engine.step_ms_per_request +
+                       engine.step_ms_per_k_context * context_k));
+}
+
+double read_ms(const engine_profile& engine, double tokens) {
+    if (engine.read_tokens_per_s <= 0)
+        return 0;
+    return tokens / engine.read_tokens_per_s * ms_per_s +
+           engine.read_ms_per_m_pairs * tokens * tokens / 2 / pairs_per_m;
+}
+
+/// Time that a usual request holds its slot when `running` others do.
+double service_ms(const engine_profile& engine, double running) {
+    const double passes =
+        engine.usual_answer_tokens / std::max(1U, engine.steps_per_pass);
+    const double alone = passes * pass_ms(engine, running);
+    // Each other request is read once in that time and holds up the passes.
+    return alone + running * read_ms(engine, engine.usual_prompt_tokens);
+}
+
+} // namespace
+
+backend_load::backend_load(const options& limits, std::uint64_t seed)
+    : limits_(limits), random_(seed) {}
+
+const backend_load::load_record*
+backend_load::find(const std::string& server) const {
+    const auto found = records_.find(server);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+bool backend_load::has_fresh_status(const load_record& record,
+                                    instant now) const {
+    return record.status && now - record.reported <= limits_.report_lifetime;
+}
+
+std::optional<engine_status> backend_load::status(const std::string& server,
+                                                  instant now) const {
+    const load_record* record = find(server);
+    if (record == nullptr || !has_fresh_status(*record, now))
+        return std::nullopt;
+    return record->status;
+}
+
+double backend_load::in_flight(const std::string& server, std::uint32_t entries,
+                               instant now) const {
+    const load_record* record = find(server);
+    if (record == nullptr)
+        return 0;
+    if (!has_fresh_status(*record, now))
+        return static_cast<double>(record->outstanding) * entries;
+    const double reported = record->status->running + record->status->queued;
+    const double since = static_cast<double>(record->outstanding) -
+                         static_cast<double>(record->outstanding_then);
+    return std::max(reported + since, static_cast<double>(record->outstanding));
+}
+
+std::uint64_t backend_load::version_of(const backend_server& server,
+                                       const engine_profile& engine,
+                                       instant now) const {
+    if (const auto seen = status(server.id, now))
+        return seen->is_loading ? 0 : seen->version;
+    return server.complete_version(engine.layers).value_or(0);
+}
+
+milliseconds backend_load::first_event(const engine_profile& engine,
+                                       double in_flight,
+                                       std::uint32_t prompt_tokens) const {
+    const double slots = std::max(1U, engine.slots);
+    const double running = std::min(in_flight, slots);
+    // The pass in progress ends, the prompt is read, a pass makes the event.
+    double wait = 1.5 * pass_ms(engine, running) +
+                  read_ms(engine, prompt_tokens) +
+                  read_ms(engine, engine.usual_prompt_tokens) * running / slots;
+    const double ahead = in_flight - slots + 1;
+    if (ahead > 0)
+        wait += ahead * service_ms(engine, slots) / slots;
+    return milliseconds(static_cast<std::int64_t>(wait));
+}
+
+placement_decision
+backend_load::place(const placement_request& request,
+                    const std::vector<const backend_server*>& servers,
+                    std::uint32_t entries, instant now) {
+    struct candidate {
+        const backend_server* server = nullptr;
+        std::uint64_t version = 0;
+        double cost = 0;
+        bool has_room = false;
+    };
+    const auto& engine = request.service->engine;
+    std::vector<candidate> resting;
+    std::vector<candidate> ready;
+    for (const backend_server* server : servers) {
+        if (request.tried != nullptr && request.tried->contains(server->id))
+            continue;
+        candidate next{server};
+        const double load = in_flight(server->id, entries, now);
+        if (engine) {
+            next.version = version_of(*server, *engine, now);
+            if (next.version == 0 || next.version < request.least_version)
+                continue;
+            const milliseconds wait =
+                first_event(*engine, load, request.prompt_tokens);
+            next.cost = static_cast<double>(wait.count());
+            next.has_room = request.is_late
+                                ? load < engine->slots * late_slots_share
+                                : next.cost <= static_cast<double>(
+                                                   request.objective.count()) *
+                                                   objective_share;
+        } else {
+            next.cost = load / std::max(1U, server->slots);
+            next.has_room = next.cost < plain_queue_factor;
+        }
+        const load_record* record = find(server->id);
+        const bool rests = record != nullptr && record->rests_until > now;
+        (rests ? resting : ready).push_back(next);
+    }
+    if (ready.empty())
+        ready = std::move(resting);
+    if (ready.empty())
+        return no_server{};
+    const auto best =
+        std::min_element(ready.begin(), ready.end(),
+                         [](const candidate& left, const candidate& right) {
+                             return left.cost < right.cost;
+                         });
+    if (!best->has_room) {
+        std::uniform_int_distribution<std::int64_t> spread(least_return.count(),
+                                                           most_return.count());
+        return no_room{milliseconds(spread(random_))};
+    }
+    const double limit = best->cost + (engine ? equal_ms : 0);
+    std::erase_if(ready, [&](const candidate& entry) {
+        return entry.cost > limit || !entry.has_room;
+    });
+    std::uniform_int_distribution<std::size_t> draw(0, ready.size() - 1);
+    const candidate& chosen = ready[draw(random_)];
+    return placed_at{chosen.server->id, chosen.version};
+}
+
+void backend_load::on_sent(const std::string& server, instant) {
+    ++records_[server].outstanding;
+}
+
+void backend_load::on_ended(const std::string& server, attempt_result result,
+                            instant now) {
+    load_record& record = records_[server];
+    if (record.outstanding > 0)
+        --record.outstanding;
+    switch (result) {
+    case attempt_result::answered:
+        record.failures = 0;
+        record.rests_until = {};
+        break;
+    case attempt_result::failed:
+    case attempt_result::silent: {
+        const auto doubled =
+            limits_.first_rest * (1U << std::min(record.failures, 4U));
+        record.rests_until = now + std::min(doubled, limits_.max_rest);
+        ++record.failures;
+        break;
+    }
+    case attempt_result::refused:
+        // It is full or changes its weights: the next report says which.
+        record.rests_until =
+            std::max(record.rests_until, now + limits_.first_rest / 5);
+        break;
+    case attempt_result::given_up:
+        break;
+    }
+}
+
+void backend_load::on_status(const std::string& server,
+                             const engine_status& status, instant now) {
+    load_record& record = records_[server];
+    record.status = status;
+    record.reported = now;
+    record.outstanding_then = record.outstanding;
+}
+
+void backend_load::retain(const absl::flat_hash_set<std::string>& listed) {
+    absl::erase_if(records_, [&](const auto& entry) {
+        return !listed.contains(entry.first) && entry.second.outstanding == 0;
+    });
+}
+
+nlohmann::json backend_load::dump(instant now) const {
+    nlohmann::json state = nlohmann::json::object();
+    for (const auto& [id, record] : records_)
+        state[id] = {
+            {"outstanding", record.outstanding},
+            {"failures", record.failures},
+            {"rests", record.rests_until > now},
+            {"report_age_ms",
+             record.status ? (now - record.reported) / milliseconds(1) : -1}};
+    return state;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/serving/event_splitter.cpp
@@ -0,0 +1,64 @@
+#include <ospreystage/serving/event_splitter.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/string_view.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+/// Returns the end of the first blank line at or after `from`, or `npos`.
+std::size_t end_of_event(const std::string& text, std::size_t from) {
+    std::size_t line = from;
+    while (true) {
+        const std::size_t newline = text.find('\n', line);
+        if (newline == std::string::npos)
+            return std::string::npos;
+        const bool is_blank =
+            newline == line || (newline == line + 1 && text[line] == '\r');
+        if (is_blank && line > from)
+            return newline + 1;
+        line = newline + 1;
+    }
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+    std::size_t line = 0;
+    while (line < event.size()) {
+        std::size_t newline = event.find('\n', line);
+        newline = std::min(newline, event.size());
+        std::string_view text = event.substr(line, newline - line);
+        line = newline + 1;
+        if (!text.starts_with("id:"))
+            continue;
+        text.remove_prefix(std::string_view("id:").size());
+        std::uint64_t id = 0;
+        if (absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &id))
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<stream_event> event_splitter::feed(std::string_view data) {
+    rest_.append(data);
+    std::vector<stream_event> events;
+    std::size_t start = 0;
+    while (true) {
+        const std::size_t end = end_of_event(rest_, start);
+        if (end == std::string::npos)
+            break;
+        stream_event event{rest_.substr(start, end - start), std::nullopt};
+        event.id = id_of(event.text);
+        events.push_back(std::move(event));
+        start = end;
+    }
+    rest_.erase(0, start);
+    return events;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/serving/repeat_window.cpp
@@ -0,0 +1,43 @@
+#include <ospreystage/serving/repeat_window.hpp>
+
+#include <algorithm>
+
+namespace ospreystage {
+
+namespace {
+
+/// Part of the budget that is used: what one entry sees of a window and what
+/// the fleet does in it differ by the time that requests are under way.
+constexpr double used_share = 0.7;
+
+} // namespace
+
+repeat_window::repeat_window(const options& limits) : limits_(limits) {}
+
+void repeat_window::on_request(instant now) {
+    advance(now);
+    requests_.push_back(now);
+}
+
+bool repeat_window::spend(std::uint32_t entries, instant now) {
+    advance(now);
+    const double share =
+        limits_.allowance / static_cast<double>(std::max(entries, 1U));
+    const double budget =
+        used_share *
+        (limits_.ratio * static_cast<double>(requests_.size()) + share);
+    if (static_cast<double>(repeats_.size()) + 1 > budget)
+        return false;
+    repeats_.push_back(now);
+    return true;
+}
+
+void repeat_window::advance(instant now) {
+    const instant first = now - limits_.window;
+    while (!requests_.empty() && requests_.front() < first)
+        requests_.pop_front();
+    while (!repeats_.empty() && repeats_.front() < first)
+        repeats_.pop_front();
+}
+
+} // namespace ospreystage
