Load engines: stage, compare and order the wanted version

Cause: an engine that was added or restarted holds no layers, and staged chunks may turn bad. Change: engine_loader decides when chunks are staged, compared and ordered in; engines with an older version give it up in turns. The distribution service reads from an origin with another layout and takes manifests read elsewhere.

--- a/include/ospreystage/distribution.hpp
+++ b/include/ospreystage/distribution.hpp
@@ -8,6 +8,7 @@
 #include <ospreystage/swarm.hpp>
 #include <ospreystage/worker_pool.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
@@ -40,6 +41,9 @@
     // ---- Construction ------------------------------------------------------
 
     distribution(kernel& core, const settings& configuration);
+    /// Reads from an origin with another layout; see `set_origin`.
+    distribution(kernel& core, const settings& configuration,
+                 origin_layout layout);
     ~distribution();
     distribution(const distribution&) = delete;
     distribution& operator=(const distribution&) = delete;
@@ -52,6 +56,12 @@
 
     // ---- Modifiers (kernel thread) -----------------------------------------
 
+    /// Reads from the origin at `url` from now on.
+    void set_origin(const std::string& url);
+
+    /// Takes a manifest that was read elsewhere, for the next `want`.
+    void add_manifest(const digest& version, const std::string& json);
+
     /// Sets the members; agents that are alive or suspect take part.
     void set_members(const std::vector<member>& members);
 
@@ -119,6 +129,7 @@
     std::vector<completion_handler> handlers_;
     std::vector<wanted_version> wanted_;
     absl::flat_hash_set<digest> reported_;
+    absl::flat_hash_map<digest, std::string> known_manifests_;
     std::optional<timer_id> timer_;
     instant wake_{};
     std::uint64_t unsent_ = 0; ///< Uploads that a peer did not read.
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -355,6 +355,45 @@
     OSPREYSTAGE_FIELDS(version, index, data)
 };
 
+// ---- Datagrams between entries and the agents beside engines ----------------
+
+/// State of the engine beside an agent, told to entries several times a
+/// second.
+struct engine_report {
+    address engine; ///< Where the engine takes requests.
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint64_t version = 0; ///< Whole version in use; 0: none.
+    bool is_loading = false;
+    OSPREYSTAGE_FIELDS(engine, running, queued, version, is_loading)
+};
+
+/// An agent of a service, as an entry knows it.
+struct agent_place {
+    std::string host; ///< IP number, which is the agent's name, too.
+    std::string data_centre;
+    OSPREYSTAGE_FIELDS(host, data_centre)
+    friend bool operator==(const agent_place&, const agent_place&) = default;
+};
+
+/// What an agent needs to bring its engine to the wanted version. Also asks
+/// for reports.
+struct weights_brief {
+    std::string service;
+    std::string model;
+    std::uint64_t version = 0; ///< Wanted.
+    /// Time since the version was named, if the sender saw it happen.
+    std::uint32_t named_ms_ago = 0;
+    bool saw_naming = false;
+    address origin;
+    std::uint32_t chunks = 0;
+    std::uint32_t chunk_bytes = 0;
+    std::uint32_t layers = 0;
+    std::vector<agent_place> agents;
+    OSPREYSTAGE_FIELDS(service, model, version, named_ms_ago, saw_naming,
+                       origin, chunks, chunk_bytes, layers, agents)
+};
+
 #undef OSPREYSTAGE_FIELDS
 
 /// Every message of the system's own protocol.
@@ -367,6 +406,6 @@
                  claim_reply, claim_release, recover_request, recover_reply,
                  gossip_ping, gossip_ack, sync_request, sync_reply,
                  document_push, chunk_have, manifest_request, manifest_reply,
-                 chunk_request, chunk_data>;
+                 chunk_request, chunk_data, engine_report, weights_brief>;
 
 } // namespace ospreystage
--- a/include/ospreystage/origin_client.hpp
+++ b/include/ospreystage/origin_client.hpp
@@ -9,8 +9,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace httplib {
@@ -19,6 +21,13 @@
 
 namespace ospreystage {
 
+/// Paths at which an origin offers versions.
+struct origin_layout {
+    std::function<std::string(const digest& version)> manifest;
+    std::function<std::string(const digest& version, std::uint32_t index)>
+        chunk;
+};
+
 /// Reads manifests and chunks from the origin over HTTP; does not check them.
 ///
 /// Calls block; they may come from several threads and keep connections open
@@ -29,10 +38,15 @@
 
     /// Reads from `url` (`http://host:port` or with a path after it).
     explicit origin_client(const std::string& url);
+    /// Reads with the paths of `layout`; `set_url` follows.
+    explicit origin_client(origin_layout layout);
     ~origin_client();
     origin_client(const origin_client&) = delete;
     origin_client& operator=(const origin_client&) = delete;
 
+    /// Reads from another address from now on; may be called from any thread.
+    void set_url(const std::string& url);
+
     // ---- Calls -------------------------------------------------------------
 
     /// Reads the manifest text of a version.
@@ -50,13 +64,14 @@
   private:
     [[nodiscard]] leaf::result<std::string> read(const std::string& path,
                                                  std::size_t limit_bytes);
-    [[nodiscard]] std::shared_ptr<httplib::Client> acquire();
+    [[nodiscard]] std::pair<std::shared_ptr<httplib::Client>, std::string>
+    acquire();
     void release(const std::shared_ptr<httplib::Client>& client,
-                 bool is_reusable);
+                 const std::string& url, bool is_reusable);
 
-    std::string host_; ///< Scheme, host and port.
-    std::string path_; ///< Prefix of every path.
-    absl::Mutex mutex_;
+    origin_layout layout_;
+    mutable absl::Mutex mutex_;
+    std::string host_ ABSL_GUARDED_BY(mutex_); ///< Scheme, host and port.
     bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
     std::vector<std::shared_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::shared_ptr<httplib::Client>> busy_ ABSL_GUARDED_BY(mutex_);
--- /dev/null
+++ b/include/ospreystage/weights/named_versions.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <ospreystage/clock.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace ospreystage {
+
+/// Newest version of each model that the operator has named.
+class named_versions {
+  public:
+    struct named_record {
+        std::uint64_t version = 0;
+        /// When this process learned of it.
+        instant learned{};
+        /// False if it had been named before this process looked.
+        bool saw_naming = false;
+    };
+
+    /// `limit` is the time after which no request may begin on an older
+    /// version.
+    explicit named_versions(milliseconds limit) : limit_(limit) {}
+
+    /// Takes a version; returns false if it is not newer than the known one.
+    bool on_named(const std::string& model, std::uint64_t version,
+                  bool saw_naming, instant now);
+
+    [[nodiscard]] std::optional<named_record>
+    find(const std::string& model) const;
+
+    /// Returns the oldest version that may still begin a request; 0: any.
+    [[nodiscard]] std::uint64_t least(const std::string& model,
+                                      instant now) const;
+
+    [[nodiscard]] nlohmann::json dump() const;
+
+  private:
+    milliseconds limit_;
+    std::map<std::string, named_record> models_;
+};
+
+} // namespace ospreystage
--- a/src/distribution.cpp
+++ b/src/distribution.cpp
@@ -66,6 +66,15 @@
       store_(backend_of(configuration)), origin_(configuration.origin.url),
       origin_pool_(origin_threads), check_pool_(check_threads) {}
 
+distribution::distribution(kernel& core, const settings& configuration,
+                           origin_layout layout)
+    : core_(core), configuration_(configuration),
+      links_(core.find<links>("links")),
+      network_(core.find<network>("network")),
+      decisions_(options_of(configuration), configuration.process.name),
+      store_(backend_of(configuration)), origin_(std::move(layout)),
+      origin_pool_(origin_threads), check_pool_(check_threads) {}
+
 distribution::~distribution() {
     origin_.stop();
 }
@@ -116,9 +125,24 @@
     }
     wanted_ = std::move(valid);
     decisions_.set_wanted(wanted_, steady::now());
+    for (const wanted_version& entry : wanted_) {
+        auto known = known_manifests_.extract(entry.version);
+        if (!known.empty() && !store_.contains(entry.version))
+            accept_manifest(origin_source{}, entry.version, known.mapped());
+    }
+    known_manifests_.clear();
     update();
 }
 
+void distribution::set_origin(const std::string& url) {
+    origin_.set_url(url);
+}
+
+void distribution::add_manifest(const digest& version,
+                                const std::string& json) {
+    known_manifests_[version] = json;
+}
+
 void distribution::yield_link(std::uint64_t bytes_per_second) {
     const auto& section = configuration_.distribution;
     const std::uint64_t link = section.link_bytes_per_second;
--- a/src/origin_client.cpp
+++ b/src/origin_client.cpp
@@ -26,29 +26,49 @@
                : error_code::unavailable;
 }
 
+origin_layout own_layout(const std::string& prefix) {
+    return {[prefix](const digest& version) {
+                return fmt::format("{}/versions/{}/manifest", prefix, version);
+            },
+            [prefix](const digest& version, std::uint32_t index) {
+                return fmt::format("{}/versions/{}/chunks/{}", prefix, version,
+                                   index);
+            }};
+}
+
 } // namespace
 
 origin_client::origin_client(const std::string& url) {
     const std::size_t scheme = url.find("://");
     const std::size_t host = scheme == std::string::npos ? 0 : scheme + 3;
     const std::size_t path = std::min(url.find('/', host), url.size());
-    host_ = url.substr(0, path);
-    path_ = url.substr(path);
-    while (path_.ends_with('/'))
-        path_.pop_back();
+    std::string prefix = url.substr(path);
+    while (prefix.ends_with('/'))
+        prefix.pop_back();
+    layout_ = own_layout(prefix);
+    set_url(url.substr(0, path));
 }
 
+origin_client::origin_client(origin_layout layout)
+    : layout_(std::move(layout)) {}
+
 origin_client::~origin_client() = default;
 
+void origin_client::set_url(const std::string& url) {
+    const absl::MutexLock lock(&mutex_);
+    if (host_ == url)
+        return;
+    host_ = url;
+    idle_.clear();
+}
+
 leaf::result<std::string> origin_client::manifest(const digest& version) {
-    return read(fmt::format("{}/versions/{}/manifest", path_, version),
-                max_manifest_bytes);
+    return read(layout_.manifest(version), max_manifest_bytes);
 }
 
 leaf::result<std::string> origin_client::chunk(const digest& version,
                                                std::uint32_t index) {
-    return read(fmt::format("{}/versions/{}/chunks/{}", path_, version, index),
-                max_chunk_bytes);
+    return read(layout_.chunk(version, index), max_chunk_bytes);
 }
 
 void origin_client::stop() {
@@ -60,9 +80,10 @@
 
 leaf::result<std::string> origin_client::read(const std::string& path,
                                               std::size_t limit_bytes) {
-    const std::shared_ptr<httplib::Client> client = acquire();
+    const auto [client, host] = acquire();
     if (client == nullptr)
-        return fail(error_code::unavailable, "origin.read", host_, "stopped");
+        return fail(error_code::unavailable, "origin.read", host,
+                    "stopped, or no address is known");
     const instant deadline = steady::now() + call_timeout;
     std::string body;
     bool is_too_large = false;
@@ -74,24 +95,25 @@
             body.append(data, size);
             return true;
         });
-    release(client, static_cast<bool>(result));
+    release(client, host, static_cast<bool>(result));
     if (is_too_large)
-        return fail(error_code::too_large, "origin.read", host_, path);
+        return fail(error_code::too_large, "origin.read", host, path);
     if (!result)
-        return fail(code_of(result.error()), "origin.read", host_,
+        return fail(code_of(result.error()), "origin.read", host,
                     path + ": " + httplib::to_string(result.error()));
     if (result->status == http_not_found)
-        return fail(error_code::not_found, "origin.read", host_, path);
+        return fail(error_code::not_found, "origin.read", host, path);
     if (result->status != http_ok)
-        return fail(error_code::unavailable, "origin.read", host_,
+        return fail(error_code::unavailable, "origin.read", host,
                     fmt::format("{}: status {}", path, result->status));
     return body;
 }
 
-std::shared_ptr<httplib::Client> origin_client::acquire() {
+std::pair<std::shared_ptr<httplib::Client>, std::string>
+origin_client::acquire() {
     const absl::MutexLock lock(&mutex_);
-    if (stopped_)
-        return nullptr;
+    if (stopped_ || host_.empty())
+        return {nullptr, host_};
     std::shared_ptr<httplib::Client> client;
     if (idle_.empty()) {
         client = std::make_shared<httplib::Client>(host_);
@@ -104,14 +126,14 @@
         idle_.pop_back();
     }
     busy_.push_back(client);
-    return client;
+    return {client, host_};
 }
 
 void origin_client::release(const std::shared_ptr<httplib::Client>& client,
-                            bool is_reusable) {
+                            const std::string& url, bool is_reusable) {
     const absl::MutexLock lock(&mutex_);
     std::erase(busy_, client);
-    if (is_reusable)
+    if (is_reusable && url == host_)
         idle_.push_back(client);
 }
 
--- /dev/null
+++ b/src/weights/engine_loader.cpp
@@ -0,0 +1,83 @@
+#include <ospreystage/weights/engine_loader.hpp>
+
+#include <algorithm>
+
+namespace ospreystage {
+
+void engine_loader::want(std::uint64_t version, std::uint32_t chunks,
+                         instant turn) {
+    if (version != wanted_ || chunks != chunks_)
+        staged_.reset();
+    wanted_ = version;
+    chunks_ = chunks;
+    turn_ = turn;
+}
+
+void engine_loader::on_held(std::uint64_t version) {
+    held_ = version;
+}
+
+void engine_loader::on_report(const engine_state_report& report, instant) {
+    if (report_ && report_->started_unix_ms != report.started_unix_ms)
+        staged_.reset();
+    report_ = report;
+}
+
+void engine_loader::on_checked(const chunk_bitmap& good, instant now) {
+    staged_ = good;
+    checked_ = now;
+}
+
+void engine_loader::on_done(bool succeeded, instant now) {
+    is_busy_ = false;
+    if (!succeeded)
+        paused_until_ = now + limits_.retry_pause;
+}
+
+loader_action engine_loader::next(instant now) {
+    if (is_busy_ || now < paused_until_ || !report_ || wanted_ == 0)
+        return std::monostate{};
+    if (report_->version >= wanted_ || report_->is_loading || held_ != wanted_)
+        return std::monostate{};
+    const auto act = [this](loader_action action) {
+        is_busy_ = true;
+        return action;
+    };
+    if (!staged_ || staged_->size() != chunks_)
+        return act(check_staged{});
+    if (!staged_->is_full()) {
+        stage_chunks missing;
+        for (std::uint32_t index = 0; index < chunks_; ++index)
+            if (!staged_->test(index))
+                missing.indexes.push_back(index);
+        staged_.reset(); // Looked at again before anything is ordered.
+        return act(missing);
+    }
+    const bool is_serving = report_->version != 0;
+    if (is_serving && now < turn_)
+        return std::monostate{};
+    if (now - checked_ > limits_.check_lifetime) {
+        staged_.reset();
+        return act(check_staged{});
+    }
+    staged_.reset();
+    return act(order_switch{wanted_, report_->orders});
+}
+
+nlohmann::json engine_loader::dump() const {
+    return {{"wanted", wanted_},
+            {"held", held_},
+            {"in_use", report_ ? report_->version : 0},
+            {"staged", staged_ ? staged_->count() : 0},
+            {"busy", is_busy_}};
+}
+
+milliseconds switch_turn(std::size_t rank, std::size_t count,
+                         milliseconds first, milliseconds last) {
+    if (count < 2 || last <= first)
+        return first;
+    const auto step = (last - first) / static_cast<std::int64_t>(count - 1);
+    return first + step * static_cast<std::int64_t>(std::min(rank, count - 1));
+}
+
+} // namespace ospreystage
