Run on the users' platform through an adapter in platform/

Ruled out: layers as a list in engine reports (trial: no engine was found to hold weights; they are one range).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,5 @@
+#include "platform/nodes.hpp"
+
 #include <ospreystage/commands.hpp>
 
 #include <CLI/CLI.hpp>
@@ -46,6 +48,18 @@
     });
 }
 
+/// Adds the processes that take their settings from the users' platform.
+void add_platform(CLI::App& app, command& chosen) {
+    CLI::App* node =
+        app.add_subcommand("platform", "Run on the users' platform");
+    node->require_subcommand(1);
+    node->add_subcommand("entry", "Run an entry")->callback([&chosen] {
+        chosen = platform::run_entry_node;
+    });
+    node->add_subcommand("agent", "Run the agent beside an engine")
+        ->callback([&chosen] { chosen = platform::run_agent_node; });
+}
+
 void add_check(CLI::App& app, command& chosen) {
     CLI::App* check = app.add_subcommand("check", "Check files without effect");
     check->require_subcommand(1);
@@ -137,6 +151,7 @@
                 chosen);
     add_process(app, "agent", "Run an agent", process_role::agent, run_agent,
                 chosen);
+    add_platform(app, chosen);
     add_check(app, chosen);
     add_ctl(app, options, chosen);
     try {
