Place requests by the prompts that each engine has yet to read

Change: entries tell each other of each attempt in a datagram; a placement counts the time until the prompts sent so far are read. A request and its first event give a log line each with the figures that decided.

--- a/include/ospreystage/distribution.hpp
+++ b/include/ospreystage/distribution.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreystage {
@@ -36,6 +37,8 @@
 ///     spread.start();
 class distribution {
   public:
+    /// Chunks by index.
+    using chunk_list = std::vector<std::pair<std::uint32_t, std::string>>;
     using completion_handler = std::function<void(const digest&)>;
 
     // ---- Construction ------------------------------------------------------
@@ -60,7 +63,10 @@
     void set_origin(const std::string& url);
 
     /// Takes a manifest that was read elsewhere, for the next `want`.
-    void add_manifest(const digest& version, const std::string& json);
+    ///
+    /// `chunks` are some that are at hand; wrong ones are dropped.
+    void add_manifest(const digest& version, const std::string& json,
+                      chunk_list chunks);
 
     /// Sets the members; agents that are alive or suspect take part.
     void set_members(const std::vector<member>& members);
@@ -93,6 +99,12 @@
     read_chunk(const digest& version, std::uint32_t index) const;
 
   private:
+    /// A manifest with chunks that are at hand.
+    struct known_manifest {
+        std::string json;
+        chunk_list chunks;
+    };
+
     void subscribe();
     void on_have(const link_peer& peer, const chunk_have& have);
     void on_manifest_request(const link_peer& peer,
@@ -113,6 +125,7 @@
 
     void read_origin_chunk(const digest& version, std::uint32_t index);
     void read_origin_manifest(const digest& version);
+    void accept_known(const digest& version, const known_manifest& known);
     void accept_manifest(const chunk_source& source, const digest& version,
                          const std::string& json);
     void keep(const chunk_source& source, const digest& version,
@@ -129,7 +142,7 @@
     std::vector<completion_handler> handlers_;
     std::vector<wanted_version> wanted_;
     absl::flat_hash_set<digest> reported_;
-    absl::flat_hash_map<digest, std::string> known_manifests_;
+    absl::flat_hash_map<digest, known_manifest> known_manifests_;
     std::optional<timer_id> timer_;
     instant wake_{};
     std::uint64_t unsent_ = 0; ///< Uploads that a peer did not read.
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -355,7 +355,7 @@
     OSPREYSTAGE_FIELDS(version, index, data)
 };
 
-// ---- Datagrams between entries and the agents beside engines ----------------
+// ---- Datagrams between entries and the agents beside engines ---------------
 
 /// State of the engine beside an agent, told to entries several times a
 /// second.
@@ -368,6 +368,16 @@
     OSPREYSTAGE_FIELDS(engine, running, queued, version, is_loading)
 };
 
+/// Tells the other entries that an engine was sent a request.
+///
+/// Sent for each attempt, so it is small: the address is in numbers.
+struct attempt_notice {
+    std::uint32_t host = 0; ///< IPv4 address of the engine, in host order.
+    std::uint16_t port = 0;
+    std::uint32_t read_us = 0; ///< Time that its prompt takes to read.
+    OSPREYSTAGE_FIELDS(host, port, read_us)
+};
+
 /// An agent of a service, as an entry knows it.
 struct agent_place {
     std::string host; ///< IP number, which is the agent's name, too.
@@ -406,6 +416,7 @@
                  claim_reply, claim_release, recover_request, recover_reply,
                  gossip_ping, gossip_ack, sync_request, sync_reply,
                  document_push, chunk_have, manifest_request, manifest_reply,
-                 chunk_request, chunk_data, engine_report, weights_brief>;
+                 chunk_request, chunk_data, engine_report, weights_brief,
+                 attempt_notice>;
 
 } // namespace ospreystage
--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -54,6 +54,10 @@
 struct placed_at {
     std::string server;
     std::uint64_t version = 0; ///< Engines: that is believed to be held.
+    double in_flight = 0;      ///< Requests there, as far as it is known.
+    milliseconds backlog{};    ///< Of prompts that it has to read.
+    milliseconds wait{};       ///< Estimated time to the first event.
+    microseconds read{};       ///< Time that this prompt takes to read.
 };
 /// No server has room in time.
 struct no_room {
@@ -69,11 +73,13 @@
 /// Answers this load: many entries that each see a part of the requests,
 /// engines that process in batches of `slots`, and demand that passes what
 /// the engines can do. Own requests in flight are known exactly, those of the
-/// other entries through reports; a report is corrected by what this entry
-/// has sent since.
+/// other entries through the engines' reports and through a notice for each
+/// attempt, which keeps the entries from all choosing the same idle engine.
 class backend_load {
   public:
     struct options {
+        /// Servers elsewhere are chosen only where they are clearly faster.
+        std::string data_centre;
         milliseconds report_lifetime{1000}; ///< Older reports say nothing.
         /// A server that failed is left alone for this long, doubled with each
         /// further failure up to `max_rest`.
@@ -90,18 +96,29 @@
           const std::vector<const backend_server*>& servers,
           std::uint32_t entries, instant now);
 
-    /// Estimates the time to the first event of a request that is sent now.
+    /// Estimates the time to the first event of a request that is sent to an
+    /// engine with `in_flight` others, which takes `backlog` to read the
+    /// prompts that it has.
     [[nodiscard]] milliseconds first_event(const engine_profile& engine,
                                            double in_flight,
+                                           milliseconds backlog,
                                            std::uint32_t prompt_tokens) const;
 
+    /// Time until an engine has read the prompts that it was sent.
+    [[nodiscard]] milliseconds backlog(const std::string& server,
+                                       instant now) const;
+
     /// Requests of all entries at a server, as far as it is known.
     [[nodiscard]] double in_flight(const std::string& server,
                                    std::uint32_t entries, instant now) const;
 
     // ---- Events ------------------------------------------------------------
 
-    void on_sent(const std::string& server, instant now);
+    /// This entry sent a request whose prompt takes `read`.
+    void on_sent(const std::string& server, microseconds read, instant now);
+    /// Another entry did.
+    void on_sent_elsewhere(const std::string& server, microseconds read,
+                           instant now);
     void on_ended(const std::string& server, attempt_result result,
                   instant now);
     void on_status(const std::string& server, const engine_status& status,
@@ -120,11 +137,14 @@
         std::optional<engine_status> status;
         instant reported{};
         std::uint32_t outstanding_then = 0;
+        std::uint32_t elsewhere_since = 0; ///< Sent by others since then.
+        instant reads_until{};      ///< When all prompts sent so far are read.
         std::uint32_t failures = 0; ///< In a row.
         instant rests_until{};
     };
 
     [[nodiscard]] const load_record* find(const std::string& server) const;
+    static void add_prompt(load_record& record, microseconds read, instant now);
     [[nodiscard]] bool has_fresh_status(const load_record& record,
                                         instant now) const;
     [[nodiscard]] std::uint64_t version_of(const backend_server& server,
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -30,6 +30,8 @@
     std::function<std::uint32_t()> entries;
     /// Oldest version of a service's weights that may begin a request.
     std::function<std::uint64_t(const std::string& service)> least_version;
+    /// Tells the other entries of a request whose prompt takes `read`.
+    std::function<void(const backend_server& server, microseconds read)> sent;
 };
 
 /// Takes callers' requests, sends each to a backend server and hands back its
--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -22,6 +22,8 @@
 
 /// Compare what lies staged at the engine with the checked chunks.
 struct check_staged {};
+/// Tell the entries that the engine takes no new requests.
+struct announce_switch {};
 /// Stage these chunks at the engine.
 struct stage_chunks {
     std::vector<std::uint32_t> indexes;
@@ -32,8 +34,8 @@
     std::uint64_t orders_before = 0; ///< The order is void if this differs.
 };
 
-using loader_action =
-    std::variant<std::monostate, check_staged, stage_chunks, order_switch>;
+using loader_action = std::variant<std::monostate, announce_switch,
+                                   check_staged, stage_chunks, order_switch>;
 
 /// Decides when the weights at one engine are staged, checked and ordered in.
 ///
@@ -47,6 +49,9 @@
     struct options {
         /// Age at which a comparison must be made again before an order.
         milliseconds check_lifetime{600};
+        /// Time between the announcement of a switch and its order, in which
+        /// what the entries have sent arrives and what waits begins to run.
+        milliseconds announce_lead{200};
         /// Pause after an order or a call that did not succeed.
         milliseconds retry_pause{300};
     };
@@ -76,6 +81,10 @@
     /// Returns what is to be done now; one action is under way at a time.
     [[nodiscard]] loader_action next(instant now);
 
+    /// Returns true from the announcement of a switch until it has begun.
+    [[nodiscard]] bool is_announced() const noexcept {
+        return announced_.has_value();
+    }
     [[nodiscard]] std::uint64_t wanted() const noexcept { return wanted_; }
     [[nodiscard]] nlohmann::json dump() const;
 
@@ -87,6 +96,7 @@
     std::uint64_t held_ = 0;
     std::optional<engine_state_report> report_;
     std::optional<chunk_bitmap> staged_;
+    std::optional<instant> announced_;
     instant checked_{};
     instant paused_until_{};
     bool is_busy_ = false;
--- a/src/distribution.cpp
+++ b/src/distribution.cpp
@@ -92,6 +92,26 @@
 
 // ---- Modifiers -------------------------------------------------------------
 
+void distribution::accept_known(const digest& version,
+                                const known_manifest& known) {
+    error failure;
+    const auto added = value_or_error(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(parsed, parse_manifest(known.json, version));
+            BOOST_LEAF_CHECK(store_.add(version, parsed));
+            return true;
+        },
+        failure);
+    if (!added)
+        log_event(log_level::warn, "manifest_refused",
+                  {{"version", version}, {"error", to_string(failure)}});
+    for (const auto& [index, data] : known.chunks)
+        if (put(store_, version, index, data) != fetch_outcome::stored)
+            log_event(log_level::info, "chunk_refused",
+                      {{"version", version}, {"index", index}});
+    accept_manifest(origin_source{}, version, known.json);
+}
+
 void distribution::set_members(const std::vector<member>& members) {
     const auto& self = configuration_.process;
     std::vector<swarm_member> live{{self.name, self.data_centre}};
@@ -128,7 +148,7 @@
     for (const wanted_version& entry : wanted_) {
         auto known = known_manifests_.extract(entry.version);
         if (!known.empty() && !store_.contains(entry.version))
-            accept_manifest(origin_source{}, entry.version, known.mapped());
+            accept_known(entry.version, known.mapped());
     }
     known_manifests_.clear();
     update();
@@ -138,9 +158,9 @@
     origin_.set_url(url);
 }
 
-void distribution::add_manifest(const digest& version,
-                                const std::string& json) {
-    known_manifests_[version] = json;
+void distribution::add_manifest(const digest& version, const std::string& json,
+                                chunk_list chunks) {
+    known_manifests_[version] = {json, std::move(chunks)};
 }
 
 void distribution::yield_link(std::uint64_t bytes_per_second) {
--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double ms_per_s = 1000;
+constexpr double us_per_ms = 1000;
 constexpr double tokens_per_k = 1000;
 constexpr double pairs_per_m = 1e6;
 /// Part of the objective that the estimate may fill: the rest is for the way
@@ -17,10 +18,13 @@
 constexpr double late_slots_share = 0.8;
 /// Estimates that differ by less count as equal; one of them is drawn, so
 /// that the entries do not all choose the same server.
-constexpr double equal_ms = 25;
+constexpr double equal_ms = 15;
+/// Added to the estimate of a server in another data centre: traffic between
+/// them is narrow and priced.
+constexpr double remote_ms = 10;
 /// Shortest and longest time after which a refused caller returns.
-constexpr milliseconds least_return{600};
-constexpr milliseconds most_return{1900};
+constexpr milliseconds least_return{1000};
+constexpr milliseconds most_return{2000};
 /// Requests that a plain server may have waiting, by its slots.
 constexpr double plain_queue_factor = 2;
 
@@ -96,15 +100,24 @@
     return server.complete_version(engine.layers).value_or(0);
 }
 
+milliseconds backend_load::backlog(const std::string& server,
+                                   instant now) const {
+    const load_record* record = find(server);
+    if (record == nullptr || record->reads_until <= now)
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(record->reads_until - now);
+}
+
 milliseconds backend_load::first_event(const engine_profile& engine,
-                                       double in_flight,
+                                       double in_flight, milliseconds backlog,
                                        std::uint32_t prompt_tokens) const {
     const double slots = std::max(1U, engine.slots);
     const double running = std::min(in_flight, slots);
-    // The pass in progress ends, the prompt is read, a pass makes the event.
+    // The pass in progress ends, the prompts before this one and its own are
+    // read, and a pass makes the event.
     double wait = 1.5 * pass_ms(engine, running) +
                   read_ms(engine, prompt_tokens) +
-                  read_ms(engine, engine.usual_prompt_tokens) * running / slots;
+                  static_cast<double>(backlog.count());
     const double ahead = in_flight - slots + 1;
     if (ahead > 0)
         wait += ahead * service_ms(engine, slots) / slots;
@@ -120,6 +133,9 @@
         std::uint64_t version = 0;
         double cost = 0;
         bool has_room = false;
+        double load = 0;
+        milliseconds backlog{};
+        milliseconds wait{};
     };
     const auto& engine = request.service->engine;
     std::vector<candidate> resting;
@@ -129,18 +145,22 @@
             continue;
         candidate next{server};
         const double load = in_flight(server->id, entries, now);
+        next.load = load;
         if (engine) {
             next.version = version_of(*server, *engine, now);
             if (next.version == 0 || next.version < request.least_version)
                 continue;
-            const milliseconds wait =
-                first_event(*engine, load, request.prompt_tokens);
-            next.cost = static_cast<double>(wait.count());
+            next.backlog = backlog(server->id, now);
+            next.wait =
+                first_event(*engine, load, next.backlog, request.prompt_tokens);
+            next.cost = static_cast<double>(next.wait.count());
             next.has_room = request.is_late
                                 ? load < engine->slots * late_slots_share
                                 : next.cost <= static_cast<double>(
                                                    request.objective.count()) *
                                                    objective_share;
+            if (server->data_centre != limits_.data_centre)
+                next.cost += remote_ms;
         } else {
             next.cost = load / std::max(1U, server->slots);
             next.has_room = next.cost < plain_queue_factor;
@@ -169,11 +189,31 @@
     });
     std::uniform_int_distribution<std::size_t> draw(0, ready.size() - 1);
     const candidate& chosen = ready[draw(random_)];
-    return placed_at{chosen.server->id, chosen.version};
+    placed_at result{chosen.server->id, chosen.version, chosen.load,
+                     chosen.backlog, chosen.wait};
+    if (engine)
+        result.read = microseconds(static_cast<std::int64_t>(
+            read_ms(*engine, request.prompt_tokens) * us_per_ms));
+    return result;
+}
+
+void backend_load::add_prompt(load_record& record, microseconds read,
+                              instant now) {
+    record.reads_until = std::max(record.reads_until, now) + read;
 }
 
-void backend_load::on_sent(const std::string& server, instant) {
-    ++records_[server].outstanding;
+void backend_load::on_sent(const std::string& server, microseconds read,
+                           instant now) {
+    load_record& record = records_[server];
+    ++record.outstanding;
+    add_prompt(record, read, now);
+}
+
+void backend_load::on_sent_elsewhere(const std::string& server,
+                                     microseconds read, instant now) {
+    load_record& record = records_[server];
+    ++record.elsewhere_since;
+    add_prompt(record, read, now);
 }
 
 void backend_load::on_ended(const std::string& server, attempt_result result,
@@ -210,6 +250,7 @@
     record.status = status;
     record.reported = now;
     record.outstanding_then = record.outstanding;
+    record.elsewhere_since = 0;
 }
 
 void backend_load::retain(const absl::flat_hash_set<std::string>& listed) {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -22,6 +22,8 @@
 /// Time after which a caller returns that came before the first
 /// configuration, or when no server was known.
 constexpr milliseconds start_retry_after{500};
+/// Time after which a caller returns when no server can answer.
+constexpr milliseconds longest_retry_after{2500};
 /// A caller's retry waits for at most a third of the time that it has left.
 constexpr int most_wait_divisor = 3;
 /// A request with less of its route's time left was refused before.
@@ -181,7 +183,8 @@
     else if (const auto* full = std::get_if<no_room>(&decision))
         refuse(exchange, "no server has room in time", full->retry_after);
     else
-        refuse(exchange, "no server can answer", start_retry_after);
+        // Servers take seconds to load weights: as late as callers may return.
+        refuse(exchange, "no server can answer", longest_retry_after);
 }
 
 void gateway::send(exchange_id exchange, const placed_at& chosen) {
@@ -224,13 +227,18 @@
     ++record.sent;
     ++record.runs;
     heard_.try_emplace(chosen.server, now);
-    load_.on_sent(chosen.server, now);
+    load_.on_sent(chosen.server, chosen.read, now);
+    if (chosen.read > microseconds(0))
+        context_.sent(*server, chosen.read);
     record.call = client_.start(server->endpoint, std::move(request), options,
                                 std::move(handlers));
-    log_event(log_level::debug, "request_sent",
+    log_event(log_level::info, "request_sent",
               {{"request", record.caller.id},
                {"server", chosen.server},
                {"attempt", record.sent},
+               {"in_flight", chosen.in_flight},
+               {"backlog_ms", chosen.backlog.count()},
+               {"expected_ms", chosen.wait.count()},
                {"time_left_ms", terms.time_left.count()}});
 }
 
@@ -284,8 +292,12 @@
         return; // The caller has it from the server before.
     if (!record.has_begun) {
         record.has_begun = true;
-        figures_.observe("ospreystage_first_event_seconds",
-                         steady::now() - record.arrived);
+        const auto spent = steady::now() - record.arrived;
+        figures_.observe("ospreystage_first_event_seconds", spent);
+        log_event(log_level::info, "request_first_event",
+                  {{"request", record.caller.id},
+                   {"server", record.server},
+                   {"after_ms", spent / milliseconds(1)}});
         http_response head = record.head;
         erase_hop_fields(head.fields);
         server_->begin(exchange, head);
--- a/src/weights/engine_loader.cpp
+++ b/src/weights/engine_loader.cpp
@@ -20,6 +20,8 @@
 void engine_loader::on_report(const engine_state_report& report, instant) {
     if (report_ && report_->started_unix_ms != report.started_unix_ms)
         staged_.reset();
+    if (report.is_loading || report.version >= wanted_)
+        announced_.reset();
     report_ = report;
 }
 
@@ -56,6 +58,12 @@
     const bool is_serving = report_->version != 0;
     if (is_serving && now < turn_)
         return std::monostate{};
+    if (is_serving && !announced_) {
+        announced_ = now;
+        return act(announce_switch{});
+    }
+    if (is_serving && now - *announced_ < limits_.announce_lead)
+        return std::monostate{};
     if (now - checked_ > limits_.check_lifetime) {
         staged_.reset();
         return act(check_staged{});
--- a/src/weights/named_versions.cpp
+++ b/src/weights/named_versions.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 /// Time before the limit at which older versions get no more requests: the
-/// naming was acknowledged before it was learned of, and requests travel.
-constexpr milliseconds safety_margin{1000};
+/// naming was acknowledged before it was learned of, and a request may wait in
+/// an engine's queue before it begins.
+constexpr milliseconds safety_margin{1800};
 
 } // namespace
 
