Keep the time limit of each named version

The record of version 3, named 3 s after version 2, replaced that of version 2, so entries sent to engines with version 1 until the limit of version 3. Ruled out: late orders (the agents ordered by 24.3 s of 26 s). Change: named_versions keeps each version with its own time; test 'named versions - a newer version does not extend the older limit' fails before.

--- a/include/ospreystage/weights/named_versions.hpp
+++ b/include/ospreystage/weights/named_versions.hpp
@@ -8,10 +8,14 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ospreystage {
 
-/// Newest version of each model that the operator has named.
+/// Versions of each model that the operator has named, with their times.
+///
+/// A version may be named before the last one is in use everywhere; each one
+/// has a time limit of its own.
 class named_versions {
   public:
     struct named_record {
@@ -30,6 +34,7 @@
     bool on_named(const std::string& model, std::uint64_t version,
                   bool saw_naming, instant now);
 
+    /// Returns the newest version of a model.
     [[nodiscard]] std::optional<named_record>
     find(const std::string& model) const;
 
@@ -40,8 +45,12 @@
     [[nodiscard]] nlohmann::json dump() const;
 
   private:
+    [[nodiscard]] bool is_due(const named_record& record, instant now) const;
+
     milliseconds limit_;
-    std::map<std::string, named_record> models_;
+    /// By model, the oldest first; those that are past their limit are
+    /// dropped but for the newest of them.
+    std::map<std::string, std::vector<named_record>> models_;
 };
 
 } // namespace ospreystage
--- a/src/weights/named_versions.cpp
+++ b/src/weights/named_versions.cpp
@@ -12,15 +12,22 @@
 
 } // namespace
 
+bool named_versions::is_due(const named_record& record, instant now) const {
+    return !record.saw_naming || now - record.learned > limit_ - safety_margin;
+}
+
 bool named_versions::on_named(const std::string& model, std::uint64_t version,
                               bool saw_naming, instant now) {
-    named_record& record = models_[model];
-    if (version <= record.version)
+    std::vector<named_record>& records = models_[model];
+    if (!records.empty() && version <= records.back().version)
         return false;
-    record = {version, now, saw_naming};
-    log_event(
-        log_level::info, "version_named",
-        {{"model", model}, {"version", version}, {"saw_naming", saw_naming}});
+    records.push_back({version, now, saw_naming});
+    while (records.size() > 1 && is_due(records[1], now))
+        records.erase(records.begin());
+    log_event(log_level::info, "version_named",
+              {{"model", model},
+               {"version", version},
+               {"saw_naming", saw_naming}});
     return true;
 }
 
@@ -29,24 +36,27 @@
     const auto found = models_.find(model);
     if (found == models_.end())
         return std::nullopt;
-    return found->second;
+    return found->second.back();
 }
 
 std::uint64_t named_versions::least(const std::string& model,
                                     instant now) const {
-    const auto record = find(model);
-    if (!record)
+    const auto found = models_.find(model);
+    if (found == models_.end())
         return 0;
-    const bool is_due =
-        !record->saw_naming || now - record->learned > limit_ - safety_margin;
-    return is_due ? record->version : 0;
+    std::uint64_t least = 0;
+    for (const named_record& record : found->second)
+        if (is_due(record, now))
+            least = record.version;
+    return least;
 }
 
 nlohmann::json named_versions::dump() const {
     nlohmann::json state = nlohmann::json::object();
-    for (const auto& [model, record] : models_)
-        state[model] = {{"version", record.version},
-                        {"saw_naming", record.saw_naming}};
+    for (const auto& [model, records] : models_)
+        for (const named_record& record : records)
+            state[model].push_back({{"version", record.version},
+                                    {"saw_naming", record.saw_naming}});
     return state;
 }
 
