Read a version from the origin with more agents at once

Six readers with unequal shares left the origin's link idle at the end: 40 chunks a second at first, 12 at the end. Ruled out: peers (1,175 chunks passed by then, 1 timeout).

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -65,11 +65,11 @@
     web_client& operator=(const web_client&) = delete;
 
     /// Starts a call; the handlers are never called from within.
-    call_id start(const address& server, http_request request,
+    call_id start(const address& server, const http_request& request,
                   const call_options& options, call_handlers handlers);
 
     /// Starts a call and hands over the whole response, or how it failed.
-    call_id fetch(const address& server, http_request request,
+    call_id fetch(const address& server, const http_request& request,
                   const call_options& options,
                   std::function<void(call_end, http_response)> done);
 
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -409,14 +409,12 @@
 /// Every message of the system's own protocol.
 ///
 /// The order is the wire format: new alternatives go to the end.
-using message =
-    std::variant<hello, hello_reply, heartbeat, run_order, run_refused,
-                 answer_begin, answer_part, answer_end, run_failed, seal_order,
-                 seal_failed, cancel_order, load_report, claim_request,
-                 claim_reply, claim_release, recover_request, recover_reply,
-                 gossip_ping, gossip_ack, sync_request, sync_reply,
-                 document_push, chunk_have, manifest_request, manifest_reply,
-                 chunk_request, chunk_data, engine_report, weights_brief,
-                 attempt_notice>;
+using message = std::variant<
+    hello, hello_reply, heartbeat, run_order, run_refused, answer_begin,
+    answer_part, answer_end, run_failed, seal_order, seal_failed, cancel_order,
+    load_report, claim_request, claim_reply, claim_release, recover_request,
+    recover_reply, gossip_ping, gossip_ack, sync_request, sync_reply,
+    document_push, chunk_have, manifest_request, manifest_reply, chunk_request,
+    chunk_data, engine_report, weights_brief, attempt_notice>;
 
 } // namespace ospreystage
--- a/include/ospreystage/placement.hpp
+++ b/include/ospreystage/placement.hpp
@@ -19,6 +19,8 @@
 /// Rendezvous hashing picks the origin reader and the owner of each chunk.
 struct rendezvous_strategy {
     std::uint32_t origin_copies = 1; ///< Readers of each chunk.
+    /// Agents that share the origin's link, over all data centres.
+    std::uint32_t readers = 6;
     friend bool operator==(const rendezvous_strategy&,
                            const rendezvous_strategy&) = default;
 };
@@ -138,6 +140,7 @@
     bool restricted_ = false;          ///< Only `sources_` may be asked.
     bool is_reader_ = false;
     std::uint32_t origin_copies_ = 1;
+    std::uint32_t target_readers_ = 1;
     std::vector<chunk_role> roles_;
 };
 
--- a/include/ospreystage/settings.hpp
+++ b/include/ospreystage/settings.hpp
@@ -87,6 +87,10 @@
         /// Copies of a version that the fleet reads from the origin when
         /// nothing fails: 1 saves origin bytes, more saves time.
         std::uint32_t origin_copies = 1;
+        /// Agents that read from the origin: more of them finish closer
+        /// together, fewer leave its link to other users.
+        std::uint32_t origin_readers = 6;
+        std::uint32_t origin_requests = 1; ///< At once, of one agent.
         std::string baseline = "none"; ///< `none`, `direct` or `tree`.
     } distribution;
 
--- a/src/distribution.cpp
+++ b/src/distribution.cpp
@@ -24,13 +24,15 @@
         return direct_strategy{};
     if (configuration.distribution.baseline == "tree")
         return tree_strategy{};
-    return rendezvous_strategy{configuration.distribution.origin_copies};
+    return rendezvous_strategy{configuration.distribution.origin_copies,
+                               configuration.distribution.origin_readers};
 }
 
 swarm_options options_of(const settings& configuration) {
     swarm_options options;
     options.strategy = strategy_of(configuration);
     options.seed = new_incarnation();
+    options.max_origin_requests = configuration.distribution.origin_requests;
     return options;
 }
 
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -63,7 +63,7 @@
 
 web_client::~web_client() = default;
 
-call_id web_client::start(const address& server, http_request request,
+call_id web_client::start(const address& server, const http_request& request,
                           const call_options& options, call_handlers handlers) {
     const call_id call{next_call_++};
     auto record = std::make_unique<call_record>();
@@ -105,7 +105,7 @@
     return call;
 }
 
-call_id web_client::fetch(const address& server, http_request request,
+call_id web_client::fetch(const address& server, const http_request& request,
                           const call_options& options,
                           std::function<void(call_end, http_response)> done) {
     auto response = std::make_shared<http_response>();
@@ -117,7 +117,7 @@
     handlers.ended = [response, done = std::move(done)](call_end end) {
         done(end, std::move(*response));
     };
-    return start(server, std::move(request), options, std::move(handlers));
+    return start(server, request, options, std::move(handlers));
 }
 
 void web_client::cancel(call_id call) {
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Readers that share the origin's link at once, over all data centres.
-constexpr std::size_t target_readers = 6;
 /// Readers of a data centre at least.
 constexpr std::size_t min_readers_per_data_centre = 2;
 /// Agents that may stand in for a reader, per reader.
@@ -86,6 +84,7 @@
     for (std::uint32_t index = 0; index < roles_.size(); ++index)
         roles_[index] = role_of(index);
     origin_copies_ = strategy.origin_copies;
+    target_readers_ = strategy.readers;
 }
 
 void placement::place(const direct_strategy& /*strategy*/) {
@@ -116,7 +115,7 @@
 
 void placement::choose_readers(const std::vector<std::string>& silent) {
     const std::size_t share =
-        (target_readers + data_centres_ - 1) / data_centres_;
+        (target_readers_ + data_centres_ - 1) / data_centres_;
     const std::size_t wanted = std::max(min_readers_per_data_centre, share);
     std::vector<std::size_t> order(members_.size());
     for (std::size_t member = 0; member < order.size(); ++member)
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -254,8 +254,8 @@
     load_.on_sent(chosen.server, chosen.read, now);
     if (chosen.read > microseconds(0))
         context_.sent(*server, chosen.read);
-    record.call = client_.start(server->endpoint, std::move(request), options,
-                                std::move(handlers));
+    record.call =
+        client_.start(server->endpoint, request, options, std::move(handlers));
     log_event(log_level::info, "request_sent",
               {{"request", record.caller.id},
                {"server", chosen.server},
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::uint64_t max_link_rate = 1'000'000'000'000;
 constexpr std::uint32_t max_origin_copies = 16;
+constexpr std::uint32_t max_origin_readers = 256;
+constexpr std::uint32_t max_origin_requests = 16;
 constexpr std::uint32_t max_threads = 4096;
 constexpr std::uint32_t max_queue = 100'000;
 constexpr std::size_t max_body = 4 * 1024 * 1024;
@@ -142,6 +144,10 @@
         section.flag("shared_directions", out.shared_directions);
     out.origin_copies = section.number32("origin_copies", 1, max_origin_copies,
                                          out.origin_copies);
+    out.origin_readers = section.number32(
+        "origin_readers", 1, max_origin_readers, out.origin_readers);
+    out.origin_requests = section.number32(
+        "origin_requests", 1, max_origin_requests, out.origin_requests);
     out.baseline =
         section.choice("baseline", {"none", "direct", "tree"}, out.baseline);
     section.finish();
--- a/src/weights/named_versions.cpp
+++ b/src/weights/named_versions.cpp
@@ -24,10 +24,9 @@
     records.push_back({version, now, saw_naming});
     while (records.size() > 1 && is_due(records[1], now))
         records.erase(records.begin());
-    log_event(log_level::info, "version_named",
-              {{"model", model},
-               {"version", version},
-               {"saw_naming", saw_naming}});
+    log_event(
+        log_level::info, "version_named",
+        {{"model", model}, {"version", version}, {"saw_naming", saw_naming}});
     return true;
 }
 
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -69,7 +69,8 @@
         configuration.version = 1;
         configuration.routes = {path};
         configuration.services.emplace_back().name = "desk";
-        REQUIRE(routes.apply(std::move(configuration)));
+        const bool is_applied = routes.apply(std::move(configuration));
+        REQUIRE(is_applied);
     }
 
     void add_servers(const std::vector<address>& endpoints) {
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -37,7 +37,8 @@
     sockaddr_in raw{};
     raw.sin_family = AF_INET;
     raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&raw), sizeof(raw));
+    static_cast<void>(
+        bind(listener_, reinterpret_cast<sockaddr*>(&raw), sizeof(raw)));
     listen(listener_, 16);
     socklen_t size = sizeof(raw);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&raw), &size);
