--- /dev/null
+++ b/tests/backend_load.cpp
@@ -0,0 +1,264 @@
+#include <ospreystage/serving/backend_load.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <numeric>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace ospreystage;
+
+namespace {
+
+const instant start = instant{} + seconds(1000);
+
+engine_profile make_engine() {
+    engine_profile engine;
+    engine.slots = 16;
+    engine.step_ms = 9.27;
+    engine.step_ms_per_request = 0.0232;
+    engine.step_ms_per_k_context = 0.0322;
+    engine.read_tokens_per_s = 20'700;
+    engine.read_ms_per_m_pairs = 1.18;
+    engine.steps_per_pass = 5;
+    engine.usual_prompt_tokens = 979;
+    engine.usual_answer_tokens = 92;
+    engine.layers = 16;
+    engine.models = {"m"};
+    return engine;
+}
+
+service_description make_service() {
+    service_description service;
+    service.name = "llm";
+    service.engine = make_engine();
+    return service;
+}
+
+std::vector<backend_server> make_servers(int count) {
+    std::vector<backend_server> servers;
+    for (int index = 0; index < count; ++index) {
+        backend_server server;
+        server.id = "i-" + std::to_string(index);
+        server.service = "llm";
+        server.slots = 16;
+        server.layers = {{0, 16, 1}};
+        servers.push_back(std::move(server));
+    }
+    return servers;
+}
+
+std::vector<const backend_server*>
+pointers(const std::vector<backend_server>& servers) {
+    std::vector<const backend_server*> result;
+    for (const backend_server& server : servers)
+        result.push_back(&server);
+    return result;
+}
+
+placement_request make_request(const service_description& service) {
+    placement_request request;
+    request.service = &service;
+    request.prompt_tokens = 979;
+    request.objective = milliseconds(400);
+    return request;
+}
+
+/// Entries that place a load on engines which read prompts one by one.
+struct load_play {
+    explicit load_play(bool tells_others) : tells_others_(tells_others) {
+        for (std::uint64_t seed = 1; seed <= entry_count; ++seed)
+            entries_.emplace_back(backend_load::options{}, seed);
+    }
+
+    /// Plays arrivals at `per_s` for ten seconds and returns the times to the
+    /// first event, sorted; refused requests are not among them.
+    std::vector<double> run(double per_s) {
+        std::mt19937_64 random(7);
+        std::exponential_distribution<double> gap(per_s);
+        std::vector<double> waits;
+        double at = 0;
+        double report_at = 0;
+        while (at < 10) {
+            at += gap(random);
+            for (; report_at < at; report_at += report_s)
+                report(report_at);
+            place(at, random() % entry_count, waits);
+        }
+        std::sort(waits.begin(), waits.end());
+        return waits;
+    }
+
+    int refused = 0;
+
+  private:
+    static constexpr std::size_t entry_count = 8;
+    static constexpr int engine_count = 12;
+    static constexpr double report_s = 0.08;
+    static constexpr double answer_s = 1.2;
+    static constexpr double read_s = 0.048;
+    static constexpr double pass_s = 0.05;
+
+    static instant time(double at) {
+        return start + std::chrono::duration_cast<steady::duration>(
+                           std::chrono::duration<double>(at));
+    }
+
+    void place(double at, std::size_t entry, std::vector<double>& waits) {
+        const auto decision = entries_[entry].place(
+            make_request(service_), pointers(servers_), entry_count, time(at));
+        const auto* chosen = std::get_if<placed_at>(&decision);
+        if (chosen == nullptr) {
+            ++refused;
+            return;
+        }
+        const std::size_t engine = std::stoul(chosen->server.substr(2));
+        entries_[entry].on_sent(chosen->server, chosen->read, time(at));
+        if (tells_others_)
+            for (std::size_t other = 0; other < entry_count; ++other)
+                if (other != entry)
+                    entries_[other].on_sent_elsewhere(chosen->server,
+                                                      chosen->read, time(at));
+        double& free_at = reads_until_[engine];
+        free_at = std::max(free_at, at) + read_s;
+        waits.push_back((free_at - at + pass_s) * 1000);
+        running_[engine].push_back({free_at + answer_s, entry});
+    }
+
+    /// Ends what is done and reports every engine to every entry.
+    void report(double at) {
+        for (std::size_t engine = 0; engine < engine_count; ++engine) {
+            auto& running = running_[engine];
+            for (const auto& [ends, entry] : running)
+                if (ends <= at)
+                    entries_[entry].on_ended("i-" + std::to_string(engine),
+                                             attempt_result::answered,
+                                             time(at));
+            std::erase_if(running,
+                          [&](const auto& item) { return item.first <= at; });
+            for (backend_load& entry : entries_)
+                entry.on_status(
+                    "i-" + std::to_string(engine),
+                    {static_cast<std::uint32_t>(running.size()), 0, 1, false},
+                    time(at));
+        }
+    }
+
+    bool tells_others_;
+    service_description service_ = make_service();
+    std::vector<backend_server> servers_ = make_servers(engine_count);
+    std::vector<backend_load> entries_;
+    std::vector<double> reads_until_ = std::vector<double>(engine_count, 0);
+    std::vector<std::vector<std::pair<double, std::size_t>>> running_ =
+        std::vector<std::vector<std::pair<double, std::size_t>>>(engine_count);
+};
+
+double share_below(const std::vector<double>& sorted, double limit) {
+    const auto end = std::lower_bound(sorted.begin(), sorted.end(), limit);
+    return static_cast<double>(end - sorted.begin()) /
+           static_cast<double>(sorted.size());
+}
+
+} // namespace
+
+TEST_CASE("backend load - entries that tell of attempts do not herd") {
+    constexpr double per_s = 110;
+    constexpr double objective_ms = 400;
+    load_play alone(false);
+    load_play telling(true);
+    const auto before = alone.run(per_s);
+    const auto after = telling.run(per_s);
+    const double served_before =
+        share_below(before, objective_ms) * static_cast<double>(before.size());
+    const double served_after =
+        share_below(after, objective_ms) * static_cast<double>(after.size());
+    CHECK(served_after > served_before);
+    CHECK(share_below(after, objective_ms) > 0.99);
+}
+
+TEST_CASE("backend load - past the engines' rate the rest is refused at once") {
+    // 12 engines read 250 prompts a second; what is admitted stays in time.
+    constexpr double per_s = 400;
+    load_play play(true);
+    const auto waits = play.run(per_s);
+    CHECK(play.refused > 500);
+    CHECK(waits.size() > 1500);
+    CHECK(share_below(waits, 400) > 0.99);
+}
+
+TEST_CASE("backend load - an engine without whole weights gets nothing") {
+    const service_description service = make_service();
+    std::vector<backend_server> servers = make_servers(2);
+    servers[0].layers = {{0, 8, 1}};
+    backend_load load({}, 1);
+    for (int turn = 0; turn < 20; ++turn) {
+        const auto decision =
+            load.place(make_request(service), pointers(servers), 1, start);
+        REQUIRE(std::holds_alternative<placed_at>(decision));
+        CHECK(std::get<placed_at>(decision).server == "i-1");
+    }
+    servers.pop_back();
+    CHECK(std::holds_alternative<no_server>(
+        load.place(make_request(service), pointers(servers), 1, start)));
+}
+
+TEST_CASE("backend load - an engine that loads gets nothing") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(1);
+    backend_load load({}, 1);
+    load.on_status("i-0", {0, 0, 1, true}, start);
+    CHECK(std::holds_alternative<no_server>(
+        load.place(make_request(service), pointers(servers), 1, start)));
+}
+
+TEST_CASE("backend load - an outdated version begins nothing") {
+    const service_description service = make_service();
+    std::vector<backend_server> servers = make_servers(2);
+    servers[1].layers = {{0, 16, 2}};
+    placement_request request = make_request(service);
+    request.least_version = 2;
+    backend_load load({}, 1);
+    const auto decision = load.place(request, pointers(servers), 1, start);
+    REQUIRE(std::holds_alternative<placed_at>(decision));
+    CHECK(std::get<placed_at>(decision).server == "i-1");
+}
+
+TEST_CASE("backend load - a refusal says when to return") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(1);
+    backend_load load({}, 1);
+    load.on_status("i-0", {16, 20, 1, false}, start);
+    const auto decision =
+        load.place(make_request(service), pointers(servers), 1, start);
+    REQUIRE(std::holds_alternative<no_room>(decision));
+    CHECK(std::get<no_room>(decision).retry_after > milliseconds(0));
+}
+
+TEST_CASE("backend load - a server that failed rests, unless it is the last") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(2);
+    backend_load load({}, 1);
+    load.on_sent("i-0", microseconds(0), start);
+    load.on_ended("i-0", attempt_result::failed, start);
+    for (int turn = 0; turn < 20; ++turn)
+        CHECK(std::get<placed_at>(load.place(make_request(service),
+                                             pointers(servers), 1, start))
+                  .server == "i-1");
+    const std::vector<backend_server> last = make_servers(1);
+    CHECK(std::holds_alternative<placed_at>(
+        load.place(make_request(service), pointers(last), 1, start)));
+}
+
+TEST_CASE("backend load - a server that was tried is not chosen again") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(2);
+    const absl::flat_hash_set<std::string> tried{"i-0"};
+    placement_request request = make_request(service);
+    request.tried = &tried;
+    backend_load load({}, 1);
+    CHECK(std::get<placed_at>(load.place(request, pointers(servers), 1, start))
+              .server == "i-1");
+}
--- /dev/null
+++ b/tests/platform_wire.cpp
@@ -0,0 +1,204 @@
+#include "platform/node_settings.hpp"
+#include "platform/wire.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace ospreystage;
+using namespace ospreystage::platform;
+
+namespace {
+
+template <typename Body>
+auto decoded(Body body) {
+    error failure;
+    return value_or_error(body, failure);
+}
+
+error failure_of(const std::string& text) {
+    error failure;
+    const auto value = value_or_error(
+        [&] { return parse_node_settings(text, "local.conf"); }, failure);
+    CHECK_FALSE(value);
+    return failure;
+}
+
+const std::string settings_text = "node=edge-1\nip=10.1.0.40\nzone=hall-a\n"
+                                  "region=west\nzones.hall-a=west\n"
+                                  "listen.front=10.1.0.40:8005\n"
+                                  "internal_ports=7700,7715\n"
+                                  "platform.address=10.200.1.7:8007\n"
+                                  "bounds.drain_ms=1500\nbounds.grace_s=6\n"
+                                  "limits.link_mbps=8\nsomething.new=1\n";
+
+} // namespace
+
+TEST_CASE("node settings - read, with unknown keys ignored") {
+    const auto node =
+        decoded([] { return parse_node_settings(settings_text, "f"); });
+    REQUIRE(node);
+    CHECK(node->name == "edge-1");
+    CHECK(node->front == address{"10.1.0.40", 8005});
+    CHECK(node->internal_port == 7700);
+    CHECK(node->drain_time == milliseconds(1500));
+    CHECK(node->stop_time == seconds(6));
+    CHECK(node->link_bytes_per_second == 1'000'000);
+    CHECK(node->regions.at("hall-a") == "west");
+}
+
+TEST_CASE("node settings - errors name file, line and key") {
+    CHECK(failure_of("ip=10.1.0.40\n").detail == "node is missing");
+    const error wrong = failure_of(settings_text + "bounds.drain_ms=soon\n");
+    CHECK(wrong.peer == "local.conf:13");
+    CHECK(wrong.detail.find("bounds.drain_ms") != std::string::npos);
+    CHECK(failure_of(settings_text + "listen.ready=nowhere\n")
+              .detail.find("listen.ready") != std::string::npos);
+}
+
+TEST_CASE("wire - a configuration becomes routes, services and keys") {
+    const auto configuration = decoded([] {
+        return decode_configuration(R"({"version":7,"routes":[
+            {"name":"r","hostname":"a.example","path_prefix":"/x/",
+             "kind":"streaming","timeout_ms":6000,"target_latency_ms":400,
+             "priority":1,"max_attempts":2,"sticky":true,"stream_resume":true,
+             "target_gap_ms":300,
+             "traffic_split":[{"service":"s","weight":90},
+                              {"service":"t","weight":10}]},
+            {"name":"q","hostname":"a.example","path_prefix":"/y/",
+             "kind":"new kind","service":"t","public":true}],
+          "services":[{"name":"s","max_connections":9,
+             "engine":{"slots":16,"step_ms":9.5,"stride":5,"layers":16,
+                       "chunks":64,"models":[{"name":"m","warmup_s":0.3}],
+                       "usual":{"prompt":979,"answer":92}}},
+            {"name":"o","origin":"172.20.0.3:8006","link_mbps":8}],
+          "limits":{"max_body_bytes":100,"idle_timeout_ms":9000},
+          "tenants":[{"name":"mills","api_keys":["k1","k2"],"priority":2}]})");
+    });
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    const route& stream = configuration->routes.at(0);
+    CHECK(stream.kind == request_kind::streaming);
+    CHECK(stream.is_resumable);
+    CHECK(stream.objective == milliseconds(400));
+    CHECK(stream.max_gap == milliseconds(300));
+    CHECK(stream.targets.size() == 2);
+    // A kind that is not known here is treated as the strictest.
+    CHECK(configuration->routes.at(1).kind == request_kind::unsafe);
+    CHECK(configuration->routes.at(1).is_public);
+    const service_description& engine = configuration->services.at(0);
+    REQUIRE(engine.engine);
+    CHECK(engine.engine->steps_per_pass == 5);
+    CHECK(engine.engine->usual_prompt_tokens == 979);
+    CHECK(engine.engine->load_time == milliseconds(300));
+    CHECK(configuration->services.at(1).origin == "172.20.0.3:8006");
+    CHECK(configuration->limits.idle_timeout == seconds(9));
+    CHECK(configuration->organisations.at(0).keys.size() == 2);
+    CHECK(configuration->organisations.at(0).priority == 2U);
+}
+
+TEST_CASE("wire - a configuration without version is refused") {
+    CHECK_FALSE(decoded([] { return decode_configuration("{}"); }));
+    CHECK_FALSE(decoded([] { return decode_configuration("not json"); }));
+}
+
+TEST_CASE("wire - a server's entry, and entries of other writers") {
+    const std::string entry =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"hall-a","slots":16,
+            "state":"ready","born":1793055298024150,
+            "models":[{"name":"m","version":3}],
+            "layers":{"from":0,"to":16,"version":3}})";
+    const auto server = decoded([&] { return decode_server("i-1", entry); });
+    REQUIRE(server);
+    CHECK(server->endpoint == address{"10.0.0.1", 80});
+    CHECK(server->started_unix_ms == 1793055298024150);
+    CHECK(server->complete_version(16) == 3U);
+    for (const char* broken :
+         {"", "{", "[]", "{}", R"({"service":"s","state":"ready"})",
+          R"({"service":1,"address":"10.0.0.1:80","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","state":"asleep"})",
+          R"({"service":"s","address":"here","state":"ready"})"})
+        CHECK_FALSE(decoded([&] { return decode_server("i-1", broken); }));
+}
+
+TEST_CASE("wire - an engine's report") {
+    const auto report = decoded([] {
+        return decode_engine_report(
+            R"({"models":[{"name":"m","version":2}],"busy":true,"sequence":4,
+                "queued":1,"running":12,
+                "layers":{"from":0,"to":8,"version":2}})",
+            16);
+    });
+    REQUIRE(report);
+    CHECK(report->state.version == 0); // Half of the layers.
+    CHECK(report->state.is_loading);
+    CHECK(report->state.orders == 4);
+    CHECK(report->running == 12);
+    const auto empty =
+        decoded([] { return decode_engine_report(R"({"models":[]})", 16); });
+    REQUIRE(empty);
+    CHECK(empty->state.version == 0);
+}
+
+TEST_CASE("wire - a manifest without all of its digests is refused") {
+    const std::string good =
+        R"({"version":2,"chunk_bytes":8,"digests":[")" + sha256("a") + R"("]})";
+    const auto read = decoded([&] { return decode_manifest(good); });
+    REQUIRE(read);
+    CHECK(read->description.total_bytes == 8);
+    CHECK_FALSE(decoded([] {
+        return decode_manifest(
+            R"({"version":2,"chunk_bytes":8,"digests":["zz"]})");
+    }));
+    CHECK_FALSE(decoded(
+        [] { return decode_manifest(R"({"version":2,"chunk_bytes":8})"); }));
+}
+
+TEST_CASE("wire - an order is void if others came between") {
+    const http_request request = switch_request("m", {3, 5});
+    CHECK(request.method == "POST");
+    CHECK(request.body.find("\"precondition\":5") != std::string::npos);
+    CHECK(request.body.find("\"version\":3") != std::string::npos);
+}
+
+TEST_CASE("wire - a request to a server carries what the entry decides") {
+    const caller_dialect dialect = make_dialect();
+    http_request request;
+    request.fields = {{"Host", "a.example"},
+                      {"X-Request-Id", "r1"},
+                      {"x-request-deadline", "6000"},
+                      {"api-key", "secret"},
+                      {"X-Tenant", "forged"},
+                      {"X-Token-Usage", "1460,80"},
+                      {"Connection", "close, X-Private"},
+                      {"X-Private", "1"},
+                      {"X-Other", "kept"}};
+    const caller_request caller = dialect.read_request(request);
+    CHECK(caller.id == "r1");
+    CHECK(caller.key == "secret");
+    CHECK(caller.time_left == milliseconds(6000));
+    CHECK(caller.prompt_tokens == 1460);
+    const http_fields fields = dialect.attempt_fields(
+        request, {milliseconds(4200), "mills", "i-1", 0, 3, 12});
+    CHECK(*find_field(fields, "X-Request-Deadline") == "4200");
+    CHECK(*find_field(fields, "X-Tenant") == "mills");
+    CHECK(*find_field(fields, "X-Expect-Instance") == "i-1");
+    CHECK(*find_field(fields, "X-Request-Priority") == "3");
+    CHECK(*find_field(fields, "Last-Event-Id") == "12");
+    CHECK(*find_field(fields, "X-Other") == "kept");
+    CHECK(find_field(fields, "Api-Key") == nullptr);
+    CHECK(find_field(fields, "X-Private") == nullptr);
+    CHECK(find_field(fields, "X-Expect-Version") == nullptr);
+}
+
+TEST_CASE("wire - what says that a server did not run a request") {
+    const caller_dialect dialect = make_dialect();
+    http_response response;
+    response.status = 503;
+    CHECK_FALSE(dialect.is_not_run(response));
+    response.fields = {{"X-Not-Executed", "1"}};
+    CHECK(dialect.is_not_run(response));
+    response = {};
+    response.status = 421;
+    CHECK(dialect.is_not_run(response));
+}
