--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -79,6 +79,10 @@
     /// Stops or goes on reading the response.
     void set_reading(call_id call, bool wanted);
 
+    /// Returns true if a call to `server` needs no more than `limit`
+    /// connections; 0: no limit.
+    [[nodiscard]] bool has_room(const address& server, std::size_t limit) const;
+
     /// Open connections to `server`, idle ones included.
     [[nodiscard]] std::size_t connections(const address& server) const;
 
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/messages.hpp
@@ -364,7 +364,7 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint64_t version = 0; ///< Whole version in use; 0: none.
-    bool is_loading = false;
+    bool is_loading = false;   ///< Or it will be in a moment.
     OSPREYSTAGE_FIELDS(engine, running, queued, version, is_loading)
 };
 
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -139,6 +139,13 @@
     return found == counts_.end() ? 0 : found->second;
 }
 
+bool web_client::has_room(const address& server, std::size_t limit) const {
+    if (limit == 0 || connections(server) < limit)
+        return true;
+    const auto idle = idle_.find(to_string(server));
+    return idle != idle_.end() && !idle->second.empty();
+}
+
 nlohmann::json web_client::dump() const {
     return {{"connections", connections_.size()},
             {"calls", calls_.size()},
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -198,9 +198,19 @@
     wanted.is_late = record.is_late;
     wanted.least_version = context_.least_version(record.service);
     wanted.tried = &record.tried;
+    // All entries share a server's connections; it resets those beyond.
+    const std::uint32_t entries = std::max(1U, context_.entries());
+    const std::size_t share =
+        service->max_connections == 0
+            ? 0
+            : std::max<std::size_t>(1, service->max_connections / entries);
+    std::vector<const backend_server*> servers =
+        servers_.serving(record.service);
+    std::erase_if(servers, [&](const backend_server* server) {
+        return !client_.has_room(server->endpoint, share);
+    });
     const placement_decision decision =
-        load_.place(wanted, servers_.serving(record.service),
-                    context_.entries(), steady::now());
+        load_.place(wanted, servers, entries, steady::now());
     if (const auto* chosen = std::get_if<placed_at>(&decision))
         send(exchange, *chosen);
     else if (const auto* full = std::get_if<no_room>(&decision))
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -217,3 +217,19 @@
     run_until(core, [&] { return has_waited; });
     CHECK_FALSE(result.has_ended);
 }
+
+TEST_CASE("web client - a full server has room for idle connections only") {
+    scripted_server server([](const std::string&) {
+        return scripted_answer{answer_of("one", "x"), false};
+    });
+    kernel core;
+    web_client client(core);
+    outcome result;
+    CHECK(client.has_room(server.endpoint(), 1));
+    fetch(client, server, "one", result);
+    CHECK_FALSE(client.has_room(server.endpoint(), 1));
+    CHECK(client.has_room(server.endpoint(), 2));
+    CHECK(client.has_room(server.endpoint(), 0));
+    run_until(core, [&] { return result.has_ended; });
+    CHECK(client.has_room(server.endpoint(), 1));
+}
