--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -121,6 +121,7 @@
     void on_deadline(exchange_id exchange);
     void check_silence();
     void end_call(request_record& record, attempt_result result);
+    void give_up_call(request_record& record);
     [[nodiscard]] bool may_repeat(request_record& record);
 
     void refuse(exchange_id exchange, const char* reason,
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -282,6 +282,13 @@
     record.events.reset();
 }
 
+void gateway::give_up_call(request_record& record) {
+    if (!record.call)
+        return;
+    client_.cancel(*record.call);
+    end_call(record, attempt_result::given_up);
+}
+
 bool gateway::may_repeat(request_record& record) {
     if (record.sent >= max_sends || record.runs >= record.max_attempts)
         return false;
@@ -482,10 +489,7 @@
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
-    if (record->call) {
-        client_.cancel(*record->call);
-        end_call(*record, attempt_result::given_up);
-    }
+    give_up_call(*record);
     if (record->runs == 0)
         refuse(exchange, "deadline passed", start_retry_after);
     else
@@ -496,10 +500,7 @@
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
-    if (record->call) {
-        client_.cancel(*record->call);
-        end_call(*record, attempt_result::given_up);
-    }
+    give_up_call(*record);
     erase(exchange, "caller left");
 }
 
--- /dev/null
+++ b/src/weights/version_plan.cpp
@@ -0,0 +1,78 @@
+#include <ospreystage/weights/version_plan.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+bool version_plan::on_named(std::uint64_t number, instant named,
+                            bool saw_naming) {
+    if (number > in_use_) {
+        const auto [found, is_new] = named_.try_emplace(number, named);
+        if (!is_new && saw_naming)
+            found->second = std::max(found->second, named);
+    }
+    const auto [found, is_new] = versions_.try_emplace(number);
+    found->second.number = number;
+    return is_new;
+}
+
+void version_plan::on_manifest(std::uint64_t number, manifest description) {
+    const auto found = versions_.find(number);
+    if (found == versions_.end())
+        return;
+    found->second.id = version_of(description);
+    found->second.description = std::move(description);
+}
+
+bool version_plan::on_held(const digest& id) {
+    const auto found =
+        std::find_if(versions_.begin(), versions_.end(),
+                     [&](const auto& entry) { return entry.second.id == id; });
+    if (found == versions_.end())
+        return false;
+    found->second.is_held = true;
+    versions_.erase(versions_.begin(), found);
+    return true;
+}
+
+void version_plan::on_in_use(std::uint64_t number) {
+    in_use_ = number;
+    named_.erase(named_.begin(), named_.upper_bound(number));
+}
+
+const version_plan::version_record*
+version_plan::find(std::uint64_t number) const {
+    const auto found = versions_.find(number);
+    return found == versions_.end() ? nullptr : &found->second;
+}
+
+const version_plan::version_record* version_plan::target() const {
+    const version_record* newest = nullptr;
+    for (const auto& [number, record] : versions_)
+        if (record.is_held || newest == nullptr || !newest->is_held)
+            newest = &record;
+    return newest;
+}
+
+std::vector<wanted_version> version_plan::wanted() const {
+    std::vector<wanted_version> result;
+    auto priority = static_cast<std::uint32_t>(versions_.size());
+    for (const auto& [number, record] : versions_)
+        if (!record.id.empty())
+            result.push_back({record.id, priority--});
+    return result;
+}
+
+std::optional<instant> version_plan::oldest_naming() const {
+    if (named_.empty())
+        return std::nullopt;
+    return named_.begin()->second;
+}
+
+bool version_plan::is_complete() const {
+    return std::all_of(versions_.begin(), versions_.end(),
+                       [](const auto& entry) { return entry.second.is_held; });
+}
+
+} // namespace ospreystage
