--- a/include/ospreystage/settings.hpp
+++ b/include/ospreystage/settings.hpp
@@ -91,7 +91,7 @@
         /// together, fewer leave its link to other users.
         std::uint32_t origin_readers = 6;
         std::uint32_t origin_requests = 1; ///< At once, of one agent.
-        std::string baseline = "none"; ///< `none`, `direct` or `tree`.
+        std::string baseline = "none";     ///< `none`, `direct` or `tree`.
     } distribution;
 
     /// `[requests]` (entries)
--- a/tests/backend_load.cpp
+++ b/tests/backend_load.cpp
@@ -54,6 +54,7 @@
 std::vector<const backend_server*>
 pointers(const std::vector<backend_server>& servers) {
     std::vector<const backend_server*> result;
+    result.reserve(servers.size());
     for (const backend_server& server : servers)
         result.push_back(&server);
     return result;
