--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -99,8 +99,6 @@
         std::optional<call_id> call;
         std::unique_ptr<response_parser> parser;
         bool is_skipping = false; ///< The response is of another request.
-        bool was_used = false;
-        bool has_bytes = false; ///< Of the response to the current call.
         milliseconds max_idle{};
         instant idle_until{};
     };
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -91,12 +91,9 @@
         absl::flat_hash_set<std::string> tried;
         std::optional<call_id> call;
         std::string server; ///< Of the call.
-        instant sent_at{};
-        instant heard{}; ///< Last bytes of the call.
-        /// Last failure of a server that may be handed on.
-        std::optional<http_response> failure;
+        instant heard{};    ///< Last bytes of the call.
 
-        http_response head; ///< Of the first server that answered.
+        http_response head; ///< Of the last attempt that was answered.
         bool is_event_stream = false;
         bool has_begun = false; ///< The head was sent to the caller.
         event_splitter events;
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -196,7 +196,6 @@
         record.connect_timer.reset();
     }
     connection_record& target = *connections_.at(connection);
-    target.has_bytes = false;
     start_parser(connection);
     record.is_sent = true;
     target.socket.write(record.output);
@@ -266,7 +265,6 @@
     }
     while (true) {
         connection_record& record = *found->second;
-        record.has_bytes = true;
         const parse_progress progress =
             record.parser->feed(record.socket.input);
         found = connections_.find(id);
@@ -364,7 +362,6 @@
         drop(id);
         return;
     }
-    record.was_used = true;
     record.idle_until = steady::now() + record.max_idle;
     record.socket.set_reading(true);
     idle_[to_string(record.server)].push_back(id);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -55,6 +55,17 @@
     return type != nullptr && type->starts_with("text/event-stream");
 }
 
+/// Says that a request never runs, and when its caller may return.
+http_response make_refusal(const char* reason, milliseconds retry_after) {
+    const std::chrono::duration<double> wait = retry_after;
+    http_response response;
+    response.status = status_unavailable;
+    response.fields.push_back(
+        {"Retry-After", fmt::format("{:.3f}", wait.count())});
+    response.body = std::string(reason) + "\n";
+    return response;
+}
+
 milliseconds left_until(instant deadline) {
     return std::chrono::duration_cast<milliseconds>(deadline - steady::now());
 }
@@ -134,17 +145,11 @@
 void gateway::refuse_unrouted(exchange_id exchange,
                               const caller_request& caller, const char* reason,
                               milliseconds retry_after) {
-    const std::chrono::duration<double> wait = retry_after;
-    http_response response;
-    response.status = status_unavailable;
-    response.fields.push_back(
-        {"Retry-After", fmt::format("{:.3f}", wait.count())});
-    response.body = std::string(reason) + "\n";
     figures_.count(
         fmt::format("ospreystage_requests_total{{outcome=\"{}\"}}", reason));
     log_event(log_level::info, "request_refused",
               {{"request", caller.id}, {"reason", reason}});
-    server_->respond(exchange, response);
+    server_->respond(exchange, make_refusal(reason, retry_after));
 }
 
 void gateway::route_request(exchange_id exchange, http_request request,
@@ -256,7 +261,6 @@
     };
     record.server = chosen.server;
     record.tried.insert(chosen.server);
-    record.sent_at = now;
     record.heard = now;
     ++record.sent;
     ++record.runs;
@@ -516,19 +520,14 @@
     const milliseconds most =
         std::max(left_until(record.deadline), milliseconds(0)) /
         most_wait_divisor;
-    const std::chrono::duration<double> wait = std::min(retry_after, most);
-    http_response response;
-    response.status = status_unavailable;
-    response.fields.push_back(
-        {"Retry-After", fmt::format("{:.3f}", wait.count())});
-    response.body = std::string(reason) + "\n";
     log_event(log_level::info, "request_refused",
               {{"request", record.caller.id},
                {"service", record.service},
                {"reason", reason},
                {"sent", record.sent},
                {"retry_after_ms", retry_after.count()}});
-    answer(exchange, response, "refused");
+    answer(exchange, make_refusal(reason, std::min(retry_after, most)),
+           "refused");
 }
 
 void gateway::fail_request(exchange_id exchange, std::uint16_t status,
