--- a/include/ospreystage/admin_api.hpp
+++ b/include/ospreystage/admin_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ospreystage/configuration.hpp>
+#include <ospreystage/http/api_server.hpp>
 #include <ospreystage/kernel.hpp>
 #include <ospreystage/settings.hpp>
 
@@ -8,12 +9,6 @@
 #include <optional>
 #include <string>
 
-namespace httplib {
-class Server;
-struct Request;
-struct Response;
-} // namespace httplib
-
 namespace ospreystage {
 
 /// Returns true if `after` differs from `before` only in the entries and
@@ -33,16 +28,16 @@
     admin_api(const settings& values, kernel& core, configuration& register_);
 
     /// Adds the routes to a server.
-    void add_routes(httplib::Server& server);
+    void add_routes(api_server& server);
 
   private:
-    using handler = std::function<void(
-        const operator_settings&, const httplib::Request&, httplib::Response&)>;
+    using handler = std::function<http_response(const operator_settings&,
+                                                const api_request&)>;
 
-    void add(httplib::Server& server, bool post, const char* pattern,
+    void add(api_server& server, const char* method, const char* pattern,
              handler body);
     [[nodiscard]] const operator_settings*
-    authenticate(const httplib::Request& request) const;
+    authenticate(const api_request& request) const;
     [[nodiscard]] std::shared_ptr<const rollout_document> in_force();
     [[nodiscard]] std::optional<rollout_document>
     read_history(revision number) const;
@@ -51,26 +46,24 @@
     /// Returns the accepted revision `number`, nothing if it cannot be read.
     [[nodiscard]] std::optional<rollout_document> base_of(revision number);
     /// Compares the draft with its own base: what is in force here may be
-    /// older. Answers 403 or 503 and returns false if it is not allowed.
-    [[nodiscard]] bool authorise(const operator_settings& by,
-                                 const rollout_document& draft,
-                                 httplib::Response& response);
+    /// older. Returns the refusal, 403 or 503, if the change is not allowed.
+    [[nodiscard]] std::optional<http_response>
+    objection(const operator_settings& by, const rollout_document& draft);
 
-    void show(httplib::Response& response);
-    void check(const httplib::Request& request, httplib::Response& response);
-    void compare(const httplib::Request& request, httplib::Response& response);
-    void apply(const operator_settings& by, const httplib::Request& request,
-               httplib::Response& response);
-    void roll_back(const operator_settings& by, const httplib::Request& request,
-                   httplib::Response& response);
-    void submit(const operator_settings& by, rollout_document draft,
-                const std::string& operation_id, httplib::Response& response);
-    void show_operation(const httplib::Request& request,
-                        httplib::Response& response);
-    void show_status(httplib::Response& response);
-    void show_history(httplib::Response& response);
-    void show_revision(const httplib::Request& request,
-                       httplib::Response& response);
+    [[nodiscard]] http_response show();
+    [[nodiscard]] http_response check(const api_request& request);
+    [[nodiscard]] http_response compare(const api_request& request);
+    [[nodiscard]] http_response apply(const operator_settings& by,
+                                      const api_request& request);
+    [[nodiscard]] http_response roll_back(const operator_settings& by,
+                                          const api_request& request);
+    [[nodiscard]] http_response submit(const operator_settings& by,
+                                       rollout_document draft,
+                                       const std::string& operation_id);
+    [[nodiscard]] http_response show_operation(const api_request& request);
+    [[nodiscard]] http_response show_status();
+    [[nodiscard]] http_response show_history();
+    [[nodiscard]] http_response show_revision(const api_request& request);
 
     const settings& values_;
     kernel& core_;
--- a/include/ospreystage/back_end.hpp
+++ b/include/ospreystage/back_end.hpp
@@ -1,24 +1,18 @@
 #pragma once
 
+#include <ospreystage/address.hpp>
 #include <ospreystage/clock.hpp>
+#include <ospreystage/http/web_client.hpp>
+#include <ospreystage/kernel.hpp>
 #include <ospreystage/messages.hpp>
+#include <ospreystage/serving/event_splitter.hpp>
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <memory>
 #include <string>
-#include <thread>
 #include <variant>
-#include <vector>
-
-namespace httplib {
-class Client;
-}
 
 namespace ospreystage {
 
@@ -46,45 +40,54 @@
 using back_end_event =
     std::variant<back_end_begin, back_end_part, back_end_end, back_end_failed>;
 
-/// Calls the backend_server of this VM over HTTP, one thread a call.
-///
-/// Events are handed to the callback on the calling thread of the pool.
+/// Calls the backend_server of this VM over HTTP, on the kernel's thread.
 class back_end {
   public:
     using callback = std::function<void(const attempt_id&, back_end_event)>;
 
-    /// Makes `threads` threads that call `url` (`http://host:port`).
-    back_end(std::string url, std::uint32_t threads, callback receiver);
-    ~back_end();
-    back_end(const back_end&) = delete;
-    back_end& operator=(const back_end&) = delete;
+    // ---- Construction ------------------------------------------------------
 
-    /// Starts a call; one of `back_end_end` and `back_end_failed` follows.
-    void start(const run_order& order, milliseconds deadline);
+    /// Calls `url` (`http://host:port`). The receiver is never called from
+    /// within `start` or `cancel`.
+    back_end(kernel& core, std::string url, callback receiver);
 
-    /// Breaks a call off.
-    void cancel(const attempt_id& attempt);
+    // ---- Observers ---------------------------------------------------------
 
     /// Returns the URL of the back end.
     [[nodiscard]] const std::string& url() const noexcept { return url_; }
 
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Starts a call; one of `back_end_end` and `back_end_failed` follows.
+    void start(const run_order& order, milliseconds deadline);
+
+    /// Breaks a call off, which fails.
+    void cancel(const attempt_id& attempt);
+
   private:
-    struct call {
-        run_order order;
-        milliseconds deadline{};
+    struct running_call {
+        call_id call{};
+        bool may_refuse = false; ///< A refusal says that it did not run.
+        bool wants_stream = false;
+        bool is_event_stream = false;
+        bool has_stream_end = false;
+        std::uint16_t refused_status = 0; ///< 0: not refused.
+        instant last_heard{};
+        event_splitter splitter;
     };
 
-    void work();
-    void perform(const call& current);
+    void on_head(const attempt_id& attempt, const http_response& head);
+    void on_body(const attempt_id& attempt, std::string_view data);
+    void on_ended(const attempt_id& attempt, call_end end);
+    void fail(const attempt_id& attempt, back_end_failed failure);
+    void end_silent();
 
+    kernel& core_;
     std::string url_;
+    address server_;
     callback receiver_;
-    absl::Mutex mutex_;
-    std::deque<call> waiting_ ABSL_GUARDED_BY(mutex_);
-    absl::flat_hash_map<attempt_id, std::shared_ptr<httplib::Client>>
-        running_ ABSL_GUARDED_BY(mutex_);
-    bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-    std::vector<std::thread> threads_;
+    web_client client_;
+    absl::flat_hash_map<attempt_id, running_call> running_;
 };
 
 } // namespace ospreystage
--- a/include/ospreystage/caller_api.hpp
+++ b/include/ospreystage/caller_api.hpp
@@ -1,23 +1,29 @@
 #pragma once
 
-#include <ospreystage/exchange_table.hpp>
+#include <ospreystage/broker_action.hpp>
+#include <ospreystage/http/api_server.hpp>
 #include <ospreystage/incoming_request.hpp>
+#include <ospreystage/kernel.hpp>
 #include <ospreystage/metrics.hpp>
 #include <ospreystage/settings.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
-namespace httplib {
-class Server;
-struct Request;
-struct Response;
-} // namespace httplib
-
 namespace ospreystage {
 
-/// HTTP interface for callers.
+/// What the caller's side of a request learns, in order; it ends with
+/// `answer_end_action` or `refuse_action`.
+using exchange_event = std::variant<answer_begin_action, answer_part_action,
+                                    answer_end_action, refuse_action>;
+
+/// HTTP interface for callers, on the kernel's thread.
 ///
 /// - `GET /v1/entries`: addresses to use and how long they may be kept.
 /// - `POST /v1/chat/completions`: requests to model engines; `model` names
@@ -28,36 +34,66 @@
 /// `Retry-After`; within a stream it is an event, and no `[DONE]` follows.
 class caller_api {
   public:
-    /// What the interface needs from the rest of the entry; all callable from
-    /// any thread.
+    /// What the interface needs from the rest of the entry.
     struct dependencies {
         std::function<std::vector<std::string>()> entries; ///< HTTP URLs.
         std::function<void(request_id, incoming_request)> begin;
         std::function<void(request_id)> cancel;
     };
 
-    caller_api(const settings& configuration, exchange_table& exchanges,
+    // ---- Construction ------------------------------------------------------
+
+    /// Adds the routes to `server`.
+    caller_api(kernel& core, const settings& configuration, api_server& server,
                metrics& measures, dependencies needs);
 
-    /// Adds the routes to a server.
-    void add_routes(httplib::Server& server);
+    // ---- Observers ---------------------------------------------------------
+
+    /// Number of requests that have no whole answer yet.
+    [[nodiscard]] std::size_t size() const noexcept;
+
+    // ---- Modifiers ---------------------------------------------------------
+
+    /// Hands an event to the caller of a request; one that went is ignored.
+    void deliver(request_id id, const exchange_event& event);
+
+    /// Ends every open request as `unknown`: nothing answers it any more.
+    ///
+    /// A request that is read later is refused as `not-run`.
+    void abandon_all();
 
   private:
-    void handle_entries(httplib::Response& response) const;
-    void handle_chat(const httplib::Request& request,
-                     httplib::Response& response);
-    void handle_plain(const httplib::Request& request,
-                      httplib::Response& response);
-    void serve(incoming_request incoming, httplib::Response& response);
-    void stream_answer(request_id id, const answer_begin_action& begin,
-                       httplib::Response& response);
-    void collect_answer(request_id id, const answer_begin_action& begin,
-                        httplib::Response& response);
+    struct open_request {
+        exchange_id exchange{};
+        instant arrived{};
+        bool wants_stream = false; ///< Parts go to the caller as they arrive.
+        bool is_begun = false;
+        bool is_event_stream = false;
+        http_response answer; ///< Collected, unless it is a stream.
+        std::optional<instant> unread_since;
+    };
+
+    void add_routes();
+    void handle_chat(exchange_id exchange, const api_request& request);
+    void handle_plain(exchange_id exchange, const api_request& request);
+    void serve(exchange_id exchange, incoming_request incoming);
+    void begin_answer(open_request& request, const answer_begin_action& begin);
+    void take_part(open_request& request, const answer_part_action& part);
+    void end_answer(request_id id);
+    void refuse(request_id id, const refuse_action& refusal);
+    void close(request_id id);
+    void on_abandoned(exchange_id exchange);
+    void end_unread();
 
+    kernel& core_;
     const settings& configuration_;
-    exchange_table& exchanges_;
+    api_server& server_;
     metrics& measures_;
     dependencies needs_;
+    absl::flat_hash_map<request_id, open_request> open_;
+    absl::flat_hash_map<std::uint64_t, request_id> by_exchange_;
+    request_id next_id_ = 1;
+    bool has_ended_ = false;
 };
 
 } // namespace ospreystage
--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -36,13 +36,14 @@
 
     void set_handlers(handlers callbacks);
 
-    /// Takes over an accepted descriptor.
+    /// Takes over an accepted descriptor, with the options of its listener.
     void adopt(int descriptor);
 
     /// Starts to connect; `connected` or `ended` follows, never at once.
     void connect(const address& remote);
 
-    /// Queues bytes and sends what the system takes.
+    /// Queues bytes; they are sent at the end of the kernel's turn, so that
+    /// what belongs together takes one call, or at once if they are many.
     void write(std::string_view bytes);
 
     /// Stops or goes on reading, to slow down the peer.
@@ -54,6 +55,10 @@
     /// Closes once the queued output was handed over; reads no more.
     void close_after_output();
 
+    /// Tells the peer that no more output follows, once the queued output was
+    /// handed over; still reads.
+    void finish_output();
+
     [[nodiscard]] bool is_open() const noexcept { return descriptor_ >= 0; }
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
     [[nodiscard]] std::size_t pending_bytes() const noexcept {
@@ -68,6 +73,9 @@
     void on_events(std::uint32_t events);
     void read_all();
     void flush();
+    void flush_at_turn_end();
+    /// Sends what the system takes; returns false if the peer is gone.
+    bool send_pending();
     void end(end_kind kind);
     [[nodiscard]] std::uint32_t wanted_events() const noexcept;
 
@@ -82,6 +90,8 @@
     bool connected_ = false;
     bool reading_ = true;
     bool closing_ = false;
+    bool has_flush_ = false; ///< Waits for the end of the turn.
+    bool finishing_ = false;
 };
 
 } // namespace ospreystage
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -37,12 +37,18 @@
 /// any number of `write` and then `finish` or `abort`.
 class web_server {
   public:
+    /// Makes the answer to a request that cannot be read, from the status, the
+    /// reason and the target as far as it was read.
+    using refusal_text = std::function<http_response(
+        std::uint16_t, const std::string&, const std::string&)>;
     struct callbacks {
         std::function<void(exchange_id, http_request)> requested;
         /// The caller closed the connection before the answer was whole.
         std::function<void(exchange_id)> abandoned;
         /// All output was handed over after `write` had returned false.
         std::function<void(exchange_id)> drained;
+        /// Describes a refusal to the caller; absent: in plain text.
+        refusal_text describe_refusal = nullptr;
     };
 
     // ---- Construction ------------------------------------------------------
@@ -57,6 +63,7 @@
 
     // ---- Observers ---------------------------------------------------------
 
+    [[nodiscard]] bool is_listening() const noexcept { return listener_ >= 0; }
     [[nodiscard]] std::size_t connections() const noexcept;
     /// Requests that were read and are not yet answered whole.
     [[nodiscard]] std::size_t exchanges() const noexcept;
@@ -67,6 +74,12 @@
     /// Applies to connections from now on.
     void set_limits(const server_limits& limits);
 
+    /// Ends every connection after its next answer; still takes new ones.
+    void end_after_answers();
+
+    /// Takes no new connections but those that are waiting already.
+    void stop_listening();
+
     /// Takes no new connections, ends idle ones at once and others after their
     /// answer.
     void drain();
@@ -99,7 +112,8 @@
         bool keep_alive = true;
         bool has_asked = false; ///< Was told to continue with the body.
         bool wants_drain = false;
-        instant deadline{}; ///< For the next request, or the rest of one.
+        bool is_refused = false; ///< Waits for the caller to read why.
+        instant deadline{};      ///< For the next request, or the rest of one.
     };
 
     void accept_all();
@@ -108,7 +122,7 @@
     void on_drained(std::uint64_t id);
     void parse(std::uint64_t id);
     void refuse(std::uint64_t id, std::uint16_t status,
-                const std::string& reason);
+                const std::string& reason, const std::string& target);
     void complete(std::uint64_t id);
     void drop(std::uint64_t id);
     void sweep();
--- a/include/ospreystage/kernel.hpp
+++ b/include/ospreystage/kernel.hpp
@@ -19,6 +19,7 @@
 #include <string>
 #include <typeindex>
 #include <utility>
+#include <vector>
 
 namespace ospreystage {
 
@@ -89,6 +90,10 @@
     /// Cancels a timer that has not fired (kernel thread).
     void cancel(timer_id timer);
 
+    /// Runs work after all that is ready now, before the kernel waits again
+    /// (kernel thread); at once if the kernel has stopped.
+    void at_turn_end(task work);
+
     // ---- Descriptors -------------------------------------------------------
 
     /// Calls `handler` when the descriptor has one of the epoll `events`.
@@ -101,6 +106,10 @@
     /// Forgets a descriptor; the caller closes it.
     void unwatch(int descriptor);
 
+    /// Forgets a descriptor that has no duplicate and closes it, which also
+    /// ends the system's watch.
+    void close(int descriptor);
+
     // ---- Life cycle --------------------------------------------------------
 
     /// Runs until `stop`.
@@ -134,6 +143,7 @@
     void execute(const std::string& service, const task& work);
     void run_queue();
     void run_timers();
+    void run_turn_end();
     [[nodiscard]] int wait_milliseconds() const;
     void wake() noexcept;
 
@@ -143,6 +153,8 @@
                         std::multimap<instant, timer_record>::iterator>
         timer_index_;
     absl::flat_hash_map<int, std::shared_ptr<descriptor_handler>> watched_;
+    std::vector<task> turn_end_;
+    bool has_run_ = false; ///< Nothing runs the end of a turn any more.
     std::uint64_t next_timer_ = 1;
     int epoll_ = -1;
     int wake_ = -1;
--- a/include/ospreystage/network.hpp
+++ b/include/ospreystage/network.hpp
@@ -86,6 +86,8 @@
         std::string input;
         std::string output;
         std::size_t written = 0;
+        bool has_flush = false;      ///< Waits for the end of the turn.
+        bool waits_for_room = false; ///< The system takes no more now.
     };
 
     void accept_all();
--- a/include/ospreystage/process.hpp
+++ b/include/ospreystage/process.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <ospreystage/exit_code.hpp>
-#include <ospreystage/http_server.hpp>
+#include <ospreystage/http/api_server.hpp>
 #include <ospreystage/kernel.hpp>
 #include <ospreystage/links.hpp>
 #include <ospreystage/metrics.hpp>
 #include <ospreystage/settings.hpp>
+#include <ospreystage/signal_watch.hpp>
 
 #include <functional>
 
@@ -13,12 +14,10 @@
 
 /// What entry and agent have in common: kernel, links, HTTP, signals.
 ///
-/// Construct it before any other thread starts: it blocks the signals that
-/// it waits for.
+/// Construct it before any other thread starts, see `signal_watch`.
 class process {
   public:
     explicit process(const settings& configuration);
-    ~process();
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
@@ -26,7 +25,7 @@
 
     [[nodiscard]] kernel& core() noexcept { return core_; }
     [[nodiscard]] links& link_layer() noexcept { return *links_; }
-    [[nodiscard]] http_server& http() noexcept { return http_; }
+    [[nodiscard]] api_server& http() noexcept { return http_; }
     [[nodiscard]] metrics& measures() noexcept { return metrics_; }
     [[nodiscard]] const process_id& self() const noexcept { return self_; }
 
@@ -36,8 +35,8 @@
     /// once `idle` holds for a moment or the drain limit has passed.
     void on_stop(std::function<void()> drain, std::function<bool()> idle);
 
-    /// Calls `ended` after the kernel has stopped and before HTTP does, on the
-    /// thread of `run`: nothing posted to the kernel is done any more.
+    /// Calls `ended` after the kernel has stopped, on the thread of `run`:
+    /// nothing posted to the kernel is done any more.
     void on_kernel_ended(std::function<void()> ended);
 
     /// Stops at once, as when a newer incarnation has replaced this process.
@@ -48,20 +47,19 @@
 
   private:
     void add_common_routes();
-    void watch_signals();
     void begin_drain();
     void check_drained();
 
     const settings& configuration_;
     process_id self_;
     kernel core_;
+    signal_watch signals_; ///< Before `http_`, which starts threads.
     links* links_ = nullptr;
     metrics metrics_;
-    http_server http_;
+    api_server http_;
     std::function<void()> drain_;
     std::function<bool()> idle_;
     std::function<void()> kernel_ended_;
-    int signals_ = -1;
     bool draining_ = false;
     instant drain_started_{};
 };
--- a/include/ospreystage/request_service.hpp
+++ b/include/ospreystage/request_service.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <ospreystage/broker.hpp>
-#include <ospreystage/exchange_table.hpp>
+#include <ospreystage/caller_api.hpp>
 #include <ospreystage/kernel.hpp>
 #include <ospreystage/links.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -13,10 +14,13 @@
 /// Shell of the broker: carries its actions to links and callers.
 class request_service {
   public:
+    /// Hands an event of a request to its caller.
+    using callback = std::function<void(request_id, const exchange_event&)>;
+
     // ---- Construction ------------------------------------------------------
 
     request_service(kernel& core, const settings& configuration,
-                    exchange_table& exchanges);
+                    callback deliver);
 
     /// Subscribes to links and starts the tick; before `links::start`.
     void start();
@@ -58,7 +62,7 @@
 
     kernel& core_;
     links& links_;
-    exchange_table& exchanges_;
+    callback to_caller_;
     broker broker_;
 };
 
--- a/include/ospreystage/settings.hpp
+++ b/include/ospreystage/settings.hpp
@@ -41,7 +41,9 @@
     struct listen_section {
         address http;
         address peer; ///< TCP and UDP.
-        std::uint32_t http_threads = 64;
+        /// Threads for operators' calls and for weights, which wait for the
+        /// store or a disk; callers' requests need none.
+        std::uint32_t http_threads = 8;
     } listen;
 
     /// `[cluster]`
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -1,13 +1,11 @@
 #include <ospreystage/admin_api.hpp>
 #include <ospreystage/console_page.hpp>
 #include <ospreystage/fleet_status.hpp>
-#include <ospreystage/http_server.hpp>
 #include <ospreystage/log.hpp>
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
-#include <httplib.h>
 
 #include <algorithm>
 #include <memory>
@@ -57,7 +55,7 @@
     return out;
 }
 
-int status_of(rejection reason) {
+std::uint16_t status_of(rejection reason) {
     switch (reason) {
     case rejection::invalid:
         return 422;
@@ -71,49 +69,37 @@
     return 500;
 }
 
-void answer_error(httplib::Response& response, int status,
-                  const std::string& detail) {
-    answer_json(response, status, {{"error", detail}});
+http_response error_response(std::uint16_t status, const std::string& detail) {
+    return json_response(status, {{"error", detail}});
 }
 
-void answer_result(httplib::Response& response, const acceptance_result& result,
-                   revision based_on) {
-    if (const auto* success = std::get_if<accepted>(&result)) {
-        answer_json(response, 200,
-                    {{"result", "accepted"}, {"revision", success->number}});
-        return;
-    }
-    if (const auto* open = std::get_if<not_yet_known>(&result)) {
-        answer_json(response, 202,
-                    {{"result", "not-yet-known"},
-                     {"operation_id", open->operation_id},
-                     {"based_on", based_on},
-                     {"detail", open->detail}});
-        return;
-    }
+http_response result_response(const acceptance_result& result,
+                              revision based_on) {
+    if (const auto* success = std::get_if<accepted>(&result))
+        return json_response(
+            200, {{"result", "accepted"}, {"revision", success->number}});
+    if (const auto* open = std::get_if<not_yet_known>(&result))
+        return json_response(202, {{"result", "not-yet-known"},
+                                   {"operation_id", open->operation_id},
+                                   {"based_on", based_on},
+                                   {"detail", open->detail}});
     const auto& refusal = std::get<rejected>(result);
-    answer_json(response, status_of(refusal.reason),
-                {{"result", "rejected"},
-                 {"reason", to_string(refusal.reason)},
-                 {"detail", refusal.detail},
-                 {"revision", refusal.current},
-                 {"problems", problems_json(refusal.problems)},
-                 {"clashes", clashes_json(refusal.clashes)}});
+    return json_response(status_of(refusal.reason),
+                         {{"result", "rejected"},
+                          {"reason", to_string(refusal.reason)},
+                          {"detail", refusal.detail},
+                          {"revision", refusal.current},
+                          {"problems", problems_json(refusal.problems)},
+                          {"clashes", clashes_json(refusal.clashes)}});
 }
 
-/// Parses a document; answers 422 and returns nothing if it is malformed.
-std::optional<rollout_document> read_document(const std::string& text,
-                                              httplib::Response& response) {
-    error failure;
-    auto document =
-        value_or_error([&] { return parse_rollout(text); }, failure);
-    if (!document)
-        answer_json(response, 422,
-                    {{"result", "rejected"},
-                     {"reason", "invalid"},
-                     {"detail", failure.detail},
-                     {"problems", problems_json({{"", failure.detail}})}});
-    return document;
+/// Answers a document that is malformed.
+http_response malformed_response(const error& failure) {
+    return json_response(422,
+                         {{"result", "rejected"},
+                          {"reason", "invalid"},
+                          {"detail", failure.detail},
+                          {"problems", problems_json({{"", failure.detail}})}});
 }
 
 /// Removes what belongs to the named organisations.
@@ -154,54 +140,46 @@
     : values_(values), core_(core), configuration_(register_),
       client_(values.platform.kv_url, values.platform.call_timeout) {}
 
-void admin_api::add_routes(httplib::Server& server) {
-    server.Get("/console",
-               [](const httplib::Request&, httplib::Response& response) {
-                   const std::string_view page = console_page();
-                   response.set_content(page.data(), page.size(), "text/html");
-               });
-    using request = const httplib::Request&;
-    using response = httplib::Response&;
+void admin_api::add_routes(api_server& server) {
+    server.route_plain("GET", "/console", [](const api_request&) {
+        return text_response("text/html", std::string(console_page()));
+    });
+    using request = const api_request&;
     using by = const operator_settings&;
-    add(server, false, "/admin/v1/rollout",
-        [this](by, request, response out) { show(out); });
-    add(server, true, "/admin/v1/rollout",
-        [this](by who, request in, response out) { apply(who, in, out); });
-    add(server, true, "/admin/v1/rollout/validate",
-        [this](by, request in, response out) { check(in, out); });
-    add(server, true, "/admin/v1/rollout/diff",
-        [this](by, request in, response out) { compare(in, out); });
-    add(server, true, "/admin/v1/rollout/rollback",
-        [this](by who, request in, response out) { roll_back(who, in, out); });
-    add(server, false, "/admin/v1/rollout/status",
-        [this](by, request, response out) { show_status(out); });
-    add(server, false, "/admin/v1/rollout/history",
-        [this](by, request, response out) { show_history(out); });
-    add(server, false, R"(/admin/v1/rollout/history/(\d{1,18}))",
-        [this](by, request in, response out) { show_revision(in, out); });
-    add(server, false, R"(/admin/v1/rollout/operations/([^/]+))",
-        [this](by, request in, response out) { show_operation(in, out); });
+    add(server, "GET", "/admin/v1/rollout",
+        [this](by, request) { return show(); });
+    add(server, "POST", "/admin/v1/rollout",
+        [this](by who, request in) { return apply(who, in); });
+    add(server, "POST", "/admin/v1/rollout/validate",
+        [this](by, request in) { return check(in); });
+    add(server, "POST", "/admin/v1/rollout/diff",
+        [this](by, request in) { return compare(in); });
+    add(server, "POST", "/admin/v1/rollout/rollback",
+        [this](by who, request in) { return roll_back(who, in); });
+    add(server, "GET", "/admin/v1/rollout/status",
+        [this](by, request) { return show_status(); });
+    add(server, "GET", "/admin/v1/rollout/history",
+        [this](by, request) { return show_history(); });
+    add(server, "GET", R"(/admin/v1/rollout/history/(\d{1,18}))",
+        [this](by, request in) { return show_revision(in); });
+    add(server, "GET", R"(/admin/v1/rollout/operations/([^/]+))",
+        [this](by, request in) { return show_operation(in); });
 }
 
-void admin_api::add(httplib::Server& server, bool post, const char* pattern,
+void admin_api::add(api_server& server, const char* method, const char* pattern,
                     handler body) {
-    const auto guarded =
-        [this, body = std::move(body)](const httplib::Request& request,
-                                       httplib::Response& response) {
+    server.route_blocking(
+        method, pattern,
+        [this, body = std::move(body)](const api_request& request) {
             const operator_settings* who = authenticate(request);
             if (who == nullptr)
-                answer_error(response, 401, "token missing or wrong");
-            else
-                body(*who, request, response);
-        };
-    if (post)
-        server.Post(pattern, guarded);
-    else
-        server.Get(pattern, guarded);
+                return error_response(401, "token missing or wrong");
+            return body(*who, request);
+        });
 }
 
 const operator_settings*
-admin_api::authenticate(const httplib::Request& request) const {
+admin_api::authenticate(const api_request& request) const {
     const auto found =
         std::find_if(values_.operators.begin(), values_.operators.end(),
                      [&](const operator_settings& entry) {
@@ -244,102 +222,90 @@
     return read_history(number);
 }
 
-void admin_api::show(httplib::Response& response) {
+http_response admin_api::show() {
     const auto document = in_force();
     if (!document)
-        answer_error(response, 404, "nothing is in force");
-    else
-        answer_json(response, 200, document_json(*document));
+        return error_response(404, "nothing is in force");
+    return json_response(200, document_json(*document));
 }
 
-void admin_api::check(const httplib::Request& request,
-                      httplib::Response& response) {
+http_response admin_api::check(const api_request& request) {
     error failure;
-    const auto draft =
-        value_or_error([&] { return parse_rollout(request.body); }, failure);
+    const auto draft = value_or_error(
+        [&] { return parse_rollout(request.message.body); }, failure);
     const auto problems =
         draft ? validate(*draft)
               : std::vector<rollout_problem>{{"", failure.detail}};
-    answer_json(
-        response, 200,
-        {{"valid", problems.empty()}, {"problems", problems_json(problems)}});
+    return json_response(200, {{"valid", problems.empty()},
+                               {"problems", problems_json(problems)}});
 }
 
-void admin_api::compare(const httplib::Request& request,
-                        httplib::Response& response) {
-    const auto draft = read_document(request.body, response);
+http_response admin_api::compare(const api_request& request) {
+    error failure;
+    const auto draft = value_or_error(
+        [&] { return parse_rollout(request.message.body); }, failure);
     if (!draft)
-        return;
+        return malformed_response(failure);
     const auto current = in_force();
     const rollout_document before = current ? *current : rollout_document{};
-    answer_json(response, 200,
-                {{"revision", before.number},
-                 {"changes", changes_json(diff(before, *draft))}});
+    return json_response(200,
+                         {{"revision", before.number},
+                          {"changes", changes_json(diff(before, *draft))}});
 }
 
-void admin_api::apply(const operator_settings& by,
-                      const httplib::Request& request,
-                      httplib::Response& response) {
-    const json body = json::parse(request.body, nullptr, false);
+http_response admin_api::apply(const operator_settings& by,
+                               const api_request& request) {
+    const json body = json::parse(request.message.body, nullptr, false);
     if (!body.is_object() || !body.contains("document") ||
-        !body.contains("operation_id") || !body["operation_id"].is_string()) {
-        answer_error(response, 400, "expected operation_id and document");
-        return;
-    }
-    auto draft = read_document(body["document"].dump(), response);
-    if (draft)
-        submit(by, std::move(*draft), body["operation_id"].get<std::string>(),
-               response);
+        !body.contains("operation_id") || !body["operation_id"].is_string())
+        return error_response(400, "expected operation_id and document");
+    error failure;
+    auto draft = value_or_error(
+        [&] { return parse_rollout(body["document"].dump()); }, failure);
+    if (!draft)
+        return malformed_response(failure);
+    return submit(by, std::move(*draft),
+                  body["operation_id"].get<std::string>());
 }
 
-void admin_api::roll_back(const operator_settings& by,
-                          const httplib::Request& request,
-                          httplib::Response& response) {
-    const json body = json::parse(request.body, nullptr, false);
+http_response admin_api::roll_back(const operator_settings& by,
+                                   const api_request& request) {
+    const json body = json::parse(request.message.body, nullptr, false);
     if (!body.is_object() || !body.contains("to") ||
         !body["to"].is_number_unsigned() || !body.contains("operation_id") ||
-        !body["operation_id"].is_string()) {
-        answer_error(response, 400, "expected operation_id and to");
-        return;
-    }
+        !body["operation_id"].is_string())
+        return error_response(400, "expected operation_id and to");
     const auto current = in_force();
     auto earlier = read_history(body["to"].get<revision>());
-    if (!earlier || !current) {
-        answer_error(response, 404, "no such revision can be read");
-        return;
-    }
+    if (!earlier || !current)
+        return error_response(404, "no such revision can be read");
     earlier->based_on = current->number;
-    submit(by, std::move(*earlier), body["operation_id"].get<std::string>(),
-           response);
+    return submit(by, std::move(*earlier),
+                  body["operation_id"].get<std::string>());
 }
 
-bool admin_api::authorise(const operator_settings& by,
-                          const rollout_document& draft,
-                          httplib::Response& response) {
+std::optional<http_response>
+admin_api::objection(const operator_settings& by,
+                     const rollout_document& draft) {
     if (is_unlimited(by.organisations))
-        return true;
+        return std::nullopt;
     const auto base = base_of(draft.based_on);
-    if (!base) {
-        answer_error(response, 503,
-                     "the revision that the draft is based on cannot be read");
-        return false;
-    }
+    if (!base)
+        return error_response(
+            503, "the revision that the draft is based on cannot be read");
     if (may_change(by.organisations, *base, draft))
-        return true;
-    answer_error(response, 403,
-                 "the token allows changes of its organisations only");
-    return false;
+        return std::nullopt;
+    return error_response(403,
+                          "the token allows changes of its organisations only");
 }
 
-void admin_api::submit(const operator_settings& by, rollout_document draft,
-                       const std::string& operation_id,
-                       httplib::Response& response) {
-    if (!is_operation_id(operation_id)) {
-        answer_error(response, 400, "operation_id is empty or too long");
-        return;
-    }
-    if (!authorise(by, draft, response))
-        return;
+http_response admin_api::submit(const operator_settings& by,
+                                rollout_document draft,
+                                const std::string& operation_id) {
+    if (!is_operation_id(operation_id))
+        return error_response(400, "operation_id is empty or too long");
+    if (auto refusal = objection(by, draft))
+        return *std::move(refusal);
     acceptance_request request;
     request.based_on = draft.based_on;
     request.draft = std::move(draft);
@@ -372,28 +338,25 @@
                {"operation", operation_id},
                {"based_on", based_on},
                {"outcome", outcome.index()}});
-    answer_result(response, outcome, based_on);
+    return result_response(outcome, based_on);
 }
 
-void admin_api::show_operation(const httplib::Request& request,
-                               httplib::Response& response) {
-    const std::string id = request.matches[1].str();
-    const std::string base = request.get_param_value("based_on");
+http_response admin_api::show_operation(const api_request& request) {
+    const std::string& id = request.captures[0];
+    const std::string base = query_value(request, "based_on");
     const bool valid = !base.empty() && base.size() < 19 &&
                        std::all_of(base.begin(), base.end(), [](char digit) {
                            return digit >= '0' && digit <= '9';
                        });
-    if (!valid) {
-        answer_error(response, 400, "expected based_on");
-        return;
-    }
+    if (!valid)
+        return error_response(400, "expected based_on");
     const revision based_on = std::stoull(base);
     const acceptance_result result =
         run(acceptance::resolve(id, based_on), client_);
-    answer_result(response, result, based_on);
+    return result_response(result, based_on);
 }
 
-void admin_api::show_status(httplib::Response& response) {
+http_response admin_api::show_status() {
     const auto status = core_.call("admin", [this] {
         const auto document = configuration_.document();
         const auto highest = configuration_.highest();
@@ -403,10 +366,10 @@
         out["highest"] = highest ? highest->number : 0;
         return out;
     });
-    answer_json(response, 200, status.value_or(json::object()));
+    return json_response(200, status.value_or(json::object()));
 }
 
-void admin_api::show_history(httplib::Response& response) {
+http_response admin_api::show_history() {
     const auto current = in_force();
     json out = json::array();
     const revision last = current ? current->number : 0;
@@ -423,16 +386,14 @@
                        {"accepted_at", document->accepted_at},
                        {"operation_id", document->operation_id}});
     }
-    answer_json(response, 200, {{"revisions", out}});
+    return json_response(200, {{"revisions", out}});
 }
 
-void admin_api::show_revision(const httplib::Request& request,
-                              httplib::Response& response) {
-    const auto document = read_history(std::stoull(request.matches[1].str()));
+http_response admin_api::show_revision(const api_request& request) {
+    const auto document = read_history(std::stoull(request.captures[0]));
     if (!document)
-        answer_error(response, 404, "no such revision can be read");
-    else
-        answer_json(response, 200, document_json(*document));
+        return error_response(404, "no such revision can be read");
+    return json_response(200, document_json(*document));
 }
 
 } // namespace ospreystage
--- a/src/agent_process.cpp
+++ b/src/agent_process.cpp
@@ -7,8 +7,6 @@
 #include <ospreystage/membership_service.hpp>
 #include <ospreystage/process.hpp>
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <filesystem>
 #include <functional>
@@ -27,15 +25,12 @@
 
 /// Answers with what `read` returns, or 404 with its error.
 template <typename Read>
-void answer_bytes(httplib::Response& response, const char* content_type,
-                  Read read) {
+http_response bytes_response(const char* content_type, Read read) {
     error failure;
     auto bytes = value_or_error(read, failure);
-    if (bytes) {
-        response.set_content(std::move(*bytes), content_type);
-        return;
-    }
-    answer_json(response, 404, {{"error", to_string(failure)}});
+    if (bytes)
+        return text_response(content_type, std::move(*bytes));
+    return json_response(404, {{"error", to_string(failure)}});
 }
 
 /// Connects the services of one agent: what the document asks of this VM.
@@ -43,7 +38,7 @@
   public:
     agent(process& self, const settings& values);
 
-    void add_routes(httplib::Server& server);
+    void add_routes(api_server& server);
     void start();
     void stop();
     void drain();
@@ -112,22 +107,23 @@
                       core, values, self.self().incarnation, std::move(needs)));
 }
 
-void agent::add_routes(httplib::Server& server) {
+void agent::add_routes(api_server& server) {
     if (distribution_ == nullptr)
         return;
-    server.Get(R"(/weights/([0-9a-f]{64})/manifest)",
-               [this](const httplib::Request& in, httplib::Response& out) {
-                   answer_bytes(out, "application/json", [&] {
-                       return distribution_->manifest_text(in.matches[1].str());
-                   });
-               });
-    server.Get(
-        R"(/weights/([0-9a-f]{64})/chunks/(\d{1,9}))",
-        [this](const httplib::Request& in, httplib::Response& out) {
+    server.route_blocking("GET", R"(/weights/([0-9a-f]{64})/manifest)",
+                          [this](const api_request& request) {
+                              return bytes_response("application/json", [&] {
+                                  return distribution_->manifest_text(
+                                      request.captures[0]);
+                              });
+                          });
+    server.route_blocking(
+        "GET", R"(/weights/([0-9a-f]{64})/chunks/(\d{1,9}))",
+        [this](const api_request& request) {
             const auto index =
-                static_cast<std::uint32_t>(std::stoul(in.matches[2].str()));
-            answer_bytes(out, "application/octet-stream", [&] {
-                return distribution_->read_chunk(in.matches[1].str(), index);
+                static_cast<std::uint32_t>(std::stoul(request.captures[1]));
+            return bytes_response("application/octet-stream", [&] {
+                return distribution_->read_chunk(request.captures[0], index);
             });
         });
 }
@@ -253,7 +249,7 @@
         return exit_code::usage;
     process self(values);
     agent services(self, values);
-    services.add_routes(self.http().routes());
+    services.add_routes(self.http());
     self.core().post("attempts", [&services] { services.start(); });
     self.on_stop([&services] { services.drain(); },
                  [&services] { return services.is_idle(); });
--- a/src/attempt_service.cpp
+++ b/src/attempt_service.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/attempt_service.hpp>
+#include <ospreystage/impl/overloaded.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -10,26 +11,14 @@
 constexpr milliseconds tick_interval{20};
 constexpr milliseconds report_interval{100};
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 } // namespace
 
 attempt_service::attempt_service(kernel& core, const settings& configuration)
     : core_(core), configuration_(configuration),
       links_(core.find<links>("links")), gate_(links_.self(), configuration),
-      back_end_(configuration.backend_server.url,
-                configuration.backend_server.capacity,
+      back_end_(core, configuration.backend_server.url,
                 [this](const attempt_id& attempt, back_end_event event) {
-                    core_.post(
-                        "attempts",
-                        [this, attempt, event = std::move(event)]() mutable {
-                            on_back_end(attempt, std::move(event));
-                        });
+                    on_back_end(attempt, std::move(event));
                 }) {}
 
 void attempt_service::start() {
@@ -114,7 +103,7 @@
                                   back_end_event event) {
     const instant now = steady::now();
     std::visit(
-        overloaded{
+        impl::overloaded{
             [&](back_end_begin& begin) {
                 perform(gate_.on_begin(attempt, begin.status,
                                        begin.content_type, begin.version, now));
@@ -133,7 +122,7 @@
 
 void attempt_service::perform(gate::actions actions) {
     for (gate_action& each : actions) {
-        std::visit(overloaded{
+        std::visit(impl::overloaded{
                        [&](const gate_start& start) {
                            if (served_.engine)
                                prefixes_.note(start.order.version,
--- a/src/back_end.cpp
+++ b/src/back_end.cpp
@@ -1,42 +1,30 @@
 #include <ospreystage/back_end.hpp>
+#include <ospreystage/log.hpp>
 
-#include <httplib.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/string_view.h>
+#include <arpa/inet.h>
+#include <netdb.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 #include <algorithm>
-#include <optional>
+#include <array>
 #include <utility>
+#include <vector>
 
 namespace ospreystage {
 
 namespace {
 
+constexpr const char* service_name = "back_end";
 constexpr milliseconds connect_timeout{500};
 /// A back end that sends nothing for this long is taken for silent.
 constexpr milliseconds silence_timeout{4000};
+constexpr milliseconds silence_check_interval{100};
 constexpr const char* stream_type = "text/event-stream";
-constexpr const char* stream_end = "data: [DONE]";
-constexpr const char* event_separator = "\n\n";
-
-/// Splits a byte stream into server-sent events.
-class event_splitter {
-  public:
-    /// Appends bytes and returns the events that they complete.
-    std::vector<std::string> feed(const char* data, std::size_t size) {
-        buffer_.append(data, size);
-        std::vector<std::string> events;
-        for (;;) {
-            const std::size_t end = buffer_.find(event_separator);
-            if (end == std::string::npos)
-                return events;
-            events.push_back(buffer_.substr(0, end));
-            buffer_.erase(0, end + 2);
-        }
-    }
-
-  private:
-    std::string buffer_;
-};
+constexpr absl::string_view stream_end = "data: [DONE]";
+constexpr std::string_view scheme = "http://";
 
 /// Returns the request body with the fields that the agent adds.
 std::string engine_body(const run_order& order) {
@@ -51,143 +39,163 @@
     return body.dump();
 }
 
-httplib::Request make_request(const run_order& order) {
-    httplib::Request request;
+http_request make_request(const run_order& order, const address& server) {
+    http_request request;
     request.method = order.method;
-    request.path = order.path;
+    request.target = order.path;
     request.body = order.version.empty() ? order.body : engine_body(order);
-    request.set_header("Content-Type", order.content_type);
-    request.set_header("X-Attempt-Id", to_string(order.attempt));
-    request.set_header("X-Organisation", order.organisation);
+    request.fields = {{"Host", to_string(server)},
+                      {"X-Attempt-Id", to_string(order.attempt)},
+                      {"X-Organisation", order.organisation}};
+    if (!order.content_type.empty())
+        request.fields.push_back({"Content-Type", order.content_type});
     if (!order.idempotency_key.empty())
-        request.set_header("Idempotency-Key", order.idempotency_key);
+        request.fields.push_back({"Idempotency-Key", order.idempotency_key});
     return request;
 }
 
 /// Statuses with which a back end says that it did not run the request.
-bool is_refusal(int status) {
+bool is_refusal(std::uint16_t status) {
     return status == 404 || status == 429 || status == 503;
 }
 
-bool never_sent(httplib::Error problem) {
-    return problem == httplib::Error::Connection ||
-           problem == httplib::Error::ConnectionTimeout ||
-           problem == httplib::Error::BindIPAddress;
+std::string text_of(const http_fields& fields, std::string_view name) {
+    const std::string* value = find_field(fields, name);
+    return value == nullptr ? "" : *value;
 }
 
-} // namespace
-
-back_end::back_end(std::string url, std::uint32_t threads, callback receiver)
-    : url_(std::move(url)), receiver_(std::move(receiver)) {
-    threads_.reserve(threads);
-    for (std::uint32_t index = 0; index < threads; ++index)
-        threads_.emplace_back([this] { work(); });
+/// Returns the address of `http://host:port`; a name is looked up once.
+address resolve(const std::string& url) {
+    const auto named = parse_address(url.substr(scheme.size()));
+    if (!named)
+        return {};
+    addrinfo wanted{};
+    wanted.ai_family = AF_INET;
+    wanted.ai_socktype = SOCK_STREAM;
+    addrinfo* found = nullptr;
+    const int status =
+        getaddrinfo(named->host.c_str(), nullptr, &wanted, &found);
+    if (status != 0) {
+        log_event(log_level::error, "back_end_name_unknown",
+                  {{"url", url}, {"error", gai_strerror(status)}});
+        return *named;
+    }
+    std::array<char, INET_ADDRSTRLEN> text{};
+    const auto* first = reinterpret_cast<const sockaddr_in*>(found->ai_addr);
+    inet_ntop(AF_INET, &first->sin_addr, text.data(), text.size());
+    freeaddrinfo(found);
+    return {text.data(), named->port};
 }
 
-back_end::~back_end() {
-    {
-        const absl::MutexLock lock(&mutex_);
-        stopping_ = true;
-        waiting_.clear();
-        for (auto& [attempt, client] : running_)
-            client->stop();
-    }
-    for (std::thread& thread : threads_)
-        thread.join();
+} // namespace
+
+back_end::back_end(kernel& core, std::string url, callback receiver)
+    : core_(core), url_(std::move(url)), server_(resolve(url_)),
+      receiver_(std::move(receiver)), client_(core) {
+    core_.every(service_name, silence_check_interval, [this] { end_silent(); });
 }
 
 void back_end::start(const run_order& order, milliseconds deadline) {
-    const absl::MutexLock lock(&mutex_);
-    waiting_.push_back({order, deadline});
+    const attempt_id attempt = order.attempt;
+    running_call& current = running_[attempt];
+    current.may_refuse = !order.version.empty();
+    current.wants_stream = order.stream;
+    current.last_heard = steady::now();
+    call_options options;
+    options.connect_timeout = connect_timeout;
+    options.timeout = deadline;
+    // A kept connection may be closed by the server just when it is used
+    // again, and then nobody knows whether the request ran.
+    options.reuse = order.idempotency_key.empty();
+    call_handlers handlers;
+    handlers.head = [this, attempt](const http_response& head) {
+        on_head(attempt, head);
+    };
+    handlers.body = [this, attempt](std::string_view data) {
+        on_body(attempt, data);
+    };
+    handlers.ended = [this, attempt](call_end end) { on_ended(attempt, end); };
+    current.call = client_.start(server_, make_request(order, server_), options,
+                                 std::move(handlers));
 }
 
 void back_end::cancel(const attempt_id& attempt) {
-    const absl::MutexLock lock(&mutex_);
-    const auto found = running_.find(attempt);
-    if (found != running_.end())
-        found->second->stop();
+    fail(attempt, {true, "cancelled"});
 }
 
-void back_end::work() {
-    const auto ready = [this]() ABSL_SHARED_LOCKS_REQUIRED(mutex_) {
-        return stopping_ || !waiting_.empty();
-    };
-    for (;;) {
-        call current;
-        {
-            const absl::MutexLock lock(&mutex_, absl::Condition(&ready));
-            if (stopping_)
-                return;
-            current = std::move(waiting_.front());
-            waiting_.pop_front();
-        }
-        perform(current);
+void back_end::on_head(const attempt_id& attempt, const http_response& head) {
+    running_call& current = running_.at(attempt);
+    current.last_heard = steady::now();
+    if (current.may_refuse && is_refusal(head.status)) {
+        current.refused_status = head.status;
+        return;
     }
+    const std::string type = text_of(head.fields, "Content-Type");
+    current.is_event_stream = type.starts_with(stream_type);
+    receiver_(attempt, back_end_begin{head.status, type,
+                                      text_of(head.fields, "X-Model-Version")});
 }
 
-void back_end::perform(const call& current) {
-    const attempt_id& attempt = current.order.attempt;
-    const auto client = std::make_shared<httplib::Client>(url_);
-    client->set_connection_timeout(connect_timeout);
-    // An answer in one piece may take its whole deadline.
-    client->set_read_timeout(current.order.stream
-                                 ? std::min(current.deadline, silence_timeout)
-                                 : current.deadline);
-    client->set_tcp_nodelay(true);
-    {
-        const absl::MutexLock lock(&mutex_);
-        running_[attempt] = client;
+void back_end::on_body(const attempt_id& attempt, std::string_view data) {
+    running_call& current = running_.at(attempt);
+    current.last_heard = steady::now();
+    if (current.refused_status != 0)
+        return;
+    if (!current.is_event_stream) {
+        receiver_(attempt, back_end_part{std::string(data)});
+        return;
     }
-    bool refused = false;
-    bool stream = false;
-    bool ended = false;
-    event_splitter splitter;
-    httplib::Request request = make_request(current.order);
-    request.response_handler = [&](const httplib::Response& response) {
-        refused = !current.order.version.empty() && is_refusal(response.status);
-        if (refused)
-            return true;
-        const std::string type = response.get_header_value("Content-Type");
-        stream = type.starts_with(stream_type);
-        receiver_(attempt,
-                  back_end_begin{static_cast<std::uint16_t>(response.status),
-                                 type,
-                                 response.get_header_value("X-Model-Version")});
-        return true;
-    };
-    request.content_receiver = [&](const char* data, std::size_t size,
-                                   std::uint64_t, std::uint64_t) {
-        if (refused)
-            return true;
-        if (!stream) {
-            receiver_(attempt, back_end_part{std::string(data, size)});
-            return true;
-        }
-        for (std::string& event : splitter.feed(data, size)) {
-            if (event == stream_end)
-                ended = true;
-            else
-                receiver_(attempt,
-                          back_end_part{std::move(event) + event_separator});
-        }
-        return true;
-    };
-    const httplib::Result result = client->send(request);
-    {
-        const absl::MutexLock lock(&mutex_);
-        running_.erase(attempt);
+    // The receiver may end the call, and with it the splitter.
+    const std::vector<stream_event> events = current.splitter.feed(data);
+    for (const stream_event& event : events) {
+        const auto found = running_.find(attempt);
+        if (found == running_.end())
+            return;
+        if (absl::StripTrailingAsciiWhitespace(event.text) == stream_end)
+            found->second.has_stream_end = true;
+        else
+            receiver_(attempt, back_end_part{event.text});
     }
-    if (!result)
-        receiver_(attempt, back_end_failed{!never_sent(result.error()),
-                                           httplib::to_string(result.error())});
-    else if (refused)
-        receiver_(attempt,
-                  back_end_failed{false, "refused with status " +
-                                             std::to_string(result->status)});
-    else if (stream && !ended)
+}
+
+void back_end::on_ended(const attempt_id& attempt, call_end end) {
+    const auto found = running_.find(attempt);
+    const std::uint16_t refused = found->second.refused_status;
+    const bool is_short =
+        found->second.is_event_stream && !found->second.has_stream_end;
+    running_.erase(found);
+    if (end != call_end::complete)
+        receiver_(attempt, back_end_failed{end != call_end::not_connected,
+                                           to_string(end)});
+    else if (refused != 0)
+        receiver_(attempt, back_end_failed{false, "refused with status " +
+                                                      std::to_string(refused)});
+    else if (is_short)
         receiver_(attempt, back_end_failed{true, "stream ended early"});
     else
         receiver_(attempt, back_end_end{});
 }
 
+void back_end::fail(const attempt_id& attempt, back_end_failed failure) {
+    const auto found = running_.find(attempt);
+    if (found == running_.end())
+        return;
+    client_.cancel(found->second.call);
+    running_.erase(found);
+    core_.post(service_name,
+               [this, attempt, failure = std::move(failure)]() mutable {
+                   receiver_(attempt, std::move(failure));
+               });
+}
+
+void back_end::end_silent() {
+    const instant now = steady::now();
+    std::vector<attempt_id> silent;
+    for (const auto& [attempt, current] : running_)
+        if (current.wants_stream && now - current.last_heard > silence_timeout)
+            silent.push_back(attempt);
+    for (const attempt_id& attempt : silent)
+        fail(attempt, {true, "silent"});
+}
+
 } // namespace ospreystage
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -1,26 +1,27 @@
 #include <ospreystage/caller_api.hpp>
-#include <ospreystage/http_server.hpp>
+#include <ospreystage/impl/overloaded.hpp>
+#include <ospreystage/log.hpp>
 #include <ospreystage/prompt_prefix.hpp>
 
 #include <absl/hash/hash.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <cmath>
-#include <memory>
-#include <type_traits>
+#include <chrono>
+#include <utility>
 
 namespace ospreystage {
 
 namespace {
 
-/// Bound on the wait for one event; the broker's deadlines are shorter.
-constexpr std::chrono::minutes longest_wait{10};
-/// Interval at which a waiting stream checks that its caller is still there.
-constexpr milliseconds caller_check_interval{250};
+constexpr const char* service_name = "callers";
+/// A caller that has read nothing for this long is taken for gone; a usual
+/// bound for writes to a network peer.
+constexpr seconds longest_unread{5};
+constexpr milliseconds unread_check_interval{250};
 constexpr const char* default_organisation = "default";
 constexpr const char* stream_end = "data: [DONE]\n\n";
+constexpr std::uint16_t payload_too_large = 413;
+constexpr const char* too_large = "the body is larger than allowed";
 
 nlohmann::json refusal_body(const refuse_action& refusal) {
     return {{"error",
@@ -29,7 +30,7 @@
               {"retry_after_ms", refusal.retry_after.count()}}}};
 }
 
-int refusal_status(const refuse_action& refusal) {
+std::uint16_t refusal_status(const refuse_action& refusal) {
     if (refusal.reason == "key_reused")
         return 422;
     if (refusal.reason == "invalid_request")
@@ -41,39 +42,58 @@
     return refusal.reason == "overloaded" ? 429 : 503;
 }
 
-void answer_refusal(httplib::Response& response, const refuse_action& refusal) {
+http_response refusal_response(const refuse_action& refusal) {
     const auto whole = std::chrono::ceil<seconds>(refusal.retry_after);
-    response.set_header("Retry-After", std::to_string(whole.count()));
-    response.set_header("X-Outcome", to_string(refusal.result));
-    answer_json(response, refusal_status(refusal), refusal_body(refusal));
+    http_response response =
+        json_response(refusal_status(refusal), refusal_body(refusal));
+    response.fields.push_back({"Retry-After", std::to_string(whole.count())});
+    response.fields.push_back({"X-Outcome", to_string(refusal.result)});
+    return response;
 }
 
-void refuse_invalid(httplib::Response& response) {
+http_response invalid_request_response() {
     refuse_action refusal;
     refusal.reason = "invalid_request";
-    answer_refusal(response, refusal);
+    return refusal_response(refusal);
 }
 
-void read_headers(const httplib::Request& request, incoming_request& out) {
-    out.organisation = request.get_header_value("X-Organisation");
+/// Answers a request that could not be read: it was not run.
+http_response unreadable_response(std::uint16_t status,
+                                  const std::string& reason,
+                                  const std::string& target) {
+    const std::string detail = status == payload_too_large ? too_large : reason;
+    if (target.starts_with("/admin/"))
+        return json_response(status, {{"error", detail}});
+    http_response response =
+        json_response(status, {{"error",
+                                {{"outcome", to_string(outcome::not_run)},
+                                 {"reason", "invalid_request"},
+                                 {"detail", detail}}}});
+    response.fields.push_back({"X-Outcome", to_string(outcome::not_run)});
+    return response;
+}
+
+void read_fields(const api_request& request, incoming_request& out) {
+    out.organisation = field_value(request, "X-Organisation");
     if (out.organisation.empty())
         out.organisation = default_organisation;
-    out.request_class = request.get_header_value("X-Class");
-    out.idempotency_key = request.get_header_value("Idempotency-Key");
+    out.request_class = field_value(request, "X-Class");
+    out.idempotency_key = field_value(request, "Idempotency-Key");
     out.non_idempotent = !out.idempotency_key.empty();
-    out.content_type = request.get_header_value("Content-Type");
-    out.method = request.method;
-    out.body = request.body;
+    out.content_type = field_value(request, "Content-Type");
+    out.method = request.message.method;
+    out.body = request.message.body;
 }
 
 /// Reads a chat request; returns false if its form is wrong.
-bool read_chat(const httplib::Request& request, incoming_request& out) {
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+bool read_chat(const api_request& request, incoming_request& out) {
+    const auto body =
+        nlohmann::json::parse(request.message.body, nullptr, false);
     if (!body.is_object() || !body.contains("model") ||
         !body["model"].is_string() || !body.contains("messages") ||
         !body["messages"].is_array())
         return false;
-    read_headers(request, out);
+    read_fields(request, out);
     out.path = "/v1/chat/completions";
     out.service = body["model"].get<std::string>();
     const auto stream = body.find("stream");
@@ -85,158 +105,200 @@
 
 } // namespace
 
-caller_api::caller_api(const settings& configuration, exchange_table& exchanges,
-                       metrics& measures, dependencies needs)
-    : configuration_(configuration), exchanges_(exchanges), measures_(measures),
-      needs_(std::move(needs)) {}
-
-void caller_api::add_routes(httplib::Server& server) {
-    server.set_payload_max_length(configuration_.requests.max_body_bytes);
-    server.Get("/v1/entries",
-               [this](const httplib::Request&, httplib::Response& response) {
-                   handle_entries(response);
-               });
-    server.Post("/v1/chat/completions", [this](const httplib::Request& request,
-                                               httplib::Response& response) {
-        handle_chat(request, response);
-    });
-    const auto plain = [this](const httplib::Request& request,
-                              httplib::Response& response) {
-        handle_plain(request, response);
-    };
-    const char* pattern = R"(/v1/services/([^/]+)(/.*)?)";
-    server.Get(pattern, plain);
-    server.Post(pattern, plain);
-    server.Put(pattern, plain);
-    server.Delete(pattern, plain);
+// ---- Routes ----------------------------------------------------------------
+
+caller_api::caller_api(kernel& core, const settings& configuration,
+                       api_server& server, metrics& measures,
+                       dependencies needs)
+    : core_(core), configuration_(configuration), server_(server),
+      measures_(measures), needs_(std::move(needs)) {
+    add_routes();
+    server_.on_refused(unreadable_response);
+    server_.on_caller([this](exchange_id exchange) { on_abandoned(exchange); },
+                      [this](exchange_id exchange) {
+                          const auto found = by_exchange_.find(
+                              static_cast<std::uint64_t>(exchange));
+                          if (found != by_exchange_.end())
+                              open_.at(found->second).unread_since.reset();
+                      });
+    server_limits limits;
+    limits.max_body_bytes = configuration.requests.max_body_bytes;
+    server_.web().set_limits(limits);
+    core_.every(service_name, unread_check_interval, [this] { end_unread(); });
 }
 
-void caller_api::handle_entries(httplib::Response& response) const {
-    answer_json(response, 200,
-                {{"entries", needs_.entries()},
-                 {"ttl_ms", configuration_.cluster.entry_answer_ttl.count()}});
+void caller_api::add_routes() {
+    server_.route_plain("GET", "/v1/entries", [this](const api_request&) {
+        return json_response(
+            200, {{"entries", needs_.entries()},
+                  {"ttl_ms", configuration_.cluster.entry_answer_ttl.count()}});
+    });
+    server_.route("POST", "/v1/chat/completions",
+                  [this](exchange_id exchange, const api_request& request) {
+                      handle_chat(exchange, request);
+                  });
+    for (const char* method : {"GET", "POST", "PUT", "DELETE"})
+        server_.route_pattern(
+            method, R"(/v1/services/([^/]+)(/.*)?)",
+            [this](exchange_id exchange, const api_request& request) {
+                handle_plain(exchange, request);
+            });
 }
 
-void caller_api::handle_chat(const httplib::Request& request,
-                             httplib::Response& response) {
+void caller_api::handle_chat(exchange_id exchange, const api_request& request) {
     incoming_request incoming;
-    if (!read_chat(request, incoming)) {
-        refuse_invalid(response);
-        return;
-    }
-    serve(std::move(incoming), response);
+    if (read_chat(request, incoming))
+        serve(exchange, std::move(incoming));
+    else
+        server_.web().respond(exchange, invalid_request_response());
 }
 
-void caller_api::handle_plain(const httplib::Request& request,
-                              httplib::Response& response) {
+void caller_api::handle_plain(exchange_id exchange,
+                              const api_request& request) {
     incoming_request incoming;
-    read_headers(request, incoming);
-    incoming.service = request.matches[1].str();
-    incoming.path = request.matches[2].str();
+    read_fields(request, incoming);
+    incoming.service = request.captures[0];
+    incoming.path = request.captures[1];
     if (incoming.path.empty())
         incoming.path = "/";
-    serve(std::move(incoming), response);
+    if (!request.query.empty())
+        incoming.path += "?" + request.query;
+    serve(exchange, std::move(incoming));
 }
 
-void caller_api::serve(incoming_request incoming, httplib::Response& response) {
-    const instant arrived = steady::now();
-    const bool stream = incoming.stream;
+void caller_api::serve(exchange_id exchange, incoming_request incoming) {
     measures_.count("ospreystage_requests_total");
-    const request_id id = exchanges_.open();
+    const request_id id = next_id_++;
+    if (has_ended_) {
+        server_.web().respond(
+            exchange, refusal_response({id, outcome::not_run, "leaving", {}}));
+        return;
+    }
+    open_request& request = open_[id];
+    request.exchange = exchange;
+    request.arrived = steady::now();
+    request.wants_stream = incoming.stream;
+    by_exchange_.emplace(static_cast<std::uint64_t>(exchange), id);
     needs_.begin(id, std::move(incoming));
-    const auto first = exchanges_.next(id, longest_wait);
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+std::size_t caller_api::size() const noexcept {
+    return open_.size();
+}
+
+void caller_api::deliver(request_id id, const exchange_event& event) {
+    const auto found = open_.find(id);
+    if (found == open_.end())
+        return;
+    open_request& request = found->second;
+    std::visit(
+        impl::overloaded{
+            [&](const answer_begin_action& begin) {
+                begin_answer(request, begin);
+            },
+            [&](const answer_part_action& part) { take_part(request, part); },
+            [&](const answer_end_action&) { end_answer(id); },
+            [&](const refuse_action& refusal) { refuse(id, refusal); },
+        },
+        event);
+}
+
+void caller_api::begin_answer(open_request& request,
+                              const answer_begin_action& begin) {
     measures_.observe("ospreystage_first_event_seconds",
-                      steady::now() - arrived);
-    if (!first) {
-        needs_.cancel(id);
-        exchanges_.close(id);
-        answer_refusal(response, {id, outcome::unknown, "no_event", {}});
+                      steady::now() - request.arrived);
+    request.is_begun = true;
+    request.is_event_stream =
+        begin.content_type.starts_with("text/event-stream");
+    request.answer.status = begin.status;
+    request.answer.fields.push_back({"Content-Type", begin.content_type});
+    if (!begin.version.empty())
+        request.answer.fields.push_back({"X-Model-Version", begin.version});
+    if (request.wants_stream)
+        server_.web().begin(request.exchange, request.answer);
+}
+
+void caller_api::take_part(open_request& request,
+                           const answer_part_action& part) {
+    if (!request.wants_stream) {
+        request.answer.body += part.data;
         return;
     }
-    if (const auto* refusal = std::get_if<refuse_action>(&*first)) {
+    const bool is_read = server_.web().write(request.exchange, part.data);
+    if (!is_read && !request.unread_since)
+        request.unread_since = steady::now();
+}
+
+void caller_api::end_answer(request_id id) {
+    const open_request& request = open_.at(id);
+    web_server& web = server_.web();
+    if (!request.wants_stream) {
+        web.respond(request.exchange, request.answer);
+    } else {
+        if (request.is_event_stream)
+            web.write(request.exchange, stream_end);
+        web.finish(request.exchange);
+    }
+    close(id);
+}
+
+void caller_api::refuse(request_id id, const refuse_action& refusal) {
+    const open_request& request = open_.at(id);
+    web_server& web = server_.web();
+    if (!request.is_begun)
         measures_.count("ospreystage_refused_total");
-        exchanges_.close(id);
-        answer_refusal(response, *refusal);
-        return;
+    if (!request.is_begun || !request.wants_stream) {
+        web.respond(request.exchange, refusal_response(refusal));
+    } else if (request.is_event_stream) {
+        web.write(request.exchange,
+                  "data: " + refusal_body(refusal).dump() + "\n\n");
+        web.finish(request.exchange);
+    } else {
+        web.abort(request.exchange);
     }
-    const auto* begin = std::get_if<answer_begin_action>(&*first);
-    const answer_begin_action head =
-        begin == nullptr ? answer_begin_action{} : *begin;
-    if (stream)
-        stream_answer(id, head, response);
-    else
-        collect_answer(id, head, response);
-}
-
-void caller_api::stream_answer(request_id id, const answer_begin_action& begin,
-                               httplib::Response& response) {
-    const auto ended = std::make_shared<bool>(false);
-    const bool events = begin.content_type.starts_with("text/event-stream");
-    const auto deliver = [ended, events](const exchange_event& event,
-                                         httplib::DataSink& sink) {
-        const auto finish = [&](const std::string& last) {
-            if (!last.empty())
-                sink.write(last.data(), last.size());
-            *ended = true;
-            sink.done();
-        };
-        if (const auto* part = std::get_if<answer_part_action>(&event))
-            return sink.write(part->data.data(), part->data.size());
-        if (std::holds_alternative<answer_end_action>(event))
-            finish(events ? stream_end : "");
-        if (const auto* refusal = std::get_if<refuse_action>(&event)) {
-            if (!events) {
-                *ended = true;
-                return false;
-            }
-            finish("data: " + refusal_body(*refusal).dump() + "\n\n");
-        }
-        return true;
-    };
-    response.status = begin.status;
-    response.set_header("X-Model-Version", begin.version);
-    response.set_chunked_content_provider(
-        begin.content_type,
-        [this, id, deliver](std::size_t, httplib::DataSink& sink) {
-            const auto event = exchanges_.next(id, caller_check_interval);
-            if (!event)
-                return sink.is_writable();
-            return deliver(*event, sink);
-        },
-        [this, id, ended](bool) {
-            if (!*ended)
-                needs_.cancel(id);
-            exchanges_.close(id);
-        });
-}
-
-void caller_api::collect_answer(request_id id, const answer_begin_action& begin,
-                                httplib::Response& response) {
-    std::string body;
-    for (;;) {
-        const auto event = exchanges_.next(id, longest_wait);
-        if (event && std::holds_alternative<answer_part_action>(*event)) {
-            body += std::get<answer_part_action>(*event).data;
-            continue;
-        }
-        if (event && std::holds_alternative<answer_end_action>(*event)) {
-            response.status = begin.status;
-            if (!begin.version.empty())
-                response.set_header("X-Model-Version", begin.version);
-            response.set_content(body, begin.content_type);
-        } else {
-            if (!event)
-                needs_.cancel(id);
-            const auto* refusal =
-                event ? std::get_if<refuse_action>(&*event) : nullptr;
-            answer_refusal(
-                response,
-                refusal != nullptr
-                    ? *refusal
-                    : refuse_action{id, outcome::unknown, "no_event", {}});
-        }
-        exchanges_.close(id);
+    close(id);
+}
+
+void caller_api::abandon_all() {
+    has_ended_ = true;
+    std::vector<request_id> ids;
+    for (const auto& [id, request] : open_)
+        ids.push_back(id);
+    for (const request_id id : ids)
+        refuse(id, {id, outcome::unknown, "entry_stopped", {}});
+}
+
+void caller_api::close(request_id id) {
+    const auto found = open_.find(id);
+    by_exchange_.erase(static_cast<std::uint64_t>(found->second.exchange));
+    open_.erase(found);
+}
+
+void caller_api::on_abandoned(exchange_id exchange) {
+    const auto found = by_exchange_.find(static_cast<std::uint64_t>(exchange));
+    if (found == by_exchange_.end())
         return;
+    const request_id id = found->second;
+    close(id);
+    // Posted, since the broker may still be carrying out its actions.
+    core_.post(service_name, [this, id] { needs_.cancel(id); });
+}
+
+void caller_api::end_unread() {
+    const instant now = steady::now();
+    std::vector<request_id> late;
+    for (const auto& [id, request] : open_)
+        if (request.unread_since &&
+            now - *request.unread_since > longest_unread)
+            late.push_back(id);
+    for (const request_id id : late) {
+        const exchange_id exchange = open_.at(id).exchange;
+        log_event(log_level::info, "caller_does_not_read",
+                  {{"request", id}, {"waited_s", longest_unread.count()}});
+        server_.web().abort(exchange);
+        on_abandoned(exchange);
     }
 }
 
--- a/src/entry_process.cpp
+++ b/src/entry_process.cpp
@@ -38,7 +38,7 @@
 
 /// Adds the services of an entry in the order in which they depend.
 void add_services(process& self, const settings& values,
-                  exchange_table& exchanges) {
+                  request_service::callback to_caller) {
     kernel& core = self.core();
     auto& members = core.add(
         "membership",
@@ -48,7 +48,8 @@
                                 core, values, self.link_layer(), members));
     core.add("fleet_status", std::make_unique<fleet_status>(core));
     auto& requests = core.add(
-        "requests", std::make_unique<request_service>(core, values, exchanges));
+        "requests",
+        std::make_unique<request_service>(core, values, std::move(to_caller)));
     requests.start();
     members.on_change([&members, &requests](const member&) {
         std::vector<std::string> entries;
@@ -73,20 +74,13 @@
 caller_api::dependencies caller_needs(kernel& core) {
     caller_api::dependencies needs;
     needs.entries = [&core] {
-        auto urls = core.call("callers", [&core] {
-            return entry_urls(core.find<membership_service>("membership"));
-        });
-        return std::move(urls).value_or(std::vector<std::string>());
+        return entry_urls(core.find<membership_service>("membership"));
     };
     needs.begin = [&core](request_id id, incoming_request incoming) {
-        core.post("requests", [&core, id, incoming = std::move(incoming)] {
-            core.find<request_service>("requests").begin(id, incoming);
-        });
+        core.find<request_service>("requests").begin(id, std::move(incoming));
     };
     needs.cancel = [&core](request_id id) {
-        core.post("requests", [&core, id] {
-            core.find<request_service>("requests").cancel(id);
-        });
+        core.find<request_service>("requests").cancel(id);
     };
     return needs;
 }
@@ -94,27 +88,29 @@
 } // namespace
 
 exit_code run_entry(const settings& values) {
-    exchange_table exchanges;
     process self(values);
     kernel& core = self.core();
-    add_services(self, values, exchanges);
-    caller_api callers(values, exchanges, self.measures(), caller_needs(core));
-    callers.add_routes(self.http().routes());
+    caller_api callers(core, values, self.http(), self.measures(),
+                       caller_needs(core));
+    add_services(self, values,
+                 [&callers](request_id id, const exchange_event& event) {
+                     callers.deliver(id, event);
+                 });
     admin_api admin(values, core, core.find<configuration>("configuration"));
-    admin.add_routes(self.http().routes());
-    self.measures().gauge("ospreystage_requests_open", [&exchanges] {
-        return static_cast<double>(exchanges.size());
+    admin.add_routes(self.http());
+    self.measures().gauge("ospreystage_requests_open", [&callers] {
+        return static_cast<double>(callers.size());
     });
     self.on_stop(
         [&core] {
             core.find<membership_service>("membership").set_leaving();
             core.find<request_service>("requests").set_leaving();
         },
-        [&core, &exchanges] {
-            return exchanges.size() == 0 &&
+        [&core, &callers] {
+            return callers.size() == 0 &&
                    core.find<request_service>("requests").idle();
         });
-    self.on_kernel_ended([&exchanges] { exchanges.abandon_all(); });
+    self.on_kernel_ended([&callers] { callers.abandon_all(); });
     return self.run();
 }
 
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t read_bytes = 16 * 1024;
 /// Reads of one wake-up, so that one fast peer does not starve the others.
 constexpr int reads_per_wake = 8;
+/// Output that waits for the end of a turn at most: one read of a peer.
+constexpr std::size_t most_gathered_bytes = 16 * 1024;
 
 bool would_block() noexcept {
     return errno == EAGAIN || errno == EWOULDBLOCK;
@@ -39,8 +41,6 @@
 void stream_socket::adopt(int descriptor) {
     descriptor_ = descriptor;
     connected_ = true;
-    const int on = 1;
-    setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     watch();
 }
 
@@ -76,8 +76,24 @@
     if (!is_open() || closing_)
         return;
     output_.append(bytes);
-    if (connected_)
+    if (!connected_)
+        return;
+    if (pending_bytes() > most_gathered_bytes)
         flush();
+    else
+        flush_at_turn_end();
+}
+
+void stream_socket::flush_at_turn_end() {
+    if (std::exchange(has_flush_, true))
+        return;
+    core_.at_turn_end([this, alive = std::weak_ptr<int>(alive_)] {
+        if (alive.expired())
+            return;
+        has_flush_ = false;
+        if (is_open())
+            flush();
+    });
 }
 
 void stream_socket::set_reading(bool wanted) {
@@ -88,8 +104,9 @@
 void stream_socket::close() {
     if (descriptor_ < 0)
         return;
-    core_.unwatch(descriptor_);
-    ::close(descriptor_);
+    if (connected_)
+        send_pending();
+    core_.close(descriptor_);
     descriptor_ = -1;
     connected_ = false;
 }
@@ -98,11 +115,18 @@
     if (!is_open())
         return;
     closing_ = true;
-    if (pending_bytes() == 0) {
+    if (pending_bytes() == 0)
         end(end_kind::closed);
+    else if (!has_flush_)
+        update_events();
+}
+
+void stream_socket::finish_output() {
+    if (!is_open())
         return;
-    }
-    update_events();
+    finishing_ = true;
+    if (pending_bytes() == 0)
+        shutdown(descriptor_, SHUT_WR);
 }
 
 std::uint32_t stream_socket::wanted_events() const noexcept {
@@ -150,12 +174,13 @@
         flush();
         return;
     }
-    if ((events & EPOLLOUT) != 0U) {
+    if (closing_ || (events & EPOLLOUT) != 0U) {
         flush();
         if (alive.expired() || !is_open())
             return;
     }
-    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U)
+    if (!closing_ &&
+        (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U)
         read_all();
 }
 
@@ -186,28 +211,32 @@
         end(kind);
 }
 
-void stream_socket::flush() {
-    const std::weak_ptr<int> alive = alive_;
-    const bool had_output = pending_bytes() > 0;
+bool stream_socket::send_pending() {
     while (pending_bytes() > 0) {
         const ssize_t count = ::send(descriptor_, output_.data() + written_,
                                      pending_bytes(), MSG_NOSIGNAL);
-        if (count < 0) {
-            if (errno == EINTR)
-                continue;
-            if (would_block())
-                break;
-            // The reader sees what the peer still sent, and then the end.
-            output_.clear();
-            written_ = 0;
-            if (closing_)
-                end(end_kind::reset);
-            else
-                update_events();
-            return;
-        }
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            return would_block();
         written_ += static_cast<std::size_t>(count);
     }
+    return true;
+}
+
+void stream_socket::flush() {
+    const std::weak_ptr<int> alive = alive_;
+    const bool had_output = pending_bytes() > 0;
+    if (!send_pending()) {
+        // The reader sees what the peer still sent, and then the end.
+        output_.clear();
+        written_ = 0;
+        if (closing_)
+            end(end_kind::reset);
+        else
+            update_events();
+        return;
+    }
     if (pending_bytes() == 0) {
         output_.clear();
         written_ = 0;
@@ -215,6 +244,8 @@
             end(end_kind::closed);
             return;
         }
+        if (finishing_)
+            shutdown(descriptor_, SHUT_WR);
         if (had_output && handlers_.drained) {
             handlers_.drained();
             if (alive.expired())
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,6 +22,8 @@
 constexpr std::size_t max_unread_bytes = 64 * 1024;
 /// Interval between two looks for connections whose time has passed.
 constexpr milliseconds sweep_interval{250};
+/// Time for a caller to read why it was refused while it still sends.
+constexpr milliseconds refusal_linger{1000};
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -39,6 +42,8 @@
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    // Accepted connections inherit this.
+    setsockopt(listener_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     sockaddr_in raw{};
     raw.sin_family = AF_INET;
     raw.sin_port = htons(local.port);
@@ -74,13 +79,22 @@
     limits_ = limits;
 }
 
-void web_server::drain() {
+void web_server::end_after_answers() {
     is_draining_ = true;
-    if (listener_ >= 0) {
-        core_.unwatch(listener_);
-        ::close(listener_);
-        listener_ = -1;
-    }
+}
+
+void web_server::stop_listening() {
+    is_draining_ = true;
+    if (listener_ < 0)
+        return;
+    accept_all();
+    core_.unwatch(listener_);
+    ::close(listener_);
+    listener_ = -1;
+}
+
+void web_server::drain() {
+    stop_listening();
     std::vector<std::uint64_t> idle;
     for (const auto& [id, record] : connections_)
         if (!record->is_busy && record->socket.input.empty())
@@ -121,6 +135,10 @@
     if (found == connections_.end())
         return;
     connection_record& record = *found->second;
+    if (record.is_refused) {
+        record.socket.input.clear();
+        return;
+    }
     if (!record.is_busy) {
         parse(id);
         return;
@@ -143,7 +161,8 @@
     const parse_progress progress = record.parser->feed(input);
     input.erase(0, progress.consumed);
     if (!progress.failure.empty()) {
-        refuse(id, progress.failure_status, progress.failure);
+        refuse(id, progress.failure_status, progress.failure,
+               record.parser->request().target);
         return;
     }
     if (!progress.is_complete) {
@@ -168,17 +187,27 @@
 }
 
 void web_server::refuse(std::uint64_t id, std::uint16_t status,
-                        const std::string& reason) {
+                        const std::string& reason, const std::string& target) {
     ++refused_;
     log_event(log_level::info, "request_malformed",
               {{"status", status}, {"error", reason}});
     connection_record& record = *connections_.at(id);
     http_response response;
+    if (handlers_.describe_refusal) {
+        response = handlers_.describe_refusal(status, reason, target);
+    } else {
+        response.fields.push_back({"Content-Type", "text/plain"});
+        response.body = reason + "\n";
+    }
     response.status = status;
-    response.fields.push_back({"Content-Type", "text/plain"});
-    response.body = reason + "\n";
     record.socket.write(encode_response(response, http_framing::length, false));
-    record.socket.close_after_output();
+    // Closed later: a reset, as for bytes that were not read, may reach the
+    // caller before the answer does.
+    record.socket.finish_output();
+    record.socket.input.clear();
+    record.parser.reset();
+    record.is_refused = true;
+    record.deadline = steady::now() + refusal_linger;
 }
 
 void web_server::on_ended(std::uint64_t id) {
@@ -224,7 +253,8 @@
     for (const std::uint64_t id : late) {
         const connection_record& record = *connections_.at(id);
         if (record.parser)
-            refuse(id, 408, "request not received in time");
+            refuse(id, 408, "request not received in time",
+                   record.parser->request().target);
         else
             drop(id);
     }
--- a/src/kernel.cpp
+++ b/src/kernel.cpp
@@ -105,6 +105,13 @@
     timer_index_.erase(found);
 }
 
+void kernel::at_turn_end(task work) {
+    if (has_run_)
+        work();
+    else
+        turn_end_.push_back(std::move(work));
+}
+
 void kernel::watch(int descriptor, std::uint32_t events,
                    descriptor_handler handler) {
     epoll_event request{};
@@ -127,9 +134,15 @@
     watched_.erase(descriptor);
 }
 
+void kernel::close(int descriptor) {
+    watched_.erase(descriptor);
+    ::close(descriptor);
+}
+
 void kernel::run() {
     std::array<epoll_event, events_per_wait> ready{};
     while (!stopping_.load(std::memory_order_acquire)) {
+        run_turn_end();
         const int count =
             epoll_wait(epoll_, ready.data(), static_cast<int>(ready.size()),
                        wait_milliseconds());
@@ -150,6 +163,8 @@
         run_queue();
         run_timers();
     }
+    run_turn_end();
+    has_run_ = true;
     const absl::MutexLock lock(&mutex_);
     stopped_ = true;
     queue_.clear();
@@ -195,6 +210,15 @@
     }
 }
 
+void kernel::run_turn_end() {
+    // Work may add more, which belongs to this turn as well.
+    for (std::size_t index = 0; index < turn_end_.size(); ++index) {
+        const task work = std::move(turn_end_[index]);
+        work();
+    }
+    turn_end_.clear();
+}
+
 int kernel::wait_milliseconds() const {
     {
         const absl::MutexLock lock(&mutex_);
--- a/src/network.cpp
+++ b/src/network.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cstring>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace ospreystage {
@@ -153,10 +154,11 @@
         drop(connection, "send queue is full");
         return false;
     }
-    const bool idle = record.output.empty();
     record.output += encode_frame(value);
-    if (idle && !record.connecting)
-        flush(connection);
+    // Frames of one turn take one call.
+    if (!record.connecting && !record.waits_for_room &&
+        !std::exchange(record.has_flush, true))
+        core_.at_turn_end([this, connection] { flush(connection); });
     return true;
 }
 
@@ -165,8 +167,14 @@
         connections_.find(static_cast<std::uint64_t>(connection));
     if (found == connections_.end())
         return;
-    core_.unwatch(found->second.descriptor);
-    ::close(found->second.descriptor);
+    const connection_record& record = found->second;
+    // Frames that wait for the end of the turn were sent before this call.
+    if (record.has_flush)
+        static_cast<void>(
+            ::send(record.descriptor, record.output.data() + record.written,
+                   record.output.size() - record.written, MSG_NOSIGNAL));
+    core_.unwatch(record.descriptor);
+    ::close(record.descriptor);
     connections_.erase(found);
 }
 
@@ -306,13 +314,15 @@
     if (found == connections_.end())
         return;
     connection_record& record = found->second;
+    record.has_flush = false;
     while (record.written < record.output.size()) {
         const auto count =
             ::send(record.descriptor, record.output.data() + record.written,
                    record.output.size() - record.written, MSG_NOSIGNAL);
         if (count < 0) {
             if (errno == EAGAIN || errno == EINTR) {
-                core_.rewatch(record.descriptor, EPOLLIN | EPOLLOUT);
+                if (!std::exchange(record.waits_for_room, true))
+                    core_.rewatch(record.descriptor, EPOLLIN | EPOLLOUT);
                 return;
             }
             drop(id, system_message());
@@ -323,7 +333,8 @@
     }
     record.output.clear();
     record.written = 0;
-    core_.rewatch(record.descriptor, EPOLLIN);
+    if (std::exchange(record.waits_for_room, false))
+        core_.rewatch(record.descriptor, EPOLLIN);
 }
 
 void network::drop(connection_id id, const std::string& reason) {
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -1,13 +1,7 @@
 #include <ospreystage/log.hpp>
 #include <ospreystage/process.hpp>
 
-#include <httplib.h>
-#include <sys/epoll.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <csignal>
 #include <iostream>
 #include <utility>
 
@@ -21,22 +15,18 @@
 constexpr std::chrono::minutes most_drain{10};
 constexpr milliseconds drain_check_interval{50};
 
-sigset_t stop_signals() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
 } // namespace
 
 process::process(const settings& configuration)
     : configuration_(configuration), self_{configuration.process.name,
                                            new_incarnation()},
-      http_(configuration.listen.http_threads) {
-    const sigset_t signals = stop_signals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+      signals_(
+          core_, [this] { begin_drain(); },
+          [] {
+              log_event(log_level::warn, "reload_ignored",
+                        {{"reason", "settings are read at the start only"}});
+          }),
+      http_(core_, configuration.listen.http_threads) {
     start_logging(self_, parse_log_level(configuration.process.log_level));
     core_.add("network", std::make_unique<network>(core_));
     links_ = &core_.add("links",
@@ -44,11 +34,6 @@
     add_common_routes();
 }
 
-process::~process() {
-    if (signals_ >= 0)
-        close(signals_);
-}
-
 void process::on_stop(std::function<void()> drain, std::function<bool()> idle) {
     drain_ = std::move(drain);
     idle_ = std::move(idle);
@@ -64,12 +49,11 @@
 }
 
 exit_code process::run() {
-    watch_signals();
     error failure;
     const auto started = value_or_error(
         [this]() -> leaf::result<bool> {
             BOOST_LEAF_CHECK(links_->start());
-            BOOST_LEAF_CHECK(http_.start(configuration_.listen.http));
+            BOOST_LEAF_CHECK(http_.web().listen(configuration_.listen.http));
             return true;
         },
         failure);
@@ -84,46 +68,32 @@
     core_.run();
     if (kernel_ended_)
         kernel_ended_();
-    http_.stop();
     log_event(log_level::info, "stopped");
     return exit_code::success;
 }
 
 void process::add_common_routes() {
-    httplib::Server& server = http_.routes();
-    server.Get("/metrics",
-               [this](const httplib::Request&, httplib::Response& response) {
-                   response.set_content(metrics_.text(), "text/plain");
-               });
-    server.Get("/admin/v1/dump", [this](const httplib::Request& request,
-                                        httplib::Response& response) {
-        const bool allowed =
-            has_token(request, configuration_.cluster.token) ||
-            std::any_of(configuration_.operators.begin(),
-                        configuration_.operators.end(),
-                        [&](const operator_settings& entry) {
-                            return has_token(request, entry.token);
-                        });
-        if (!allowed) {
-            answer_json(response, 401, {{"error", "token missing or wrong"}});
-            return;
-        }
-        auto state = core_.call("dump", [this] { return core_.dump(); });
-        nlohmann::json body = std::move(state).value_or(nlohmann::json());
-        body["process"] = to_string(self_);
-        body["metrics"] = metrics_.dump();
-        answer_json(response, 200, body);
-    });
-}
-
-void process::watch_signals() {
-    const sigset_t signals = stop_signals();
-    signals_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    core_.watch(signals_, EPOLLIN, [this](std::uint32_t) {
-        signalfd_siginfo received{};
-        while (read(signals_, &received, sizeof(received)) > 0)
-            begin_drain();
+    http_.route_plain("GET", "/metrics", [this](const api_request&) {
+        return text_response("text/plain", metrics_.text());
     });
+    http_.route_plain(
+        "GET", "/admin/v1/dump", [this](const api_request& request) {
+            const bool allowed =
+                has_token(request, configuration_.cluster.token) ||
+                std::any_of(configuration_.operators.begin(),
+                            configuration_.operators.end(),
+                            [&](const operator_settings& entry) {
+                                return has_token(request, entry.token);
+                            });
+            if (!allowed)
+                return json_response(401,
+                                     {{"error", "token missing or wrong"}});
+            nlohmann::json body = core_.dump();
+            body["process"] = to_string(self_);
+            body["http"] = http_.dump();
+            body["metrics"] = metrics_.dump();
+            return json_response(200, body);
+        });
 }
 
 void process::begin_drain() {
@@ -132,6 +102,7 @@
     draining_ = true;
     drain_started_ = steady::now();
     log_event(log_level::info, "draining");
+    http_.web().end_after_answers();
     if (drain_)
         drain_();
     core_.every("drain", drain_check_interval, [this] { check_drained(); });
@@ -139,8 +110,17 @@
 
 void process::check_drained() {
     const auto spent = steady::now() - drain_started_;
-    const bool idle = !idle_ || idle_();
-    if ((spent >= least_drain && idle) || spent >= most_drain)
+    const bool idle = http_.web().exchanges() == 0 && (!idle_ || idle_());
+    if (spent >= most_drain) {
+        core_.stop();
+        return;
+    }
+    if (spent < least_drain || !idle)
+        return;
+    // Requests that arrive until the next check are still answered.
+    if (http_.web().is_listening())
+        http_.web().stop_listening();
+    else
         core_.stop();
 }
 
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -8,8 +8,9 @@
 namespace ospreystage {
 
 request_service::request_service(kernel& core, const settings& configuration,
-                                 exchange_table& exchanges)
-    : core_(core), links_(core.find<links>("links")), exchanges_(exchanges),
+                                 callback deliver)
+    : core_(core), links_(core.find<links>("links")),
+      to_caller_(std::move(deliver)),
       broker_(links_.self(), configuration, links_.self().incarnation) {}
 
 void request_service::start() {
@@ -85,7 +86,7 @@
                     probe(action.agent);
                 else {
                     const request_id id = action.request;
-                    exchanges_.push(id, std::move(action));
+                    to_caller_(id, std::move(action));
                 }
             },
             each);
--- a/tests/bench/control.cpp
+++ b/tests/bench/control.cpp
@@ -78,7 +78,6 @@
     options.plain_agents =
         run.nodes > entry_count ? run.nodes - entry_count : 1;
     options.share_plain_backend = true;
-    options.http_threads = 16;
     options.log_level = "warn";
     options.start_timeout = seconds(60);
     return options;
--- a/tests/bench/distribution.cpp
+++ b/tests/bench/distribution.cpp
@@ -78,7 +78,6 @@
     options.data_centres = data_centres;
     options.entries = 3;
     options.agents = run.vms;
-    options.http_threads = 16;
     options.origin_bytes_per_second = static_cast<std::uint64_t>(
         bytes * origin_copies_per_window / window_seconds(run));
     options.link_bytes_per_second = static_cast<std::uint64_t>(
--- a/tests/bench/path_costs.cpp
+++ b/tests/bench/path_costs.cpp
@@ -83,25 +83,6 @@
              (percentile(through, 99) - percentile(direct, 99)).count()}};
 }
 
-nlohmann::json measure_rate(serving_fleet& running,
-                            const case_options& options) {
-    load_options requests;
-    requests.threads = entry_callers;
-    requests.seed = options.seed;
-    requests.non_idempotent_percent = 0;
-    requests.max_tokens = 4;
-    load callers(running.system(), running.client(), requests);
-    callers.start();
-    std::this_thread::sleep_for(options.window);
-    nlohmann::json line = to_json(callers.finish());
-    line["case"] = "entry-rate";
-    line["callers"] = entry_callers;
-    line["seconds"] = options.window.count();
-    line["requests_per_second"] = line["served"].get<double>() /
-                                  static_cast<double>(options.window.count());
-    return line;
-}
-
 /// CPU time that a process has used so far.
 milliseconds cpu_time(pid_t pid) {
     std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
@@ -127,6 +108,40 @@
     return 0;
 }
 
+nlohmann::json measure_rate(serving_fleet& running,
+                            const case_options& options) {
+    load_options requests;
+    requests.threads = entry_callers;
+    requests.seed = options.seed;
+    requests.non_idempotent_percent = 0;
+    requests.max_tokens = 4;
+    fleet& system = running.system();
+    std::map<std::string, milliseconds> before;
+    for (const fleet_member& member : system.members())
+        before[member.name] = cpu_time(system.process(member.name).pid());
+    load callers(running.system(), running.client(), requests);
+    callers.start();
+    std::this_thread::sleep_for(options.window);
+    nlohmann::json line = to_json(callers.finish());
+    line["case"] = "entry-rate";
+    line["callers"] = entry_callers;
+    line["seconds"] = options.window.count();
+    line["requests_per_second"] = line["served"].get<double>() /
+                                  static_cast<double>(options.window.count());
+    milliseconds entry_time{};
+    milliseconds agent_time{};
+    for (const auto& [name, used] : before) {
+        const milliseconds spent = cpu_time(system.process(name).pid()) - used;
+        (name.starts_with("entry") ? entry_time : agent_time) += spent;
+    }
+    const double served = line["served"].get<double>();
+    line["requests_per_entry_core_second"] =
+        served / std::chrono::duration<double>(entry_time).count();
+    line["requests_per_agent_core_second"] =
+        served / std::chrono::duration<double>(agent_time).count();
+    return line;
+}
+
 nlohmann::json measure_rest(serving_fleet& running) {
     fleet& system = running.system();
     std::map<std::string, milliseconds> before;
--- a/tests/support/fleet_options.hpp
+++ b/tests/support/fleet_options.hpp
@@ -39,7 +39,7 @@
     std::string region = "region-1";
     std::string log_level = "info";
     std::string token = "fleet-token";
-    std::uint32_t http_threads = 64;
+    std::uint32_t http_threads = 8;
     milliseconds heartbeat_interval{500};
     milliseconds silence_timeout{2000};
     milliseconds gossip_interval{500};
--- /dev/null
+++ b/tests/web_server.cpp
@@ -0,0 +1,237 @@
+#include "tests/support/free_ports.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/running_kernel.hpp"
+
+#include <ospreystage/http/web_server.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace ospreystage;
+using testing::raw_connection;
+using testing::running_kernel;
+
+namespace {
+
+constexpr const char* get_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// Server that answers with the target and the body that it read.
+class echo_server {
+  public:
+    echo_server()
+        : local{"127.0.0.1", support::free_ports(1).front()},
+          server(core, {[this](exchange_id exchange, http_request request) {
+                            ++requests;
+                            on_request(exchange, request);
+                        },
+                        [this](exchange_id) { ++abandoned; },
+                        [this](exchange_id) { ++drained; }, nullptr}) {
+        error failure;
+        REQUIRE(value_or_error(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(server.listen(local));
+                return true;
+            },
+            failure));
+    }
+
+    kernel core;
+    address local;
+    web_server server;
+    std::function<void(exchange_id, const http_request&)> on_request =
+        [this](exchange_id exchange, const http_request& request) {
+            http_response response;
+            response.body = request.target + ":" + request.body;
+            server.respond(exchange, response);
+        };
+    std::atomic<int> requests{0};
+    std::atomic<int> abandoned{0};
+    std::atomic<int> drained{0};
+};
+
+bool contains(const std::string& text, std::string_view part) {
+    return text.find(part) != std::string::npos;
+}
+
+/// Waits until `done` holds; returns whether it did in time.
+bool wait_for(const std::function<bool()>& done) {
+    const instant until = steady::now() + seconds(5);
+    while (!done()) {
+        if (steady::now() > until)
+            return false;
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("web server - requests sent ahead are answered in their order") {
+    echo_server echo;
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+                "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(contains(caller.read_until("/1:abc"), "200 OK"));
+    CHECK(contains(caller.read_until("/2:"), "200 OK"));
+    CHECK(contains(caller.read_until("/3:"), "200 OK"));
+}
+
+TEST_CASE("web server - a request that arrives byte by byte is read") {
+    echo_server echo;
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    for (const char byte : std::string(get_request))
+        caller.send(std::string_view(&byte, 1));
+    CHECK(contains(caller.read_until("/a:"), "200 OK"));
+}
+
+TEST_CASE("web server - malformed and too large requests get a clear status") {
+    echo_server echo;
+    server_limits limits;
+    limits.max_header_bytes = 1024;
+    limits.max_body_bytes = 100;
+    echo.server.set_limits(limits);
+    const running_kernel running(echo.core);
+    const std::string long_field(2048, 'f');
+    const std::map<std::string, std::string> cases = {
+        {"NOT HTTP\r\n\r\n", " 400 "},
+        {"GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + long_field + "\r\n\r\n",
+         " 431 "},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n", " 413 "},
+        {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+         "chunked\r\n\r\nzz\r\n",
+         " 400 "},
+    };
+    for (const auto& [bytes, status] : cases) {
+        raw_connection caller(echo.local);
+        caller.send(bytes);
+        const std::string answer = caller.read_all();
+        INFO(answer);
+        CHECK(contains(answer, status));
+        CHECK(caller.has_ended());
+    }
+    CHECK(echo.requests == 0);
+}
+
+TEST_CASE("web server - a refusal reaches a caller that still sends its body") {
+    echo_server echo;
+    server_limits limits;
+    limits.max_body_bytes = 100;
+    echo.server.set_limits(limits);
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    const std::string body(4 * 1024 * 1024, 'b');
+    caller.send(
+        fmt::format("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+                    body.size()));
+    CHECK(caller.send(body));
+    CHECK(contains(caller.read_all(), " 413 "));
+}
+
+TEST_CASE("web server - a request that is not received in time is refused") {
+    echo_server echo;
+    server_limits limits;
+    limits.header_timeout = milliseconds(100);
+    echo.server.set_limits(limits);
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send("GET /a HTTP/1.1\r\nHo");
+    CHECK(contains(caller.read_all(), " 408 "));
+    CHECK(caller.has_ended());
+}
+
+TEST_CASE("web server - an idle connection is closed without an answer") {
+    echo_server echo;
+    server_limits limits;
+    limits.idle_timeout = milliseconds(300);
+    echo.server.set_limits(limits);
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send(get_request);
+    CHECK(contains(caller.read_until("/a:"), "200 OK"));
+    CHECK(caller.read_all().empty());
+    CHECK(caller.has_ended());
+}
+
+TEST_CASE("web server - a caller that does not read holds back its stream") {
+    echo_server echo;
+    exchange_id stream{};
+    echo.on_request = [&](exchange_id exchange, const http_request&) {
+        stream = exchange;
+        echo.server.begin(exchange, {});
+    };
+    running_kernel running(echo.core);
+    raw_connection caller(echo.local, 4096);
+    caller.send(get_request);
+    REQUIRE(wait_for([&] { return echo.requests == 1; }));
+    const std::string part(16 * 1024, 'p');
+    std::size_t sent = 0;
+    const bool is_held_back = wait_for([&] {
+        sent += part.size();
+        return !running.ask([&] { return echo.server.write(stream, part); });
+    });
+    REQUIRE(is_held_back);
+    CHECK(echo.drained == 0);
+    std::string received = caller.read_until("200 OK");
+    while (echo.drained == 0) {
+        const std::string more = caller.read_until("\r\n");
+        REQUIRE_FALSE(more.empty());
+        received += more;
+    }
+    running.ask([&] {
+        echo.server.finish(stream);
+        return true;
+    });
+    received += caller.read_until("\r\n0\r\n\r\n");
+    CHECK(static_cast<std::size_t>(
+              std::count(received.begin(), received.end(), 'p')) == sent);
+}
+
+TEST_CASE("web server - a caller that goes away is told once") {
+    echo_server echo;
+    echo.on_request = [](exchange_id, const http_request&) {};
+    running_kernel running(echo.core);
+    {
+        raw_connection caller(echo.local);
+        caller.send(get_request);
+        REQUIRE(wait_for([&] { return echo.requests == 1; }));
+    }
+    CHECK(wait_for([&] { return echo.abandoned == 1; }));
+    CHECK(running.ask([&] { return echo.server.exchanges(); }) == 0);
+    CHECK(running.ask([&] { return echo.server.connections(); }) == 0);
+}
+
+TEST_CASE("web server - an answer after the drain began ends the connection") {
+    echo_server echo;
+    running_kernel running(echo.core);
+    raw_connection kept(echo.local);
+    kept.send(get_request);
+    kept.read_until("/a:");
+    running.ask([&] {
+        echo.server.end_after_answers();
+        return true;
+    });
+    raw_connection late(echo.local);
+    REQUIRE(late.is_open());
+    for (raw_connection* caller : {&kept, &late}) {
+        caller->send(get_request);
+        const std::string answer = caller->read_all();
+        CHECK(contains(answer, "Connection: close"));
+        CHECK(contains(answer, "/a:"));
+        CHECK(caller->has_ended());
+    }
+    running.ask([&] {
+        echo.server.stop_listening();
+        return true;
+    });
+    CHECK_FALSE(raw_connection(echo.local).is_open());
+}
