Take up changes of the node's settings file while running

Cause: SIGHUP and a changed file were only logged.

Times, budgets, the link's rate and the map of regions are taken up in place; a name, an address or the service needs a restart and is named in the log. A file with an error changes nothing and is logged once.

Ruled out: a restart of the process at each change, which cuts streams.

Tests: node settings (two), repeat window and named versions (one each).

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -60,6 +60,9 @@
     /// Starts the timer that looks for silent servers.
     void start();
 
+    /// Replaces the limits of repeats of every service.
+    void set_repeat_limits(const repeat_window::options& limits);
+
     /// Refuses new requests from now on; those in progress go on.
     void close() noexcept { is_closed_ = true; }
 
--- a/include/ospreystage/serving/repeat_window.hpp
+++ b/include/ospreystage/serving/repeat_window.hpp
@@ -22,6 +22,9 @@
 
     explicit repeat_window(const options& limits);
 
+    /// Replaces the limits; what was noted still counts.
+    void set_limits(const options& limits) noexcept { limits_ = limits; }
+
     /// Takes note of a request.
     void on_request(instant now);
 
--- a/include/ospreystage/weights/named_versions.hpp
+++ b/include/ospreystage/weights/named_versions.hpp
@@ -30,6 +30,9 @@
     /// version.
     explicit named_versions(milliseconds limit) : limit_(limit) {}
 
+    /// Replaces the limit, also of versions that are known.
+    void set_limit(milliseconds limit) noexcept { limit_ = limit; }
+
     /// Takes a version; returns false if it is not newer than the known one.
     bool on_named(const std::string& model, std::uint64_t version,
                   bool saw_naming, instant now);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -99,6 +99,12 @@
     return found == requests_.end() ? nullptr : found->second.get();
 }
 
+void gateway::set_repeat_limits(const repeat_window::options& limits) {
+    repeat_limits_ = limits;
+    for (auto& [service, window] : repeats_)
+        window.set_limits(limits);
+}
+
 repeat_window& gateway::repeats_of(const std::string& service) {
     return repeats_.try_emplace(service, repeat_limits_).first->second;
 }
--- a/tests/named_versions.cpp
+++ b/tests/named_versions.cpp
@@ -27,6 +27,14 @@
     CHECK(versions.least("m", start + seconds(3) + limit) == 3);
 }
 
+TEST_CASE("named versions - a new limit holds for versions that are known") {
+    named_versions versions(limit);
+    REQUIRE(versions.on_named("m", 2, true, start));
+    CHECK(versions.least("m", start + seconds(1)) == 0);
+    versions.set_limit(seconds(2));
+    CHECK(versions.least("m", start + seconds(1)) == 2);
+}
+
 TEST_CASE("named versions - one that was named before the start is due") {
     named_versions versions(limit);
     REQUIRE(versions.on_named("m", 2, false, start));
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -1,9 +1,17 @@
 #include "platform/node_settings.hpp"
+#include "platform/product_settings.hpp"
+#include "platform/settings_reload.hpp"
 #include "platform/wire.hpp"
+#include "tests/support/text_file.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
+#include <cstdlib>
+#include <filesystem>
 #include <string>
+#include <vector>
 
 using namespace ospreystage;
 using namespace ospreystage::platform;
@@ -56,6 +64,54 @@
               .detail.find("listen.ready") != std::string::npos);
 }
 
+TEST_CASE("node settings - times and budgets are taken up while running") {
+    auto node = decoded([] { return parse_node_settings(settings_text, "f"); });
+    const auto read = decoded([] {
+        return parse_node_settings(
+            settings_text + "bounds.version_ms=9000\nbounds.budget_slack=7\n" +
+                "limits.link_mbps=16\nlisten.front=10.1.0.40:9000\n",
+            "f");
+    });
+    REQUIRE(node);
+    REQUIRE(read);
+    const settings_change change = take_up(*node, *read);
+    CHECK(change.taken == std::vector<std::string>{"limits.link_mbps",
+                                                   "bounds.version_ms",
+                                                   "bounds.budget_slack"});
+    CHECK(change.need_restart == std::vector<std::string>{"listen.front"});
+    CHECK(node->version_time == seconds(9));
+    CHECK(node->link_bytes_per_second == 2'000'000);
+    CHECK(node->front == address{"10.1.0.40", 8005});
+    CHECK(take_up(*node, *read).taken.empty());
+}
+
+TEST_CASE("node settings - a file with an error leaves what is in force") {
+    const std::string file =
+        std::filesystem::temp_directory_path() /
+        ("ospreystage-node-" + std::to_string(getpid()) + ".conf");
+    const absl::Cleanup clean_up = [&] {
+        std::filesystem::remove(file);
+        unsetenv("OSPREYSTAGE_NODE_FILE");
+    };
+    setenv("OSPREYSTAGE_NODE_FILE", file.c_str(), 1);
+    const auto write = [&](const std::string& added) {
+        REQUIRE(support::write_text_file(file, settings_text + added));
+    };
+    write("");
+    auto node = decoded([] { return load_node_settings(); });
+    REQUIRE(node);
+    settings product = product_settings(*node, process_role::agent);
+    settings_reload reload(*node, product, process_role::agent);
+    CHECK(reload.poll().is_empty());
+    write("bounds.drain_ms=900\nlimits.link_mbps=x\n");
+    CHECK(reload.poll().is_empty());
+    CHECK(node->drain_time == milliseconds(1500));
+    write("bounds.drain_ms=900\nlimits.link_mbps=80\n");
+    CHECK(reload.poll().taken.size() == 2);
+    CHECK(node->drain_time == milliseconds(900));
+    CHECK(product.distribution.link_bytes_per_second == 8'000'000);
+}
+
 TEST_CASE("wire - a configuration becomes routes, services and keys") {
     const auto configuration = decoded([] {
         return decode_configuration(R"({"version":7,"routes":[
--- a/tests/repeat_window.cpp
+++ b/tests/repeat_window.cpp
@@ -33,6 +33,17 @@
     CHECK(spent > 0);
 }
 
+TEST_CASE("repeat window - new limits count what was spent before") {
+    repeat_window window({0, 10, seconds(10)});
+    const int spent = spend_all(window, 1, start);
+    window.set_limits({0, 20, seconds(10)});
+    const int more = spend_all(window, 1, start);
+    CHECK(more > 0);
+    CHECK(spent + more <= 20);
+    window.set_limits({0, 5, seconds(10)});
+    CHECK(spend_all(window, 1, start) == 0);
+}
+
 TEST_CASE("repeat window - what was spent counts for a whole window") {
     repeat_window window({0, 10, seconds(10)});
     const int spent = spend_all(window, 1, start);
