Give each part of the product a folder

Cause: some seventy files lay flat in src/ and include/ospreystage/, beside the folders of the newer parts.

Change: core, network, fleet, store, rollout, requests, weights and app; files move, includes follow, nothing else changes. Internals stay in impl/.

Ruled out: renaming types or namespaces along with the files, which would hide the move.

--- a/include/ospreystage/admin_api.hpp
+++ b/include/ospreystage/app/admin_api.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/configuration.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/settings.hpp>
 #include <ospreystage/http/api_server.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/rollout/configuration.hpp>
 
 #include <functional>
 #include <optional>
--- a/include/ospreystage/commands.hpp
+++ b/include/ospreystage/app/commands.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/exit_code.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/exit_code.hpp>
+#include <ospreystage/core/settings.hpp>
 
 #include <string>
 #include <vector>
--- a/include/ospreystage/process.hpp
+++ b/include/ospreystage/app/process.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <ospreystage/exit_code.hpp>
+#include <ospreystage/core/exit_code.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/metrics.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/core/signal_watch.hpp>
 #include <ospreystage/http/api_server.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
-#include <ospreystage/metrics.hpp>
-#include <ospreystage/settings.hpp>
-#include <ospreystage/signal_watch.hpp>
+#include <ospreystage/network/links.hpp>
 
 #include <functional>
 
--- a/include/ospreystage/kernel.hpp
+++ b/include/ospreystage/core/kernel.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/clock.hpp>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
--- a/include/ospreystage/settings.hpp
+++ b/include/ospreystage/core/settings.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/clock.hpp>
-#include <ospreystage/error.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/signal_watch.hpp
+++ b/include/ospreystage/core/signal_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/kernel.hpp>
+#include <ospreystage/core/kernel.hpp>
 
 #include <functional>
 
--- a/include/ospreystage/fleet/entry_list.hpp
+++ b/include/ospreystage/fleet/entry_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/clock.hpp>
 
 #include <map>
 #include <optional>
--- a/include/ospreystage/fleet_status.hpp
+++ b/include/ospreystage/fleet/fleet_status.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/membership_service.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/fleet/membership_service.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
--- a/include/ospreystage/membership.hpp
+++ b/include/ospreystage/fleet/membership.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/member_table.hpp>
-#include <ospreystage/messages.hpp>
-#include <ospreystage/revisions_heard.hpp>
-#include <ospreystage/settings.hpp>
-#include <ospreystage/vm_list.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/fleet/member_table.hpp>
+#include <ospreystage/fleet/vm_list.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/rollout/revisions_heard.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
--- a/include/ospreystage/membership_service.hpp
+++ b/include/ospreystage/fleet/membership_service.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
-#include <ospreystage/membership.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/fleet/membership.hpp>
+#include <ospreystage/network/links.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/include/ospreystage/vm_list.hpp
+++ b/include/ospreystage/fleet/vm_list.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/error.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/error.hpp>
 
 #include <string>
 #include <vector>
--- a/include/ospreystage/http/api_server.hpp
+++ b/include/ospreystage/http/api_server.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/error.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/worker_pool.hpp>
 #include <ospreystage/http/message.hpp>
 #include <ospreystage/http/web_server.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/worker_pool.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/kernel.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/kernel.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/include/ospreystage/impl/broker_state.hpp
+++ b/include/ospreystage/impl/broker_state.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <ospreystage/admission.hpp>
-#include <ospreystage/balancer.hpp>
-#include <ospreystage/broker_action.hpp>
-#include <ospreystage/claim_tally.hpp>
-#include <ospreystage/retry_budget.hpp>
-#include <ospreystage/rollout.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/requests/admission.hpp>
+#include <ospreystage/requests/balancer.hpp>
+#include <ospreystage/requests/broker_action.hpp>
+#include <ospreystage/requests/claim_tally.hpp>
+#include <ospreystage/requests/retry_budget.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/include/ospreystage/impl/kv_json.hpp
+++ b/include/ospreystage/impl/kv_json.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/kv_client.hpp>
+#include <ospreystage/store/kv_client.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/ospreystage/codec.hpp
+++ b/include/ospreystage/network/codec.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/error.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/include/ospreystage/links.hpp
+++ b/include/ospreystage/network/links.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/network.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/network/network.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/network.hpp
+++ b/include/ospreystage/network/network.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/error.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/attempt_service.hpp
+++ b/include/ospreystage/requests/attempt_service.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <ospreystage/back_end.hpp>
-#include <ospreystage/gate.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
-#include <ospreystage/prompt_prefix.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/network/links.hpp>
+#include <ospreystage/requests/back_end.hpp>
+#include <ospreystage/requests/gate.hpp>
+#include <ospreystage/requests/prompt_prefix.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/back_end.hpp
+++ b/include/ospreystage/requests/back_end.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <ospreystage/address.hpp>
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/kernel.hpp>
 #include <ospreystage/http/web_client.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/network/messages.hpp>
 #include <ospreystage/serving/event_splitter.hpp>
 
 #include <absl/container/flat_hash_map.h>
--- a/include/ospreystage/balancer.hpp
+++ b/include/ospreystage/requests/balancer.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/messages.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/include/ospreystage/broker.hpp
+++ b/include/ospreystage/requests/broker.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <ospreystage/broker_action.hpp>
-#include <ospreystage/clock.hpp>
-#include <ospreystage/incoming_request.hpp>
-#include <ospreystage/messages.hpp>
-#include <ospreystage/rollout.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/requests/broker_action.hpp>
+#include <ospreystage/requests/incoming_request.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/ospreystage/broker_action.hpp
+++ b/include/ospreystage/requests/broker_action.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/incoming_request.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/requests/incoming_request.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/caller_api.hpp
+++ b/include/ospreystage/requests/caller_api.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <ospreystage/broker_action.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/metrics.hpp>
+#include <ospreystage/core/settings.hpp>
 #include <ospreystage/http/api_server.hpp>
-#include <ospreystage/incoming_request.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/metrics.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/requests/broker_action.hpp>
+#include <ospreystage/requests/incoming_request.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/claim_ledger.hpp
+++ b/include/ospreystage/requests/claim_ledger.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/messages.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
--- a/include/ospreystage/claim_service.hpp
+++ b/include/ospreystage/requests/claim_service.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/claim_ledger.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/network/links.hpp>
+#include <ospreystage/requests/claim_ledger.hpp>
 
 namespace ospreystage {
 
--- a/include/ospreystage/claim_tally.hpp
+++ b/include/ospreystage/requests/claim_tally.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/messages.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/gate.hpp
+++ b/include/ospreystage/requests/gate.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/messages.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
--- a/include/ospreystage/placement.hpp
+++ b/include/ospreystage/requests/placement.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/prompt_prefix.hpp
+++ b/include/ospreystage/requests/prompt_prefix.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
--- a/include/ospreystage/request_service.hpp
+++ b/include/ospreystage/requests/request_service.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/broker.hpp>
-#include <ospreystage/caller_api.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/network/links.hpp>
+#include <ospreystage/requests/broker.hpp>
+#include <ospreystage/requests/caller_api.hpp>
 
 #include <functional>
 #include <memory>
--- a/include/ospreystage/acceptance.hpp
+++ b/include/ospreystage/rollout/acceptance.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/kv_client.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/rollout/rollout.hpp>
+#include <ospreystage/store/kv_client.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/include/ospreystage/config_register.hpp
+++ b/include/ospreystage/rollout/config_register.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/messages.hpp>
-#include <ospreystage/revisions_heard.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/rollout/revisions_heard.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/ospreystage/configuration.hpp
+++ b/include/ospreystage/rollout/configuration.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <ospreystage/acceptance.hpp>
-#include <ospreystage/config_register.hpp>
-#include <ospreystage/job_thread.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/kv_watch.hpp>
-#include <ospreystage/links.hpp>
-#include <ospreystage/membership_service.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/job_thread.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/fleet/membership_service.hpp>
+#include <ospreystage/network/links.hpp>
+#include <ospreystage/rollout/acceptance.hpp>
+#include <ospreystage/rollout/config_register.hpp>
+#include <ospreystage/store/kv_watch.hpp>
 
 #include <functional>
 #include <memory>
--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/clock.hpp>
 #include <ospreystage/fleet/backend_registry.hpp>
 #include <ospreystage/routing/routing_configuration.hpp>
 
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/metrics.hpp>
 #include <ospreystage/fleet/backend_registry.hpp>
 #include <ospreystage/http/web_client.hpp>
 #include <ospreystage/http/web_server.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/metrics.hpp>
 #include <ospreystage/routing/route_table.hpp>
 #include <ospreystage/serving/backend_load.hpp>
 #include <ospreystage/serving/caller_dialect.hpp>
--- a/include/ospreystage/kv_watch.hpp
+++ b/include/ospreystage/store/kv_watch.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/error.hpp>
-#include <ospreystage/kv_client.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/store/kv_client.hpp>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
--- a/include/ospreystage/chunk_store.hpp
+++ b/include/ospreystage/weights/chunk_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/chunk_bitmap.hpp>
-#include <ospreystage/manifest.hpp>
+#include <ospreystage/weights/chunk_bitmap.hpp>
+#include <ospreystage/weights/manifest.hpp>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
--- a/include/ospreystage/distribution.hpp
+++ b/include/ospreystage/weights/distribution.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <ospreystage/chunk_store.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/links.hpp>
-#include <ospreystage/origin_client.hpp>
-#include <ospreystage/settings.hpp>
-#include <ospreystage/swarm.hpp>
-#include <ospreystage/worker_pool.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/core/worker_pool.hpp>
+#include <ospreystage/network/links.hpp>
+#include <ospreystage/weights/chunk_store.hpp>
+#include <ospreystage/weights/origin_client.hpp>
+#include <ospreystage/weights/swarm.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/chunk_bitmap.hpp>
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/weights/chunk_bitmap.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/ospreystage/engine_service.hpp
+++ b/include/ospreystage/weights/engine_service.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/engine_state.hpp>
-#include <ospreystage/kernel.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/settings.hpp>
+#include <ospreystage/weights/engine_state.hpp>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
--- a/include/ospreystage/engine_state.hpp
+++ b/include/ospreystage/weights/engine_state.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/error.hpp>
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <cstdint>
 #include <set>
--- a/include/ospreystage/manifest.hpp
+++ b/include/ospreystage/weights/manifest.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/error.hpp>
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/swarm.hpp
+++ b/include/ospreystage/weights/swarm.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <ospreystage/chunk_bitmap.hpp>
-#include <ospreystage/manifest.hpp>
-#include <ospreystage/placement.hpp>
-#include <ospreystage/swarm_types.hpp>
-#include <ospreystage/token_bucket.hpp>
-#include <ospreystage/upload_queue.hpp>
+#include <ospreystage/core/token_bucket.hpp>
+#include <ospreystage/requests/placement.hpp>
+#include <ospreystage/weights/chunk_bitmap.hpp>
+#include <ospreystage/weights/manifest.hpp>
+#include <ospreystage/weights/swarm_types.hpp>
+#include <ospreystage/weights/upload_queue.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
--- a/include/ospreystage/swarm_types.hpp
+++ b/include/ospreystage/weights/swarm_types.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/ids.hpp>
-#include <ospreystage/placement.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/ids.hpp>
+#include <ospreystage/requests/placement.hpp>
 
 #include <cstdint>
 #include <string>
--- a/include/ospreystage/upload_queue.hpp
+++ b/include/ospreystage/weights/upload_queue.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/swarm_types.hpp>
+#include <ospreystage/weights/swarm_types.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/include/ospreystage/weights/version_plan.hpp
+++ b/include/ospreystage/weights/version_plan.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/ids.hpp>
-#include <ospreystage/manifest.hpp>
-#include <ospreystage/swarm.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/ids.hpp>
+#include <ospreystage/weights/manifest.hpp>
+#include <ospreystage/weights/swarm.hpp>
 
 #include <cstdint>
 #include <map>
--- a/src/admin_api.cpp
+++ b/src/app/admin_api.cpp
@@ -1,7 +1,7 @@
-#include <ospreystage/admin_api.hpp>
-#include <ospreystage/console_page.hpp>
-#include <ospreystage/fleet_status.hpp>
-#include <ospreystage/log.hpp>
+#include <ospreystage/app/admin_api.hpp>
+#include <ospreystage/app/console_page.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/fleet/fleet_status.hpp>
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
--- a/src/agent_process.cpp
+++ b/src/app/agent_process.cpp
@@ -1,11 +1,11 @@
-#include <ospreystage/attempt_service.hpp>
-#include <ospreystage/commands.hpp>
-#include <ospreystage/configuration.hpp>
-#include <ospreystage/distribution.hpp>
-#include <ospreystage/engine_service.hpp>
-#include <ospreystage/log.hpp>
-#include <ospreystage/membership_service.hpp>
-#include <ospreystage/process.hpp>
+#include <ospreystage/app/commands.hpp>
+#include <ospreystage/app/process.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/fleet/membership_service.hpp>
+#include <ospreystage/requests/attempt_service.hpp>
+#include <ospreystage/rollout/configuration.hpp>
+#include <ospreystage/weights/distribution.hpp>
+#include <ospreystage/weights/engine_service.hpp>
 
 #include <algorithm>
 #include <filesystem>
--- a/src/console_page.cpp
+++ b/src/app/console_page.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/console_page.hpp>
+#include <ospreystage/app/console_page.hpp>
 
 namespace ospreystage {
 
--- a/src/ctl.cpp
+++ b/src/app/ctl.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/commands.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/app/commands.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/entry_process.cpp
+++ b/src/app/entry_process.cpp
@@ -1,13 +1,13 @@
-#include <ospreystage/admin_api.hpp>
-#include <ospreystage/caller_api.hpp>
-#include <ospreystage/claim_service.hpp>
-#include <ospreystage/commands.hpp>
-#include <ospreystage/configuration.hpp>
-#include <ospreystage/fleet_status.hpp>
-#include <ospreystage/log.hpp>
-#include <ospreystage/membership_service.hpp>
-#include <ospreystage/process.hpp>
-#include <ospreystage/request_service.hpp>
+#include <ospreystage/app/admin_api.hpp>
+#include <ospreystage/app/commands.hpp>
+#include <ospreystage/app/process.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/fleet/fleet_status.hpp>
+#include <ospreystage/fleet/membership_service.hpp>
+#include <ospreystage/requests/caller_api.hpp>
+#include <ospreystage/requests/claim_service.hpp>
+#include <ospreystage/requests/request_service.hpp>
+#include <ospreystage/rollout/configuration.hpp>
 
 #include <fmt/format.h>
 
--- a/src/process.cpp
+++ b/src/app/process.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/log.hpp>
-#include <ospreystage/process.hpp>
+#include <ospreystage/app/process.hpp>
+#include <ospreystage/core/log.hpp>
 
 #include <algorithm>
 #include <iostream>
--- a/src/address.cpp
+++ b/src/core/address.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/address.hpp>
+#include <ospreystage/core/address.hpp>
 
 #include <charconv>
 
--- a/src/error.cpp
+++ b/src/core/error.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/error.hpp>
+#include <ospreystage/core/error.hpp>
 
 #include <fmt/format.h>
 
--- a/src/ids.cpp
+++ b/src/core/ids.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <fmt/format.h>
 #include <openssl/sha.h>
--- a/src/job_thread.cpp
+++ b/src/core/job_thread.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/job_thread.hpp>
+#include <ospreystage/core/job_thread.hpp>
 
 #include <utility>
 
--- a/src/kernel.cpp
+++ b/src/core/kernel.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/kernel.hpp>
+#include <ospreystage/core/kernel.hpp>
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
--- a/src/log.cpp
+++ b/src/core/log.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/helpers/timehelper.h>
--- a/src/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/metrics.hpp>
+#include <ospreystage/core/metrics.hpp>
 
 #include <fmt/format.h>
 
--- a/src/settings.cpp
+++ b/src/core/settings.cpp
@@ -1,5 +1,5 @@
+#include <ospreystage/core/settings.hpp>
 #include <ospreystage/impl/table_reader.hpp>
-#include <ospreystage/settings.hpp>
 
 #include <fmt/format.h>
 
--- a/src/signal_watch.cpp
+++ b/src/core/signal_watch.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/signal_watch.hpp>
+#include <ospreystage/core/signal_watch.hpp>
 
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
--- a/src/worker_pool.cpp
+++ b/src/core/worker_pool.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/worker_pool.hpp>
+#include <ospreystage/core/worker_pool.hpp>
 
 #include <utility>
 
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -1,5 +1,5 @@
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/fleet/backend_registry.hpp>
-#include <ospreystage/log.hpp>
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/fleet_status.cpp
+++ b/src/fleet/fleet_status.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/fleet_status.hpp>
+#include <ospreystage/fleet/fleet_status.hpp>
 
 #include <set>
 
--- a/src/member_table.cpp
+++ b/src/fleet/member_table.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/member_table.hpp>
+#include <ospreystage/fleet/member_table.hpp>
 
 #include <algorithm>
 #include <bit>
--- a/src/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/membership.hpp>
+#include <ospreystage/fleet/membership.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/membership_service.cpp
+++ b/src/fleet/membership_service.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/log.hpp>
-#include <ospreystage/membership_service.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/fleet/membership_service.hpp>
 
 #include <utility>
 
--- a/src/vm_list.cpp
+++ b/src/fleet/vm_list.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/vm_list.hpp>
+#include <ospreystage/fleet/vm_list.hpp>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -1,5 +1,5 @@
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/http/api_server.hpp>
-#include <ospreystage/log.hpp>
 
 #include <absl/strings/str_split.h>
 #include <openssl/crypto.h>
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -1,5 +1,5 @@
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/http/web_client.hpp>
-#include <ospreystage/log.hpp>
 
 #include <absl/strings/numbers.h>
 
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -1,5 +1,5 @@
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/http/web_server.hpp>
-#include <ospreystage/log.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,6 @@
 #include "platform/nodes.hpp"
 
-#include <ospreystage/commands.hpp>
+#include <ospreystage/app/commands.hpp>
 
 #include <CLI/CLI.hpp>
 
--- a/src/links.cpp
+++ b/src/network/links.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/links.hpp>
+#include <ospreystage/network/links.hpp>
 
 #include <utility>
 
--- a/src/network.cpp
+++ b/src/network/network.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/codec.hpp>
-#include <ospreystage/network.hpp>
+#include <ospreystage/network/codec.hpp>
+#include <ospreystage/network/network.hpp>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/admission.cpp
+++ b/src/requests/admission.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/admission.hpp>
+#include <ospreystage/requests/admission.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/attempt_service.cpp
+++ b/src/requests/attempt_service.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/attempt_service.hpp>
 #include <ospreystage/impl/overloaded.hpp>
+#include <ospreystage/requests/attempt_service.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/back_end.cpp
+++ b/src/requests/back_end.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/back_end.hpp>
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/requests/back_end.hpp>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/string_view.h>
--- a/src/balancer.cpp
+++ b/src/requests/balancer.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/balancer.hpp>
+#include <ospreystage/requests/balancer.hpp>
 
 #include <absl/random/distributions.h>
 
--- a/src/broker.cpp
+++ b/src/requests/broker.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/broker.hpp>
 #include <ospreystage/impl/broker_state.hpp>
+#include <ospreystage/requests/broker.hpp>
 
 #include <utility>
 
--- a/src/caller_api.cpp
+++ b/src/requests/caller_api.cpp
@@ -1,7 +1,7 @@
-#include <ospreystage/caller_api.hpp>
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/impl/overloaded.hpp>
-#include <ospreystage/log.hpp>
-#include <ospreystage/prompt_prefix.hpp>
+#include <ospreystage/requests/caller_api.hpp>
+#include <ospreystage/requests/prompt_prefix.hpp>
 
 #include <absl/hash/hash.h>
 #include <nlohmann/json.hpp>
--- a/src/claim_service.cpp
+++ b/src/requests/claim_service.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/claim_service.hpp>
+#include <ospreystage/requests/claim_service.hpp>
 
 namespace ospreystage {
 
--- a/src/claim_tally.cpp
+++ b/src/requests/claim_tally.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/claim_tally.hpp>
+#include <ospreystage/requests/claim_tally.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/gate.cpp
+++ b/src/requests/gate.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/gate.hpp>
+#include <ospreystage/requests/gate.hpp>
 
 #include <algorithm>
 
--- a/src/placement.cpp
+++ b/src/requests/placement.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/placement.hpp>
-#include <ospreystage/stable_hash.hpp>
+#include <ospreystage/core/stable_hash.hpp>
+#include <ospreystage/requests/placement.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/request_service.cpp
+++ b/src/requests/request_service.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/claim_service.hpp>
-#include <ospreystage/request_service.hpp>
+#include <ospreystage/requests/claim_service.hpp>
+#include <ospreystage/requests/request_service.hpp>
 
 #include <type_traits>
 #include <utility>
--- a/src/retry_budget.cpp
+++ b/src/requests/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/retry_budget.hpp>
+#include <ospreystage/requests/retry_budget.hpp>
 
 #include <algorithm>
 
--- a/src/config_register.cpp
+++ b/src/rollout/config_register.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/config_register.hpp>
+#include <ospreystage/rollout/config_register.hpp>
 
 #include <algorithm>
 #include <functional>
--- a/src/configuration.cpp
+++ b/src/rollout/configuration.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/configuration.hpp>
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/rollout/configuration.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <algorithm>
 #include <cstdint>
--- a/src/rollout_checks.cpp
+++ b/src/rollout/rollout_checks.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/rollout_clash.cpp
+++ b/src/rollout/rollout_clash.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/acceptance.hpp>
+#include <ospreystage/rollout/acceptance.hpp>
 
 #include <map>
 #include <utility>
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/serving/gateway.hpp>
 
 #include <fmt/format.h>
--- a/src/kv_client.cpp
+++ b/src/store/kv_client.cpp
@@ -1,5 +1,5 @@
 #include <ospreystage/impl/kv_json.hpp>
-#include <ospreystage/kv_client.hpp>
+#include <ospreystage/store/kv_client.hpp>
 
 #include <httplib.h>
 
--- a/src/kv_watch.cpp
+++ b/src/store/kv_watch.cpp
@@ -1,5 +1,5 @@
 #include <ospreystage/impl/kv_json.hpp>
-#include <ospreystage/kv_watch.hpp>
+#include <ospreystage/store/kv_watch.hpp>
 
 #include <absl/time/time.h>
 #include <httplib.h>
--- a/src/chunk_store.cpp
+++ b/src/weights/chunk_store.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/chunk_store.hpp>
+#include <ospreystage/weights/chunk_store.hpp>
 
 #include <fcntl.h>
 #include <sys/types.h>
--- a/src/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/distribution.hpp>
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/weights/distribution.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/engine_service.cpp
+++ b/src/weights/engine_service.cpp
@@ -1,6 +1,6 @@
-#include <ospreystage/engine_service.hpp>
-#include <ospreystage/log.hpp>
-#include <ospreystage/prompt_prefix.hpp>
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/requests/prompt_prefix.hpp>
+#include <ospreystage/weights/engine_service.hpp>
 
 #include <absl/time/time.h>
 #include <fmt/format.h>
--- a/src/manifest.cpp
+++ b/src/weights/manifest.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/manifest.hpp>
+#include <ospreystage/weights/manifest.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/src/weights/named_versions.cpp
+++ b/src/weights/named_versions.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/log.hpp>
+#include <ospreystage/core/log.hpp>
 #include <ospreystage/weights/named_versions.hpp>
 
 namespace ospreystage {
--- a/src/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/manifest.hpp>
-#include <ospreystage/origin_client.hpp>
+#include <ospreystage/weights/manifest.hpp>
+#include <ospreystage/weights/origin_client.hpp>
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/stable_hash.hpp>
-#include <ospreystage/swarm.hpp>
+#include <ospreystage/core/stable_hash.hpp>
+#include <ospreystage/weights/swarm.hpp>
 
 #include <algorithm>
 #include <bit>
--- a/src/swarm_uploads.cpp
+++ b/src/weights/swarm_uploads.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/swarm.hpp>
+#include <ospreystage/weights/swarm.hpp>
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/upload_queue.cpp
+++ b/src/weights/upload_queue.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/upload_queue.hpp>
+#include <ospreystage/weights/upload_queue.hpp>
 
 #include <algorithm>
 
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/admission.hpp>
-#include <ospreystage/retry_budget.hpp>
+#include <ospreystage/requests/admission.hpp>
+#include <ospreystage/requests/retry_budget.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/back_end.cpp
+++ b/tests/back_end.cpp
@@ -1,6 +1,6 @@
 #include "tests/support/scripted_server.hpp"
 
-#include <ospreystage/back_end.hpp>
+#include <ospreystage/requests/back_end.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
--- a/tests/bench/claims.cpp
+++ b/tests/bench/claims.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/claim_ledger.hpp>
-#include <ospreystage/claim_tally.hpp>
+#include <ospreystage/requests/claim_ledger.hpp>
+#include <ospreystage/requests/claim_tally.hpp>
 
 #include <absl/random/distributions.h>
 #include <fmt/format.h>
--- a/tests/broker.cpp
+++ b/tests/broker.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/broker.hpp>
-#include <ospreystage/claim_tally.hpp>
+#include <ospreystage/requests/broker.hpp>
+#include <ospreystage/requests/claim_tally.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/caller_api.cpp
+++ b/tests/caller_api.cpp
@@ -2,7 +2,7 @@
 #include "tests/support/raw_connection.hpp"
 #include "tests/support/running_kernel.hpp"
 
-#include <ospreystage/caller_api.hpp>
+#include <ospreystage/requests/caller_api.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
--- a/tests/codec.cpp
+++ b/tests/codec.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/codec.hpp>
 #include <ospreystage/impl/bounded_archive.hpp>
+#include <ospreystage/network/codec.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/config_register.cpp
+++ b/tests/config_register.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/config_register.hpp>
+#include <ospreystage/rollout/config_register.hpp>
 
 #include <catch2/catch.hpp>
 #include <tests/support/register_group.hpp>
--- a/tests/configuration.cpp
+++ b/tests/configuration.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/configuration.hpp>
+#include <ospreystage/rollout/configuration.hpp>
 
 #include <catch2/catch.hpp>
 #include <tests/support/free_ports.hpp>
--- a/tests/distribution.cpp
+++ b/tests/distribution.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/distribution.hpp>
+#include <ospreystage/weights/distribution.hpp>
 
 #include <catch2/catch.hpp>
 #include <tests/support/local_node.hpp>
--- a/tests/engine_state.cpp
+++ b/tests/engine_state.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/engine_state.hpp>
+#include <ospreystage/weights/engine_state.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/kv_client.cpp
+++ b/tests/kv_client.cpp
@@ -1,6 +1,6 @@
-#include <ospreystage/acceptance.hpp>
 #include <ospreystage/impl/kv_json.hpp>
-#include <ospreystage/kv_watch.hpp>
+#include <ospreystage/rollout/acceptance.hpp>
+#include <ospreystage/store/kv_watch.hpp>
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/codec.hpp>
+#include <ospreystage/network/codec.hpp>
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
--- a/tests/membership.cpp
+++ b/tests/membership.cpp
@@ -1,5 +1,5 @@
-#include <ospreystage/codec.hpp>
-#include <ospreystage/membership.hpp>
+#include <ospreystage/fleet/membership.hpp>
+#include <ospreystage/network/codec.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/placement.cpp
+++ b/tests/placement.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/placement.hpp>
+#include <ospreystage/requests/placement.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/prompt_prefix.cpp
+++ b/tests/prompt_prefix.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/prompt_prefix.hpp>
+#include <ospreystage/requests/prompt_prefix.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/settings.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/standin/common.cpp
+++ b/tests/standin/common.cpp
@@ -1,6 +1,6 @@
 #include "common.hpp"
 
-#include <ospreystage/address.hpp>
+#include <ospreystage/core/address.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/tests/standin/prefix_cache.cpp
+++ b/tests/standin/prefix_cache.cpp
@@ -1,6 +1,6 @@
 #include "prefix_cache.hpp"
 
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/ids.hpp>
 
 namespace ospreystage::standin {
 
--- a/tests/standin_origin.cpp
+++ b/tests/standin_origin.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/manifest.hpp>
+#include <ospreystage/weights/manifest.hpp>
 
 #include <catch2/catch.hpp>
 #include <tests/support/standin.hpp>
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/ids.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/ids.hpp>
 
 #include <absl/synchronization/mutex.h>
 
--- a/tests/support/fleet_options.hpp
+++ b/tests/support/fleet_options.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/settings.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/settings.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/support/http_stream.hpp
+++ b/tests/support/http_stream.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
+#include <ospreystage/core/clock.hpp>
 
 #include <absl/synchronization/mutex.h>
 #include <nlohmann/json.hpp>
--- a/tests/support/local_node.hpp
+++ b/tests/support/local_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/links.hpp>
+#include <ospreystage/network/links.hpp>
 
 #include <memory>
 #include <string>
--- a/tests/support/operations.hpp
+++ b/tests/support/operations.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/clock.hpp>
-#include <ospreystage/rollout.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/rollout/rollout.hpp>
 
 #include <nlohmann/json.hpp>
 #include <tests/support/fleet.hpp>
--- a/tests/support/register_group.hpp
+++ b/tests/support/register_group.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/config_register.hpp>
+#include <ospreystage/rollout/config_register.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/support/request_cluster.hpp
+++ b/tests/support/request_cluster.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <ospreystage/broker.hpp>
-#include <ospreystage/claim_ledger.hpp>
-#include <ospreystage/gate.hpp>
+#include <ospreystage/requests/broker.hpp>
+#include <ospreystage/requests/claim_ledger.hpp>
+#include <ospreystage/requests/gate.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/support/swarm_experiment.hpp
+++ b/tests/support/swarm_experiment.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/swarm.hpp>
+#include <ospreystage/weights/swarm.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/tests/support/weights.hpp
+++ b/tests/support/weights.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <ospreystage/ids.hpp>
-#include <ospreystage/manifest.hpp>
+#include <ospreystage/core/ids.hpp>
+#include <ospreystage/weights/manifest.hpp>
 
 #include <cstddef>
 #include <cstdint>
