--- /dev/null
+++ b/tests/site_watch.cpp
@@ -0,0 +1,289 @@
+#include "platform/site_watch.hpp"
+
+#include "tests/support/platform_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace ospreystage;
+using namespace ospreystage::platform;
+using testing::platform_store;
+using testing::running_kernel;
+
+namespace {
+
+constexpr seconds patience{8};
+constexpr milliseconds call_timeout{1000};
+constexpr const char* entry_key = "ospreystage/entries/edge-1";
+
+/// Calls the store once; the handler's result is what the test looks at.
+template <typename Result>
+Result call_store(
+    platform_store& store,
+    const std::function<void(store_client&, std::function<void(Result)>)>& make,
+    std::optional<address> endpoint = std::nullopt) {
+    kernel core;
+    web_client web(core);
+    store_client client(web, endpoint.value_or(store.endpoint()), call_timeout);
+    std::optional<Result> result;
+    core.after("test", std::chrono::nanoseconds(0), [&] {
+        make(client, [&](Result value) {
+            result = std::move(value);
+            core.stop();
+        });
+    });
+    core.after("test", patience, [&] { core.stop(); });
+    core.run();
+    REQUIRE(result);
+    return std::move(*result);
+}
+
+store_reading read_all(platform_store& store, const std::string& prefix,
+                       std::optional<address> endpoint = std::nullopt) {
+    return call_store<store_reading>(
+        store,
+        [&](store_client& client, auto done) {
+            client.read_all(prefix, std::move(done));
+        },
+        std::move(endpoint));
+}
+
+std::string configuration_text(int version) {
+    return fmt::format(R"({{"version":{},"routes":[],"services":[]}})",
+                       version);
+}
+
+std::string server_text(int port) {
+    return fmt::format(
+        R"({{"service":"desk","address":"10.0.0.1:{}","zone":"hall-a",
+             "slots":4,"state":"ready","born":1793055298024}})",
+        port);
+}
+
+/// One entry's view of a site.
+class entry_view {
+  public:
+    explicit entry_view(const platform_store& store)
+        : web(core), client(web, store.endpoint(), call_timeout),
+          versions(seconds(8)), entries(milliseconds(2200)),
+          watch(core, client, settings, {routes, servers, versions, entries},
+                {[] {}, [] {}, [] {}}) {
+        settings.name = "edge-1";
+        settings.front = {"10.1.0.40", 8005};
+        settings.drain_time = milliseconds(300);
+        settings.store_least_lease = milliseconds(250);
+        core.post("test", [this] { watch.start(); });
+    }
+
+    kernel core;
+    node_settings settings;
+    web_client web;
+    store_client client;
+    route_table routes;
+    backend_registry servers;
+    named_versions versions;
+    entry_list entries;
+    site_watch watch;
+};
+
+} // namespace
+
+// ---- Store client ----------------------------------------------------------
+
+TEST_CASE("store client - all pages of a prefix are read") {
+    platform_store store;
+    store.set_page_size(2);
+    for (const char* key : {"a/1", "a/2", "a/3", "a/4 x", "a/5", "b/1"})
+        store.put(key, std::string("value of ") + key);
+    const store_reading reading = read_all(store, "a/");
+    CHECK_FALSE(reading.failure);
+    REQUIRE(reading.items.size() == 5);
+    CHECK(reading.items[3].key == "a/4 x");
+    CHECK(reading.items[3].value == "value of a/4 x");
+    CHECK(reading.revision == 7);
+    CHECK(store.calls("/v1/kv-range") == 3);
+}
+
+TEST_CASE("store client - a watch tells writes and removals after a revision") {
+    platform_store store;
+    store.put("a/1", "old");
+    const std::int64_t known = read_all(store, "a/").revision;
+    const auto watch = [&](std::int64_t after, milliseconds wait) {
+        return call_store<store_reading>(
+            store, [&](store_client& client, auto done) {
+                client.watch("a/", after, wait, std::move(done));
+            });
+    };
+    const store_reading nothing = watch(known, milliseconds(50));
+    CHECK_FALSE(nothing.failure);
+    CHECK(nothing.items.empty());
+    store.put("b/1", "elsewhere");
+    store.put("a/2", "new");
+    store.erase("a/1");
+    const store_reading news = watch(known, seconds(2));
+    REQUIRE(news.items.size() == 2);
+    CHECK(news.items[0].value == "new");
+    CHECK(news.items[1].is_removed);
+    CHECK(news.revision == known + 3);
+    store.compact();
+    CHECK(watch(known, seconds(2)).failure == store_failure::compacted);
+}
+
+TEST_CASE("store client - every failure has its own name") {
+    platform_store store;
+    const std::vector<std::pair<std::uint16_t, store_failure>> cases = {
+        {404, store_failure::no_lease}, {410, store_failure::compacted},
+        {412, store_failure::conflict}, {429, store_failure::refused},
+        {503, store_failure::refused},  {500, store_failure::malformed}};
+    for (const auto& [status, failure] : cases) {
+        store.fail_next("/v1/kv-range", 1, status);
+        CHECK(read_all(store, "a/").failure == failure);
+    }
+    store.set_garbled(true);
+    CHECK(read_all(store, "a/").failure == store_failure::malformed);
+    const address nobody{"127.0.0.1", 1};
+    CHECK(read_all(store, "a/", nobody).failure == store_failure::unreachable);
+}
+
+TEST_CASE("store client - keys of a lease end with it") {
+    platform_store store;
+    const auto lease =
+        call_store<std::uint64_t>(store, [](store_client& client, auto done) {
+            client.grant_lease(seconds(5), [done](auto failure, auto granted) {
+                CHECK_FALSE(failure);
+                done(granted);
+            });
+        });
+    using outcome = std::optional<store_failure>;
+    const auto call = [&](auto body) {
+        return call_store<outcome>(store, [&](store_client& client, auto done) {
+            body(client, std::move(done));
+        });
+    };
+    CHECK_FALSE(call([&](store_client& client, auto done) {
+        client.write("a/1", "bytes\n", lease, done);
+    }));
+    CHECK(store.value("a/1") == "bytes\n");
+    CHECK_FALSE(call([&](store_client& client, auto done) {
+        client.renew_lease(lease, done);
+    }));
+    CHECK_FALSE(call([&](store_client& client, auto done) {
+        client.end_lease(lease, done);
+    }));
+    CHECK_FALSE(store.value("a/1"));
+    CHECK(call([&](store_client& client, auto done) {
+              client.renew_lease(lease, done);
+          }) == store_failure::no_lease);
+    CHECK(call([&](store_client& client, auto done) {
+              client.write("a/1", "late", lease, done);
+          }) == store_failure::no_lease);
+}
+
+// ---- Site watch ------------------------------------------------------------
+
+TEST_CASE("site watch - configurations are taken up and never go back") {
+    platform_store store;
+    store.put("op/config", configuration_text(3));
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto in_force = [&] { return entry.routes.current().version; };
+    REQUIRE(running.until([&] { return in_force() == 3; }, seconds(1)));
+    store.put("op/config", configuration_text(7));
+    CHECK(running.until([&] { return in_force() == 7; }, milliseconds(500)));
+    store.put("op/config", configuration_text(5));
+    store.put("op/config", "not json");
+    store.put("op/config", configuration_text(9));
+    CHECK(running.until([&] { return in_force() == 9; }, milliseconds(500)));
+}
+
+TEST_CASE("site watch - a store that is down leaves what is known in force") {
+    platform_store store;
+    store.set_status(503);
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto in_force = [&] { return entry.routes.current().version; };
+    CHECK_FALSE(running.until([&] { return entry.routes.is_configured(); },
+                              milliseconds(500)));
+    store.put("op/config", configuration_text(3));
+    store.put("servers/i-1", server_text(80));
+    store.set_status(0);
+    REQUIRE(running.until(
+        [&] { return in_force() == 3 && entry.servers.is_known(); },
+        seconds(2)));
+    store.set_status(429);
+    std::this_thread::sleep_for(milliseconds(600));
+    CHECK(running.ask(in_force) == 3);
+    CHECK(running.ask([&] { return entry.servers.serving("desk").size(); }) ==
+          1);
+    store.put("op/config", configuration_text(4));
+    store.set_status(0);
+    CHECK(running.until([&] { return in_force() == 4; }, seconds(2)));
+}
+
+TEST_CASE("site watch - a history that is gone is replaced by a whole read") {
+    platform_store store;
+    store.put("op/config", configuration_text(3));
+    store.put("op/version/m", R"({"model":"m","version":1})");
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return entry.routes.is_configured(); },
+                          seconds(1)));
+    store.compact();
+    store.put("op/config", configuration_text(4));
+    store.put("op/version/m", R"({"model":"m","version":2})");
+    CHECK(running.until(
+        [&] {
+            const auto named = entry.versions.find("m");
+            return entry.routes.current().version == 4 && named &&
+                   named->version == 2 && named->saw_naming;
+        },
+        seconds(1)));
+}
+
+TEST_CASE("site watch - entries of servers that cannot be read name none") {
+    platform_store store;
+    store.put("servers/i-1", server_text(80));
+    store.put("servers/i-2", "\xff\xfe");
+    store.put("servers/i-3", R"({"service":7})");
+    store.put("servers/i-4", server_text(81));
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    CHECK(running.until(
+        [&] { return entry.servers.serving("desk").size() == 2; }, seconds(1)));
+}
+
+TEST_CASE("site watch - an entry whose lease has ended registers again") {
+    platform_store store;
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto is_registered = [&] {
+        return store.value(entry_key) == "10.1.0.40:8005";
+    };
+    REQUIRE(running.until(is_registered, seconds(1)));
+    REQUIRE(
+        running.until([&] { return entry.entries.size() == 1; }, seconds(1)));
+    store.end_leases();
+    CHECK(running.until(is_registered, seconds(2)));
+}
+
+TEST_CASE("site watch - a withdrawal is repeated until the store takes it") {
+    platform_store store;
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return store.value(entry_key).has_value(); },
+                          seconds(1)));
+    store.fail_next("/v1/kv-lease-end", 2, 503);
+    store.fail_next("/v1/kv-txn", 2, 503);
+    running.ask([&] {
+        entry.watch.withdraw();
+        return true;
+    });
+    CHECK(running.until([&] { return !store.value(entry_key); }, seconds(2)));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK_FALSE(store.value(entry_key));
+}
--- a/tests/support/running_kernel.hpp
+++ b/tests/support/running_kernel.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/core/kernel.hpp>
 
+#include <chrono>
 #include <thread>
 #include <utility>
 
@@ -22,6 +23,19 @@
         return core_.call("test", std::move(body)).value();
     }
 
+    /// Waits until `done` holds on the kernel's thread; returns false if it
+    /// does not within `limit`.
+    template <typename Condition>
+    bool until(Condition done, std::chrono::milliseconds limit) {
+        const instant end = steady::now() + limit;
+        while (!ask(done)) {
+            if (steady::now() > end)
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        return true;
+    }
+
     void stop() {
         core_.stop();
         if (thread_.joinable())
