Write logs to standard output through a ring that never waits

Cause: a line was written by the thread that decides, and waited for the reader.

Ruled out: the library's asynchronous appender, which waits when its queue is full; a descriptor that does not block, since whoever shares it gets the flag.

Change: an appender of our own puts lines into a ring of 1 MB, which a thread copies to standard output. What has no room, and more than 1000 lines a second of one event below `warn`, is left out and counted in a line and a gauge; failures may use the half of the ring that others may not. A line is encoded once, not twice. Platform processes end normally again, since nothing waits for the log at the end.

Tests: line ring and quota; platform entry in a process of its own: unread output, a changed settings file, a kill.

--- /dev/null
+++ b/include/ospreystage/core/line_ring.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <ospreystage/core/clock.hpp>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace ospreystage {
+
+/// Bounded queue of log lines in front of a reader that may be slow.
+///
+/// `push` never waits for the reader. Lines of failures may fill all of the
+/// room, others half of it, so that failures are the last to be dropped.
+class line_ring {
+  public:
+    explicit line_ring(std::size_t capacity_bytes)
+        : capacity_bytes_(capacity_bytes) {}
+
+    /// Queues a line; returns false if there is no room for it.
+    bool push(std::string line, bool is_failure);
+
+    /// Waits for lines and takes all of them, in order.
+    [[nodiscard]] std::string take();
+
+    /// Tells that what `take` returned last was written.
+    void on_written();
+
+    /// Waits until every line was written; returns false if that takes longer
+    /// than `limit`.
+    bool wait_until_written(milliseconds limit);
+
+    [[nodiscard]] std::size_t pending_bytes() const;
+
+  private:
+    [[nodiscard]] bool is_idle() const ABSL_SHARED_LOCKS_REQUIRED(mutex_) {
+        return lines_.empty() && !is_writing_;
+    }
+
+    const std::size_t capacity_bytes_;
+    mutable absl::Mutex mutex_;
+    std::deque<std::string> lines_ ABSL_GUARDED_BY(mutex_);
+    std::size_t bytes_ ABSL_GUARDED_BY(mutex_) = 0;
+    bool is_writing_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+/// Limits how many lines of each kind are written a second.
+class line_quota {
+  public:
+    explicit line_quota(std::uint32_t lines_per_second)
+        : limit_(lines_per_second) {}
+
+    /// Takes one line of a kind; returns false if it is to be left out.
+    [[nodiscard]] bool take(const std::string& kind, instant now);
+
+  private:
+    struct window {
+        instant started{};
+        std::uint32_t lines = 0;
+    };
+
+    std::uint32_t limit_;
+    std::map<std::string, window> kinds_;
+};
+
+} // namespace ospreystage
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -64,15 +64,19 @@
     log_event(log_level::info, "started",
               {{"http", to_string(configuration_.listen.http)},
                {"peer", to_string(configuration_.listen.peer)}});
-    std::cout << "ready" << std::endl;
+    print_line("ready");
     core_.run();
     if (kernel_ended_)
         kernel_ended_();
     log_event(log_level::info, "stopped");
+    finish_logging();
     return exit_code::success;
 }
 
 void process::add_common_routes() {
+    metrics_.gauge("ospreystage_log_lines_dropped", [] {
+        return static_cast<double>(dropped_log_lines());
+    });
     http_.route_plain("GET", "/metrics", [this](const api_request&) {
         return text_response("text/plain", metrics_.text());
     });
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,20 +1,38 @@
+#include <ospreystage/core/line_ring.hpp>
 #include <ospreystage/core/log.hpp>
 
-#include <log4cplus/consoleappender.h>
+#include <absl/synchronization/mutex.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <map>
 #include <memory>
+#include <sstream>
+#include <string_view>
+#include <thread>
 #include <utility>
 
 namespace ospreystage {
 
 namespace {
 
+/// Lines that wait for standard output: some 5,000 lines.
+constexpr std::size_t ring_bytes = 1024 * 1024;
+/// Lines a second of one event below `warn`: ten times what an entry writes of
+/// its most frequent event on the heaviest standard day.
+constexpr std::uint32_t lines_per_second = 1000;
+/// Interval between two lines that tell what was left out.
+constexpr seconds dropped_interval{1};
+
 /// Writes each event as one JSON object; the message holds its fields.
 class json_layout : public log4cplus::Layout {
   public:
@@ -23,24 +41,90 @@
     void formatAndAppend( // NOLINT(readability-identifier-naming)
         log4cplus::tostream& out,
         const log4cplus::spi::InternalLoggingEvent& event) override {
-        nlohmann::json line =
-            nlohmann::json::parse(event.getMessage(), nullptr, false);
-        if (!line.is_object())
-            line = {{"event", event.getMessage()}};
-        line["time"] = log4cplus::helpers::getFormattedTime(
-            "%Y-%m-%dT%H:%M:%S.%qZ", event.getTimestamp(), true);
-        line["level"] =
-            log4cplus::getLogLevelManager().toString(event.getLogLevel());
-        line["process"] = process_;
-        out << line.dump(-1, ' ', false,
-                         nlohmann::json::error_handler_t::replace)
-            << '\n';
+        out << R"({"time":")"
+            << log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ",
+                                                    event.getTimestamp(), true)
+            << R"(","level":")"
+            << log4cplus::getLogLevelManager().toString(event.getLogLevel())
+            << R"(","process":)" << nlohmann::json(process_).dump() << ','
+            << std::string_view(event.getMessage()).substr(1) << '\n';
     }
 
   private:
     std::string process_;
 };
 
+/// Everything that the log keeps; never destroyed, since the thread that
+/// writes may be waiting for a reader when the process ends.
+struct log_state {
+    line_ring ring{ring_bytes};
+    absl::Mutex mutex;
+    line_quota quota ABSL_GUARDED_BY(mutex){lines_per_second};
+    std::map<std::string, std::uint64_t> dropped ABSL_GUARDED_BY(mutex);
+    instant dropped_told ABSL_GUARDED_BY(mutex){};
+    std::atomic<std::uint64_t> dropped_total{0};
+};
+
+log_state& state() {
+    static log_state& only = *std::make_unique<log_state>().release();
+    return only;
+}
+
+/// Copies lines to standard output for as long as the process lives.
+void write_lines() {
+    for (;;) {
+        const std::string text = state().ring.take();
+        std::string_view rest = text;
+        while (!rest.empty()) {
+            const ssize_t count =
+                ::write(STDOUT_FILENO, rest.data(), rest.size());
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count < 0)
+                break; // Nobody is left to tell.
+            rest.remove_prefix(static_cast<std::size_t>(count));
+        }
+        state().ring.on_written();
+    }
+}
+
+/// Starts the thread that writes; signals are left to the others.
+bool start_writer() {
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    std::thread(write_lines).detach();
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    return true;
+}
+
+void note_dropped(const std::string& event) {
+    ++state().dropped_total;
+    const absl::MutexLock lock(&state().mutex);
+    ++state().dropped[event];
+}
+
+/// Hands lines to the ring.
+class ring_appender : public log4cplus::Appender {
+  public:
+    ~ring_appender() override { destructorImpl(); }
+    ring_appender() = default;
+    ring_appender(const ring_appender&) = delete;
+    ring_appender& operator=(const ring_appender&) = delete;
+    void close() override {}
+
+  protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        const bool is_failure =
+            event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
+        if (!state().ring.push(line.str(), is_failure))
+            note_dropped("no_room");
+    }
+};
+
 log4cplus::LogLevel to_library_level(log_level level) {
     constexpr std::array<log4cplus::LogLevel, 5> levels{
         log4cplus::TRACE_LOG_LEVEL, log4cplus::DEBUG_LOG_LEVEL,
@@ -53,6 +137,30 @@
     return log4cplus::Logger::getRoot();
 }
 
+void write_event(log_level level, const std::string& event,
+                 const nlohmann::json& fields) {
+    nlohmann::json line = fields;
+    line["event"] = event;
+    root().forcedLog(
+        to_library_level(level),
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+/// Returns what was left out since it was told last, if it is time to.
+std::map<std::string, std::uint64_t> take_dropped(instant now) {
+    const absl::MutexLock lock(&state().mutex);
+    if (state().dropped.empty() ||
+        now - state().dropped_told < dropped_interval)
+        return {};
+    state().dropped_told = now;
+    return std::exchange(state().dropped, {});
+}
+
+bool has_quota(const std::string& event, instant now) {
+    const absl::MutexLock lock(&state().mutex);
+    return state().quota.take(event, now);
+}
+
 } // namespace
 
 log_level parse_log_level(const std::string& name) noexcept {
@@ -69,24 +177,40 @@
 
 void start_logging(const process_id& self, log_level least) {
     static const log4cplus::Initializer library;
-    const log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    const log4cplus::SharedAppenderPtr appender(new ring_appender());
     appender->setLayout(std::make_unique<json_layout>(to_string(self)));
     root().removeAllAppenders();
     root().addAppender(appender);
     root().setLogLevel(to_library_level(least));
+    static const bool is_started = start_writer();
+    static_cast<void>(is_started);
 }
 
 void log_event(log_level level, const std::string& event,
                const nlohmann::json& fields) {
-    const log4cplus::LogLevel library_level = to_library_level(level);
-    if (!root().isEnabledFor(library_level) || root().getAllAppenders().empty())
+    if (!root().isEnabledFor(to_library_level(level)) ||
+        root().getAllAppenders().empty())
         return;
-    nlohmann::json line = fields;
-    line["event"] = event;
-    root().forcedLog(
-        library_level,
-        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    const instant now = steady::now();
+    if (const auto dropped = take_dropped(now); !dropped.empty())
+        write_event(log_level::warn, "log_lines_dropped", {{"lines", dropped}});
+    if (level < log_level::warn && !has_quota(event, now))
+        note_dropped(event);
+    else
+        write_event(level, event, fields);
+}
+
+void print_line(const std::string& text) {
+    if (!state().ring.push(text + "\n", true))
+        note_dropped("no_room");
+}
+
+std::uint64_t dropped_log_lines() noexcept {
+    return state().dropped_total;
+}
+
+void finish_logging(milliseconds limit) {
+    state().ring.wait_until_written(limit);
 }
 
 } // namespace ospreystage
--- /dev/null
+++ b/tests/system_platform.cpp
@@ -0,0 +1,207 @@
+#include "tests/support/free_ports.hpp"
+#include "tests/support/platform_store.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/text_file.hpp"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace ospreystage;
+using testing::platform_store;
+using testing::raw_connection;
+
+namespace {
+
+constexpr seconds patience{10};
+
+/// An entry of the platform whose output goes to a pipe that nobody reads
+/// before the test does.
+class entry_process {
+  public:
+    explicit entry_process(const platform_store& store)
+        : ports_(support::free_ports(3)),
+          file_(std::filesystem::temp_directory_path() /
+                fmt::format("ospreystage-entry-{}.conf", getpid())) {
+        write_settings(store, "");
+        std::array<int, 2> ends{};
+        REQUIRE(pipe2(ends.data(), O_CLOEXEC) == 0);
+        output_ = ends[0];
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+        std::string program =
+            std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage";
+        std::string first = "platform";
+        std::string second = "entry";
+        std::array<char*, 4> arguments{program.data(), first.data(),
+                                       second.data(), nullptr};
+        std::string variable = "OSPREYSTAGE_NODE_FILE=" + file_;
+        std::array<char*, 2> environment{variable.data(), nullptr};
+        const int status =
+            posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                        arguments.data(), environment.data());
+        posix_spawn_file_actions_destroy(&actions);
+        close(ends[1]);
+        REQUIRE(status == 0);
+    }
+    ~entry_process() {
+        if (!has_ended_) {
+            kill(pid_, SIGKILL);
+            waitpid(pid_, nullptr, 0);
+        }
+        close(output_);
+        std::filesystem::remove(file_);
+    }
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    void write_settings(const platform_store& store, const std::string& added) {
+        REQUIRE(support::write_text_file(
+            file_, fmt::format("node=edge-1\nip=127.0.0.1\nzone=hall-a\n"
+                               "listen.front=127.0.0.1:{}\n"
+                               "listen.ready=127.0.0.1:{}\n"
+                               "internal_ports={},{}\n"
+                               "platform.address={}\nbounds.grace_s=6\n{}",
+                               ports_[0], ports_[1], ports_[2], ports_[2] + 1,
+                               to_string(store.endpoint()), added)));
+    }
+
+    [[nodiscard]] address front() const { return {"127.0.0.1", ports_[0]}; }
+    [[nodiscard]] address ready() const { return {"127.0.0.1", ports_[1]}; }
+
+    void send(int signal) const { kill(pid_, signal); }
+
+    /// Waits for the end; returns the exit status, or -1.
+    int wait() {
+        const instant until = steady::now() + patience;
+        int status = 0;
+        while (waitpid(pid_, &status, WNOHANG) == 0) {
+            if (steady::now() > until)
+                return -1;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        has_ended_ = true;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+    /// Returns what the process has written, without waiting for more.
+    std::string read_output() const {
+        std::string text;
+        std::array<char, 65536> buffer{};
+        fcntl(output_, F_SETFL, O_NONBLOCK);
+        for (;;) {
+            const ssize_t count = read(output_, buffer.data(), buffer.size());
+            if (count <= 0)
+                return text;
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+    /// Waits until the process has written `part`.
+    bool await_output(const std::string& part) {
+        const instant until = steady::now() + patience;
+        while (steady::now() < until) {
+            seen_ += read_output();
+            if (seen_.find(part) != std::string::npos)
+                return true;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return false;
+    }
+
+  private:
+    std::vector<std::uint16_t> ports_;
+    std::string file_;
+    pid_t pid_ = 0;
+    int output_ = -1;
+    bool has_ended_ = false;
+    std::string seen_;
+};
+
+std::string ask(const address& server, const std::string& target) {
+    raw_connection caller(server);
+    caller.send(fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
+                            "X-Request-Id: 1\r\nConnection: close\r\n\r\n",
+                            target));
+    return caller.read_all(seconds(2));
+}
+
+bool await_ready(const entry_process& entry) {
+    const instant until = steady::now() + patience;
+    while (steady::now() < until) {
+        if (ask(entry.ready(), "/v1/readyz").find(" 200 ") != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+}
+
+void fill(platform_store& store) {
+    store.put("op/config", R"({"version":3,"routes":[],"services":[]})");
+}
+
+} // namespace
+
+TEST_CASE("platform entry - output that nobody reads delays no request") {
+    platform_store store;
+    fill(store);
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    constexpr int requests = 3000; // Several pipes full of lines.
+    const instant began = steady::now();
+    int answered = 0;
+    for (int count = 0; count < requests; ++count)
+        if (ask(entry.front(), "/nowhere").find(" 404 ") != std::string::npos)
+            ++answered;
+        else
+            break;
+    CHECK(answered == requests);
+    CHECK(steady::now() - began < seconds(30));
+    entry.send(SIGTERM);
+    CHECK(entry.wait() == 0);
+}
+
+TEST_CASE("platform entry - a changed settings file is taken up") {
+    platform_store store;
+    fill(store);
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    entry.write_settings(store, "bounds.drain_ms=900\n");
+    entry.send(SIGHUP);
+    CHECK(entry.await_output("\"taken\":[\"bounds.drain_ms\"]"));
+    entry.write_settings(store, "bounds.drain_ms=soon\n");
+    CHECK(entry.await_output("settings_not_taken"));
+    entry.write_settings(store, "bounds.contact_ms=5000\n");
+    CHECK(entry.await_output("bounds.contact_ms"));
+    CHECK(ask(entry.ready(), "/v1/readyz").find(" 200 ") != std::string::npos);
+    entry.send(SIGTERM);
+    CHECK(entry.wait() == 0);
+}
+
+TEST_CASE("platform entry - a kill loses nothing that the store holds") {
+    platform_store store;
+    fill(store);
+    {
+        entry_process entry(store);
+        REQUIRE(await_ready(entry));
+        entry.send(SIGKILL);
+        CHECK(entry.wait() == -1);
+    }
+    const entry_process next(store);
+    const instant began = steady::now();
+    CHECK(await_ready(next));
+    CHECK(steady::now() - began < seconds(6));
+    CHECK(ask(next.front(), "/nowhere").find(" 404 ") != std::string::npos);
+}
