--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <iostream>
 
@@ -48,17 +49,24 @@
     });
 }
 
+/// Runs a process of the platform and ends without static destructors: the
+/// logging library's wait for threads of its own, which may not end there.
+template <exit_code (*Run)()>
+exit_code run_and_exit() {
+    std::quick_exit(static_cast<int>(Run()));
+}
+
 /// Adds the processes that take their settings from the users' platform.
 void add_platform(CLI::App& app, command& chosen) {
     CLI::App* node =
         app.add_subcommand("platform", "Run on the users' platform");
     node->require_subcommand(1);
     node->add_subcommand("entry", "Run an entry")->callback([&chosen] {
-        chosen = platform::run_entry_node;
+        chosen = run_and_exit<platform::run_entry_node>;
     });
     node->add_subcommand("agent", "Run the agent beside an engine")
         ->callback(
-            [&chosen] { chosen = platform::run_agent_node; });
+            [&chosen] { chosen = run_and_exit<platform::run_agent_node>; });
 }
 
 void add_check(CLI::App& app, command& chosen) {
