Tell each end of a request in the log; add `ospreystage explain`

Cause: following three failed requests of an incident from their ids, an attempt that a server answered with 500 left no line, nor did the end of a request that was answered.

Change: `attempt_failed` also for a server's own failure, `request_ended` with outcome, attempts and time for every request; lines of failures are `warn`. `ospreystage explain ID LOG...` prints the lines of one request over any logs.

Tried and reverted: naming the believed weight version only where an older one may not answer.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "platform/nodes.hpp"
 
 #include <ospreystage/app/commands.hpp>
+#include <ospreystage/app/explain.hpp>
 
 #include <CLI/CLI.hpp>
 
@@ -85,6 +86,18 @@
     add("rollout", "Check rollout documents (JSON)", check_rollouts);
 }
 
+void add_explain(CLI::App& app, command& chosen) {
+    CLI::App* sub = app.add_subcommand(
+        "explain", "Print the life of one request from log files");
+    auto id = std::make_shared<std::string>();
+    auto files = std::make_shared<std::vector<std::string>>();
+    sub->add_option("id", *id, "Id of the request")->required();
+    sub->add_option("logs", *files, "Logs of any processes")->required();
+    sub->callback([id, files, &chosen] {
+        chosen = [id, files] { return explain(*id, *files); };
+    });
+}
+
 /// Adds one `ctl` subcommand that runs `run` on the shared options.
 CLI::App* add_call(CLI::App& parent, const char* name, const char* description,
                    exit_code (*run)(const ctl_options&), ctl_options& options,
@@ -162,6 +175,7 @@
                 chosen);
     add_platform(app, chosen);
     add_check(app, chosen);
+    add_explain(app, chosen);
     add_ctl(app, options, chosen);
     try {
         app.parse(argc, argv);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -400,6 +400,13 @@
     const bool has_failed = record->head.status >= first_server_error;
     end_call(*record,
              has_failed ? attempt_result::failed : attempt_result::answered);
+    if (has_failed)
+        log_event(log_level::warn, "attempt_failed",
+                  {{"request", record->caller.id},
+                   {"server", record->server},
+                   {"reason", "server failed"},
+                   {"status", record->head.status},
+                   {"may_have_run", true}});
     if (has_failed && record->kind == request_kind::safe &&
         may_repeat(*record)) {
         record->head.body.clear();
@@ -440,7 +447,7 @@
                                record.is_resumable;
     const bool has_time = left_until(record.deadline) > milliseconds(50);
     log_event(
-        log_level::info, "attempt_failed",
+        log_level::warn, "attempt_failed",
         {{"request", record.caller.id},
          {"server", record.server},
          {"reason", reason},
@@ -487,7 +494,7 @@
         client_.cancel(*record->call);
         end_call(*record, attempt_result::silent);
         record->head.body.clear();
-        log_event(log_level::info, "attempt_silent",
+        log_event(log_level::warn, "attempt_silent",
                   {{"request", record->caller.id},
                    {"server", record->server},
                    {"silent_ms", (now - record->heard) / milliseconds(1)}});
@@ -539,7 +546,7 @@
 void gateway::fail_request(exchange_id exchange, std::uint16_t status,
                            const char* reason) {
     request_record& record = *find(exchange);
-    log_event(log_level::info, "request_failed",
+    log_event(log_level::warn, "request_failed",
               {{"request", record.caller.id},
                {"service", record.service},
                {"server", record.server},
@@ -568,8 +575,14 @@
     core_.cancel(record.deadline_timer);
     figures_.count(
         fmt::format("ospreystage_requests_total{{outcome=\"{}\"}}", outcome));
-    figures_.observe("ospreystage_request_seconds",
-                     steady::now() - record.arrived);
+    const auto spent = steady::now() - record.arrived;
+    figures_.observe("ospreystage_request_seconds", spent);
+    log_event(log_level::info, "request_ended",
+              {{"request", record.caller.id},
+               {"outcome", outcome},
+               {"server", record.server},
+               {"attempts", record.sent},
+               {"after_ms", spent / milliseconds(1)}});
     requests_.erase(found);
 }
 
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -173,6 +173,24 @@
     CHECK(entry.wait() == 0);
 }
 
+TEST_CASE("platform entry - a decision has its line, with the request's id") {
+    platform_store store;
+    fill(store);
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    raw_connection caller(entry.front());
+    caller.send("GET /nowhere HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Request-Id: id-77\r\nConnection: close\r\n\r\n");
+    caller.read_all();
+    CHECK(entry.await_output("\"event\":\"request_not_routed\""));
+    CHECK(entry.await_output("\"request\":\"id-77\""));
+    CHECK(entry.await_output("\"event\":\"started\""));
+    const std::string figures = ask(entry.ready(), "/metrics");
+    CHECK(figures.find("ospreystage_log_lines_dropped 0") != std::string::npos);
+    CHECK(figures.find("ospreystage_configuration_version 3") !=
+          std::string::npos);
+}
+
 TEST_CASE("platform entry - a changed settings file is taken up") {
     platform_store store;
     fill(store);
