--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -52,6 +52,7 @@
                          return left.time < right.time;
                      });
     std::vector<std::string> out;
+    out.reserve(sorted.size());
     for (entry& each : sorted)
         out.push_back(std::move(each.text));
     return out;
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -102,7 +102,7 @@
 
 void api_server::route(const std::string& method, const std::string& path,
                        handler body) {
-    routes_.emplace(route_key(method, path), std::move(body));
+    routes_[route_key(method, path)] = std::move(body);
 }
 
 void api_server::route_pattern(const std::string& method,
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -26,7 +26,7 @@
 Result call_store(
     platform_store& store,
     const std::function<void(store_client&, std::function<void(Result)>)>& make,
-    std::optional<address> endpoint = std::nullopt) {
+    const std::optional<address>& endpoint = std::nullopt) {
     kernel core;
     web_client web(core);
     store_client client(web, endpoint.value_or(store.endpoint()), call_timeout);
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -97,7 +97,7 @@
     }
 
     /// Returns what the process has written, without waiting for more.
-    std::string read_output() const {
+    [[nodiscard]] std::string read_output() const {
         std::string text;
         std::array<char, 65536> buffer{};
         fcntl(output_, F_SETFL, O_NONBLOCK);
@@ -148,10 +148,31 @@
     return false;
 }
 
+void put_configuration(platform_store& store, int version) {
+    store.put(
+        "op/config",
+        fmt::format(R"({{"version":{},"routes":[],"services":[]}})", version));
+}
+
 void fill(platform_store& store) {
-    store.put("op/config", R"({"version":3,"routes":[],"services":[]})");
+    put_configuration(store, 3);
+}
+
+bool await_version(const entry_process& entry, int version,
+                   milliseconds limit) {
+    const std::string wanted =
+        fmt::format("ospreystage_configuration_version {}\n", version);
+    const instant until = steady::now() + limit;
+    while (steady::now() < until) {
+        if (ask(entry.ready(), "/metrics").find(wanted) != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
 }
 
+constexpr const char* entry_key = "ospreystage/entries/edge-1";
+
 } // namespace
 
 TEST_CASE("platform entry - output that nobody reads delays no request") {
@@ -208,6 +229,62 @@
     CHECK(entry.wait() == 0);
 }
 
+TEST_CASE("platform entry - a configuration stays in force and never reverts") {
+    platform_store store;
+    fill(store);
+    {
+        entry_process entry(store);
+        REQUIRE(await_version(entry, 3, patience));
+        put_configuration(store, 5);
+        CHECK(await_version(entry, 5, seconds(1)));
+        put_configuration(store, 4);
+        std::this_thread::sleep_for(milliseconds(300));
+        CHECK(await_version(entry, 5, milliseconds(200)));
+        put_configuration(store, 6);
+        store.set_status(503);
+        CHECK(ask(entry.front(), "/nowhere").find(" 404 ") !=
+              std::string::npos);
+        store.compact();
+        store.set_status(0);
+        CHECK(await_version(entry, 6, seconds(3)));
+        store.set_status(503);
+        entry.send(SIGKILL);
+        CHECK(entry.wait() == -1);
+    }
+    // Without the store nothing is known: refused, not answered wrongly.
+    const entry_process next(store);
+    std::this_thread::sleep_for(seconds(1));
+    CHECK(ask(next.front(), "/nowhere").find(" 503 ") != std::string::npos);
+    CHECK(ask(next.ready(), "/v1/readyz").find(" 503 ") != std::string::npos);
+    store.set_status(0);
+    CHECK(await_version(next, 6, seconds(3)));
+}
+
+TEST_CASE("platform entry - a stopping entry leaves the list and serves on") {
+    platform_store store;
+    fill(store);
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    const instant listed_until = steady::now() + patience;
+    while (!store.value(entry_key) && steady::now() < listed_until)
+        std::this_thread::sleep_for(milliseconds(10));
+    REQUIRE(store.value(entry_key));
+    const instant began = steady::now();
+    entry.send(SIGTERM);
+    while (store.value(entry_key) && steady::now() - began < seconds(1))
+        std::this_thread::sleep_for(milliseconds(10));
+    CHECK_FALSE(store.value(entry_key));
+    // Callers that hold its address still get answers.
+    while (steady::now() - began < milliseconds(2500)) {
+        CHECK(ask(entry.front(), "/nowhere").find(" 404 ") !=
+              std::string::npos);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK(entry.wait() == 0);
+    CHECK(steady::now() - began < seconds(6));
+    CHECK_FALSE(store.value(entry_key));
+}
+
 TEST_CASE("platform entry - a kill loses nothing that the store holds") {
     platform_store store;
     fill(store);
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -27,12 +27,13 @@
   public:
     echo_server()
         : local{"127.0.0.1", support::free_ports(1).front()},
-          server(core, {[this](exchange_id exchange, http_request request) {
-                            ++requests;
-                            on_request(exchange, request);
-                        },
-                        [this](exchange_id) { ++abandoned; },
-                        [this](exchange_id) { ++drained; }, nullptr}) {
+          server(core,
+                 {[this](exchange_id exchange, const http_request& request) {
+                      ++requests;
+                      on_request(exchange, request);
+                  },
+                  [this](exchange_id) { ++abandoned; },
+                  [this](exchange_id) { ++drained; }, nullptr}) {
         error failure;
         REQUIRE(value_or_error(
             [&]() -> leaf::result<bool> {
