--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -74,9 +74,8 @@
 }
 
 void process::add_common_routes() {
-    metrics_.gauge("ospreystage_log_lines_dropped", [] {
-        return static_cast<double>(dropped_log_lines());
-    });
+    metrics_.gauge("ospreystage_log_lines_dropped",
+                   [] { return static_cast<double>(dropped_log_lines()); });
     http_.route_plain("GET", "/metrics", [this](const api_request&) {
         return text_response("text/plain", metrics_.text());
     });
