--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -44,13 +44,13 @@
 }
 
 store_reading read_all(platform_store& store, const std::string& prefix,
-                       std::optional<address> endpoint = std::nullopt) {
+                       const std::optional<address>& endpoint = std::nullopt) {
     return call_store<store_reading>(
         store,
         [&](store_client& client, auto done) {
             client.read_all(prefix, std::move(done));
         },
-        std::move(endpoint));
+        endpoint);
 }
 
 std::string configuration_text(int version) {
