--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -4,7 +4,6 @@
 #include <ospreystage/core/clock.hpp>
 
 #include <absl/container/flat_hash_map.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -73,10 +72,12 @@
 
     [[nodiscard]] const backend_server* find(const std::string& id) const;
     [[nodiscard]] std::vector<const backend_server*> all() const;
+    /// Returns the ids of the servers at an address; one that has been reused
+    /// may have two for a while.
+    [[nodiscard]] std::vector<std::string> at(const address& endpoint) const;
     [[nodiscard]] bool is_known() const noexcept { return known_; }
     /// Age of the last list, or nothing if there was none.
     [[nodiscard]] std::optional<milliseconds> age(instant now) const;
-    [[nodiscard]] nlohmann::json dump() const;
 
   private:
     struct server_record {
--- a/include/ospreystage/fleet/entry_list.hpp
+++ b/include/ospreystage/fleet/entry_list.hpp
@@ -10,12 +10,6 @@
 
 namespace ospreystage {
 
-/// Addresses of one entry process.
-struct entry_place {
-    address callers; ///< Where it takes requests.
-    friend bool operator==(const entry_place&, const entry_place&) = default;
-};
-
 /// Entries that callers may be sent to.
 ///
 /// After an outage of the store, entries that lapsed meanwhile are kept for as
@@ -24,7 +18,8 @@
   public:
     explicit entry_list(milliseconds return_time) : return_time_(return_time) {}
 
-    void on_listed(const std::string& name, const entry_place& place);
+    /// `callers` is where the entry takes requests.
+    void on_listed(const std::string& name, const address& callers);
     void on_removed(const std::string& name, instant now);
     /// Everything that is not in `names` was removed.
     void retain(const std::vector<std::string>& names, instant now);
@@ -36,7 +31,7 @@
 
   private:
     struct place_record {
-        entry_place place;
+        address callers;
         std::optional<instant> missing_until;
     };
 
--- a/include/ospreystage/http/api_server.hpp
+++ b/include/ospreystage/http/api_server.hpp
@@ -39,10 +39,6 @@
 [[nodiscard]] http_response json_response(std::uint16_t status,
                                           const nlohmann::json& body);
 
-/// Makes an answer with a body of any type.
-[[nodiscard]] http_response text_response(std::string content_type,
-                                          std::string body);
-
 /// Returns the token of `Authorization: Bearer …`, or nothing.
 [[nodiscard]] std::string bearer_token(const api_request& request);
 
--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -43,6 +43,17 @@
 [[nodiscard]] const std::string* find_field(const http_fields& fields,
                                             std::string_view name) noexcept;
 
+/// Returns the value of the first field `name`, or nothing.
+[[nodiscard]] std::string field_value(const http_fields& fields,
+                                      std::string_view name);
+
+/// Returns true if a content type is that of server-sent events.
+[[nodiscard]] bool is_event_stream(std::string_view content_type) noexcept;
+
+/// Makes an answer with a body of any type.
+[[nodiscard]] http_response text_response(std::string content_type,
+                                          std::string body);
+
 /// Removes every field `name`.
 void erase_field(http_fields& fields, std::string_view name);
 
@@ -53,8 +64,10 @@
 /// Returns the usual reason phrase of a status.
 [[nodiscard]] std::string_view reason_phrase(std::uint16_t status) noexcept;
 
-/// Encodes a request with `Content-Length` framing.
-[[nodiscard]] std::string encode_request(const http_request& request);
+/// Encodes a request with `Content-Length` framing, and with `host` for the
+/// field `Host` if it has none.
+[[nodiscard]] std::string encode_request(const http_request& request,
+                                         const std::string& host);
 
 /// How the body of an encoded response is framed.
 enum class http_framing {
--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -7,7 +7,6 @@
 #include <ospreystage/http/stream_socket.hpp>
 
 #include <absl/container/flat_hash_map.h>
-#include <nlohmann/json.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -86,11 +85,6 @@
     /// Open connections to `server`, idle ones included.
     [[nodiscard]] std::size_t connections(const address& server) const;
 
-    /// Connections opened since the start.
-    [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
-
-    [[nodiscard]] nlohmann::json dump() const;
-
   private:
     struct connection_record {
         explicit connection_record(kernel& core) : socket(core) {}
@@ -139,8 +133,6 @@
     std::vector<std::unique_ptr<call_record>> ended_;
     std::uint64_t next_connection_ = 1;
     std::uint64_t next_call_ = 1;
-    std::uint64_t opened_ = 0;
-    std::uint64_t strange_responses_ = 0;
 };
 
 } // namespace ospreystage
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -5,6 +5,7 @@
 #include <ospreystage/core/kernel.hpp>
 #include <ospreystage/http/message.hpp>
 #include <ospreystage/http/message_parser.hpp>
+#include <ospreystage/http/server_limits.hpp>
 #include <ospreystage/http/stream_socket.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -22,14 +23,6 @@
 /// Addresses a request that a `web_server` has read and not yet answered.
 enum class exchange_id : std::uint64_t {};
 
-/// What a caller may send and how long it may take.
-struct server_limits {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
-    milliseconds header_timeout{3000};
-    milliseconds idle_timeout{15'000};
-};
-
 /// Event-driven HTTP/1.1 server on the kernel's thread.
 ///
 /// Requests of one connection are handled one after the other. Every request
--- a/include/ospreystage/routing/routing_configuration.hpp
+++ b/include/ospreystage/routing/routing_configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ospreystage/core/clock.hpp>
+#include <ospreystage/http/server_limits.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -37,15 +38,13 @@
     std::uint32_t priority = 0;     ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1; ///< Backend servers one request may reach.
     bool is_public = false;         ///< Needs no key.
-    bool carries_prompt = false;
-    bool is_resumable = false; ///< A stream may go on at another server.
+    bool is_resumable = false;      ///< A stream may go on at another server.
     friend bool operator==(const route&, const route&) = default;
 };
 
 /// How fast an engine works, from the service's description.
 struct engine_profile {
     std::uint32_t slots = 1;          ///< Requests that run at once.
-    std::uint64_t kv_tokens = 0;      ///< Memory for requests, in tokens.
     double step_ms = 0;               ///< One token of every running request.
     double step_ms_per_request = 0;   ///< Added by each running request.
     double step_ms_per_k_context = 0; ///< Added by 1,000 tokens of context.
@@ -66,11 +65,9 @@
 /// A service that requests can be routed to.
 struct service_description {
     std::string name;
-    std::string health_path;
     std::uint32_t max_connections = 0; ///< To one server, of all callers.
     std::optional<engine_profile> engine;
     std::string origin; ///< Address of the weights' origin, if this is it.
-    std::uint64_t origin_bytes_per_second = 0;
     friend bool operator==(const service_description&,
                            const service_description&) = default;
 };
@@ -84,23 +81,13 @@
                            const organisation_keys&) = default;
 };
 
-/// What a caller may send, and how long it may take.
-struct caller_limits {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
-    milliseconds header_timeout{3000};
-    milliseconds idle_timeout{15'000};
-    friend bool operator==(const caller_limits&,
-                           const caller_limits&) = default;
-};
-
 /// The operator's configuration of routes, services and organisations.
 struct routing_configuration {
     std::uint64_t version = 0; ///< Grows with every change.
     std::vector<route> routes;
     std::vector<service_description> services;
     std::vector<organisation_keys> organisations;
-    caller_limits limits;
+    server_limits limits;
     friend bool operator==(const routing_configuration&,
                            const routing_configuration&) = default;
 };
--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -6,7 +6,6 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -129,15 +128,12 @@
     [[nodiscard]] std::optional<engine_status> status(const std::string& server,
                                                       instant now) const;
 
-    [[nodiscard]] nlohmann::json dump(instant now) const;
-
   private:
     struct load_record {
         std::uint32_t outstanding = 0; ///< Of this entry.
         std::optional<engine_status> status;
         instant reported{};
         std::uint32_t outstanding_then = 0;
-        std::uint32_t elsewhere_since = 0; ///< Sent by others since then.
         instant reads_until{};      ///< When all prompts sent so far are read.
         std::uint32_t failures = 0; ///< In a row.
         instant rests_until{};
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -13,7 +13,6 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -69,7 +68,6 @@
     [[nodiscard]] std::size_t in_progress() const noexcept {
         return requests_.size();
     }
-    [[nodiscard]] nlohmann::json dump() const;
 
   private:
     /// A request that has no final answer yet.
--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -3,8 +3,6 @@
 #include <ospreystage/core/clock.hpp>
 #include <ospreystage/weights/chunk_bitmap.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -86,7 +84,6 @@
         return announced_.has_value();
     }
     [[nodiscard]] std::uint64_t wanted() const noexcept { return wanted_; }
-    [[nodiscard]] nlohmann::json dump() const;
 
   private:
     options limits_;
--- a/include/ospreystage/weights/named_versions.hpp
+++ b/include/ospreystage/weights/named_versions.hpp
@@ -2,8 +2,6 @@
 
 #include <ospreystage/core/clock.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,8 +43,6 @@
     [[nodiscard]] std::uint64_t least(const std::string& model,
                                       instant now) const;
 
-    [[nodiscard]] nlohmann::json dump() const;
-
   private:
     [[nodiscard]] bool is_due(const named_record& record, instant now) const;
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -25,10 +25,11 @@
 
 namespace {
 
-/// Lines that wait for standard output: some 5,000 lines.
+/// Lines that wait for standard output: some 4,000 of 240 bytes, the mean of
+/// the incidents' logs.
 constexpr std::size_t ring_bytes = 1024 * 1024;
-/// Lines a second of one event below `warn`: ten times what an entry writes of
-/// its most frequent event on the heaviest standard day.
+/// Lines a second of one event below `warn`. On the incidents and scale-2 of
+/// both sites an entry wrote 68 at most.
 constexpr std::uint32_t lines_per_second = 1000;
 /// Interval between two lines that tell what was left out.
 constexpr seconds dropped_interval{1};
@@ -99,10 +100,10 @@
     return true;
 }
 
-void note_dropped(const std::string& event) {
+void note_no_room() {
     ++state().dropped_total;
     const absl::MutexLock lock(&state().mutex);
-    ++state().dropped[event];
+    ++state().dropped["no_room"];
 }
 
 /// Hands lines to the ring.
@@ -121,7 +122,7 @@
         const bool is_failure =
             event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
         if (!state().ring.push(line.str(), is_failure))
-            note_dropped("no_room");
+            note_no_room();
     }
 };
 
@@ -146,19 +147,23 @@
         line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-/// Returns what was left out since it was told last, if it is time to.
-std::map<std::string, std::uint64_t> take_dropped(instant now) {
-    const absl::MutexLock lock(&state().mutex);
-    if (state().dropped.empty() ||
-        now - state().dropped_told < dropped_interval)
-        return {};
-    state().dropped_told = now;
-    return std::exchange(state().dropped, {});
-}
+using dropped_counts = std::map<std::string, std::uint64_t>;
 
-bool has_quota(const std::string& event, instant now) {
+/// Counts a line; returns false if it is to be left out, and in `told` what was
+/// left out before, if it is time to tell it.
+bool admit(log_level level, const std::string& event, dropped_counts& told) {
+    const instant now = steady::now();
     const absl::MutexLock lock(&state().mutex);
-    return state().quota.take(event, now);
+    if (!state().dropped.empty() &&
+        now - state().dropped_told >= dropped_interval) {
+        state().dropped_told = now;
+        told = std::exchange(state().dropped, {});
+    }
+    if (level >= log_level::warn || state().quota.take(event, now))
+        return true;
+    ++state().dropped_total;
+    ++state().dropped[event];
+    return false;
 }
 
 } // namespace
@@ -191,18 +196,17 @@
     if (!root().isEnabledFor(to_library_level(level)) ||
         root().getAllAppenders().empty())
         return;
-    const instant now = steady::now();
-    if (const auto dropped = take_dropped(now); !dropped.empty())
-        write_event(log_level::warn, "log_lines_dropped", {{"lines", dropped}});
-    if (level < log_level::warn && !has_quota(event, now))
-        note_dropped(event);
-    else
+    dropped_counts told;
+    const bool is_admitted = admit(level, event, told);
+    if (!told.empty())
+        write_event(log_level::warn, "log_lines_dropped", {{"lines", told}});
+    if (is_admitted)
         write_event(level, event, fields);
 }
 
 void print_line(const std::string& text) {
     if (!state().ring.push(text + "\n", true))
-        note_dropped("no_room");
+        note_no_room();
 }
 
 std::uint64_t dropped_log_lines() noexcept {
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -98,21 +98,18 @@
     return result;
 }
 
+std::vector<std::string> backend_registry::at(const address& endpoint) const {
+    std::vector<std::string> result;
+    for (const auto& [id, record] : servers_)
+        if (record.server.endpoint == endpoint)
+            result.push_back(id);
+    return result;
+}
+
 std::optional<milliseconds> backend_registry::age(instant now) const {
     if (!heard_)
         return std::nullopt;
     return std::chrono::duration_cast<milliseconds>(now - *heard_);
 }
 
-nlohmann::json backend_registry::dump() const {
-    nlohmann::json state = nlohmann::json::array();
-    for (const auto& [id, record] : servers_)
-        state.push_back({{"id", id},
-                         {"service", record.server.service},
-                         {"address", to_string(record.server.endpoint)},
-                         {"draining", record.server.is_draining},
-                         {"lapsed", record.missing_until.has_value()}});
-    return state;
-}
-
 } // namespace ospreystage
--- a/src/fleet/entry_list.cpp
+++ b/src/fleet/entry_list.cpp
@@ -4,8 +4,8 @@
 
 namespace ospreystage {
 
-void entry_list::on_listed(const std::string& name, const entry_place& place) {
-    places_[name] = {place, std::nullopt};
+void entry_list::on_listed(const std::string& name, const address& callers) {
+    places_[name] = {callers, std::nullopt};
 }
 
 void entry_list::on_removed(const std::string& name, instant now) {
@@ -35,7 +35,7 @@
 std::vector<address> entry_list::callers() const {
     std::vector<address> result;
     for (const auto& [name, record] : places_)
-        result.push_back(record.place.callers);
+        result.push_back(record.callers);
     return result;
 }
 
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -45,8 +45,7 @@
 }
 
 std::string field_value(const api_request& request, std::string_view name) {
-    const std::string* value = find_field(request.message.fields, name);
-    return value == nullptr ? "" : *value;
+    return field_value(request.message.fields, name);
 }
 
 http_response json_response(std::uint16_t status, const nlohmann::json& body) {
@@ -57,13 +56,6 @@
     return response;
 }
 
-http_response text_response(std::string content_type, std::string body) {
-    http_response response;
-    response.fields.push_back({"Content-Type", std::move(content_type)});
-    response.body = std::move(body);
-    return response;
-}
-
 std::string bearer_token(const api_request& request) {
     const std::string value = field_value(request, "Authorization");
     if (!value.starts_with(bearer))
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace ospreystage {
 
@@ -45,6 +46,22 @@
     return nullptr;
 }
 
+std::string field_value(const http_fields& fields, std::string_view name) {
+    const std::string* value = find_field(fields, name);
+    return value == nullptr ? "" : *value;
+}
+
+bool is_event_stream(std::string_view content_type) noexcept {
+    return content_type.starts_with("text/event-stream");
+}
+
+http_response text_response(std::string content_type, std::string body) {
+    http_response response;
+    response.fields.push_back({"Content-Type", std::move(content_type)});
+    response.body = std::move(body);
+    return response;
+}
+
 void erase_field(http_fields& fields, std::string_view name) {
     std::erase_if(fields, [&](const http_field& field) {
         return is_same_field(field.name, name);
@@ -69,9 +86,12 @@
     return {phrase.data(), phrase.size()};
 }
 
-std::string encode_request(const http_request& request) {
+std::string encode_request(const http_request& request,
+                           const std::string& host) {
     std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
     append_fields(out, request.fields);
+    if (find_field(request.fields, "Host") == nullptr)
+        append_fields(out, {{"Host", host}});
     const bool may_be_empty =
         request.method == "GET" || request.method == "HEAD";
     if (!request.body.empty() || !may_be_empty)
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -1,6 +1,6 @@
 #include <ospreystage/http/stream_socket.hpp>
+#include <ospreystage/network/socket_address.hpp>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -47,18 +47,14 @@
 void stream_socket::connect(const address& remote) {
     descriptor_ =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in raw{};
-    raw.sin_family = AF_INET;
-    raw.sin_port = htons(remote.port);
-    const bool is_numeric =
-        inet_pton(AF_INET, remote.host.c_str(), &raw.sin_addr) == 1;
+    const auto raw = to_socket_address(remote);
     const int on = 1;
-    bool is_started = descriptor_ >= 0 && is_numeric;
+    bool is_started = descriptor_ >= 0 && raw;
     if (is_started) {
         setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         is_started =
-            ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&raw),
-                      sizeof(raw)) == 0 ||
+            ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&*raw),
+                      sizeof(*raw)) == 0 ||
             errno == EINPROGRESS;
     }
     if (is_started) {
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -72,7 +72,7 @@
     if (const std::string* value =
             find_field(request.fields, options.echoed_field))
         record->echoed_value = *value;
-    record->output = encode_request(request);
+    record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
     const std::uint64_t connection = acquire(server, options.reuse);
     record->connection = connection;
@@ -146,13 +146,6 @@
     return idle != idle_.end() && !idle->second.empty();
 }
 
-nlohmann::json web_client::dump() const {
-    return {{"connections", connections_.size()},
-            {"calls", calls_.size()},
-            {"opened", opened_},
-            {"strange_responses", strange_responses_}};
-}
-
 // ---- Connections -----------------------------------------------------------
 
 std::uint64_t web_client::acquire(const address& server, bool reuse) {
@@ -178,7 +171,6 @@
     stream_socket& socket = record->socket;
     connections_.emplace(id, std::move(record));
     ++counts_[key];
-    ++opened_;
     socket.connect(server);
     return id;
 }
@@ -238,7 +230,6 @@
             : find_field(response.fields, call.echoed_field);
     if (echoed != nullptr && *echoed != call.echoed_value) {
         record.is_skipping = true;
-        ++strange_responses_;
         log_event(log_level::warn, "response_of_another_request",
                   {{"server", to_string(record.server)},
                    {"expected", call.echoed_value},
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -1,7 +1,7 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/http/web_server.hpp>
+#include <ospreystage/network/socket_address.hpp>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -33,28 +33,16 @@
 
 web_server::~web_server() {
     if (listener_ >= 0) {
-        core_.unwatch(listener_);
-        ::close(listener_);
+        core_.close(listener_);
     }
 }
 
 leaf::result<void> web_server::listen(const address& local) {
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    BOOST_LEAF_ASSIGN(listener_,
+                      open_listener(local, listen_backlog, "http.listen"));
     // Accepted connections inherit this.
+    const int on = 1;
     setsockopt(listener_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    sockaddr_in raw{};
-    raw.sin_family = AF_INET;
-    raw.sin_port = htons(local.port);
-    if (inet_pton(AF_INET, local.host.c_str(), &raw.sin_addr) != 1)
-        return fail(error_code::invalid_argument, "http.listen",
-                    to_string(local), "not a numeric IPv4 address");
-    if (bind(listener_, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) !=
-            0 ||
-        ::listen(listener_, listen_backlog) != 0)
-        return fail(error_code::unavailable, "http.listen", to_string(local),
-                    std::strerror(errno));
     core_.watch(listener_, EPOLLIN, [this](std::uint32_t) { accept_all(); });
     core_.every(service_name, sweep_interval, [this] { sweep(); });
     return {};
@@ -88,8 +76,7 @@
     if (listener_ < 0)
         return;
     accept_all();
-    core_.unwatch(listener_);
-    ::close(listener_);
+    core_.close(listener_);
     listener_ = -1;
 }
 
--- a/src/network/network.cpp
+++ b/src/network/network.cpp
@@ -1,17 +1,15 @@
 #include <ospreystage/network/codec.hpp>
 #include <ospreystage/network/network.hpp>
+#include <ospreystage/network/socket_address.hpp>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <cstring>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,21 +21,6 @@
 constexpr int listen_backlog = 512;
 constexpr int datagram_buffer_bytes = 1024 * 1024;
 
-std::optional<sockaddr_in> to_socket_address(const address& endpoint) {
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(endpoint.port);
-    if (inet_pton(AF_INET, endpoint.host.c_str(), &result.sin_addr) != 1)
-        return std::nullopt;
-    return result;
-}
-
-address from_socket_address(const sockaddr_in& raw) {
-    std::array<char, INET_ADDRSTRLEN> host{};
-    inet_ntop(AF_INET, &raw.sin_addr, host.data(), host.size());
-    return {host.data(), ntohs(raw.sin_port)};
-}
-
 int open_socket(int type) {
     return socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
@@ -77,18 +60,11 @@
 }
 
 leaf::result<void> network::listen(const address& local) {
-    const auto raw = to_socket_address(local);
-    if (!raw)
-        return fail(error_code::invalid_argument, "network.listen",
-                    to_string(local), "not a numeric IPv4 address");
-    listener_ = open_socket(SOCK_STREAM);
-    set_option(listener_, SOL_SOCKET, SO_REUSEADDR, 1);
-    if (!bind_to(listener_, *raw) || ::listen(listener_, listen_backlog) != 0)
-        return fail(error_code::unavailable, "network.listen", to_string(local),
-                    system_message());
+    BOOST_LEAF_ASSIGN(listener_,
+                      open_listener(local, listen_backlog, "network.listen"));
     datagrams_ = open_socket(SOCK_DGRAM);
     set_option(datagrams_, SOL_SOCKET, SO_RCVBUF, datagram_buffer_bytes);
-    if (!bind_to(datagrams_, *raw))
+    if (!bind_to(datagrams_, *to_socket_address(local)))
         return fail(error_code::unavailable, "network.listen", to_string(local),
                     system_message());
     core_.watch(listener_, EPOLLIN, [this](std::uint32_t) { accept_all(); });
@@ -173,8 +149,7 @@
         static_cast<void>(
             ::send(record.descriptor, record.output.data() + record.written,
                    record.output.size() - record.written, MSG_NOSIGNAL));
-    core_.unwatch(record.descriptor);
-    ::close(record.descriptor);
+    core_.close(record.descriptor);
     connections_.erase(found);
 }
 
--- a/src/requests/back_end.cpp
+++ b/src/requests/back_end.cpp
@@ -1,15 +1,14 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/network/socket_address.hpp>
 #include <ospreystage/requests/back_end.hpp>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/string_view.h>
-#include <arpa/inet.h>
 #include <netdb.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 #include <vector>
 
@@ -22,7 +21,6 @@
 /// A back end that sends nothing for this long is taken for silent.
 constexpr milliseconds silence_timeout{4000};
 constexpr milliseconds silence_check_interval{100};
-constexpr const char* stream_type = "text/event-stream";
 constexpr absl::string_view stream_end = "data: [DONE]";
 constexpr std::string_view scheme = "http://";
 
@@ -39,13 +37,12 @@
     return body.dump();
 }
 
-http_request make_request(const run_order& order, const address& server) {
+http_request make_request(const run_order& order) {
     http_request request;
     request.method = order.method;
     request.target = order.path;
     request.body = order.version.empty() ? order.body : engine_body(order);
-    request.fields = {{"Host", to_string(server)},
-                      {"X-Attempt-Id", to_string(order.attempt)},
+    request.fields = {{"X-Attempt-Id", to_string(order.attempt)},
                       {"X-Organisation", order.organisation}};
     if (!order.content_type.empty())
         request.fields.push_back({"Content-Type", order.content_type});
@@ -59,11 +56,6 @@
     return status == 404 || status == 429 || status == 503;
 }
 
-std::string text_of(const http_fields& fields, std::string_view name) {
-    const std::string* value = find_field(fields, name);
-    return value == nullptr ? "" : *value;
-}
-
 /// Returns the address of `http://host:port`; a name is looked up once.
 address resolve(const std::string& url) {
     const auto named = parse_address(url.substr(scheme.size()));
@@ -80,11 +72,11 @@
                   {{"url", url}, {"error", gai_strerror(status)}});
         return *named;
     }
-    std::array<char, INET_ADDRSTRLEN> text{};
-    const auto* first = reinterpret_cast<const sockaddr_in*>(found->ai_addr);
-    inet_ntop(AF_INET, &first->sin_addr, text.data(), text.size());
+    address result = from_socket_address(
+        *reinterpret_cast<const sockaddr_in*>(found->ai_addr));
     freeaddrinfo(found);
-    return {text.data(), named->port};
+    result.port = named->port;
+    return result;
 }
 
 } // namespace
@@ -115,7 +107,7 @@
         on_body(attempt, data);
     };
     handlers.ended = [this, attempt](call_end end) { on_ended(attempt, end); };
-    current.call = client_.start(server_, make_request(order, server_), options,
+    current.call = client_.start(server_, make_request(order), options,
                                  std::move(handlers));
 }
 
@@ -130,10 +122,11 @@
         current.refused_status = head.status;
         return;
     }
-    const std::string type = text_of(head.fields, "Content-Type");
-    current.is_event_stream = type.starts_with(stream_type);
-    receiver_(attempt, back_end_begin{head.status, type,
-                                      text_of(head.fields, "X-Model-Version")});
+    const std::string type = field_value(head.fields, "Content-Type");
+    current.is_event_stream = is_event_stream(type);
+    receiver_(attempt,
+              back_end_begin{head.status, type,
+                             field_value(head.fields, "X-Model-Version")});
 }
 
 void back_end::on_body(const attempt_id& attempt, std::string_view data) {
--- a/src/requests/caller_api.cpp
+++ b/src/requests/caller_api.cpp
@@ -210,8 +210,7 @@
     measures_.observe("ospreystage_first_event_seconds",
                       steady::now() - request.arrived);
     request.is_begun = true;
-    request.is_event_stream =
-        begin.content_type.starts_with("text/event-stream");
+    request.is_event_stream = is_event_stream(begin.content_type);
     request.answer.status = begin.status;
     request.answer.fields.push_back({"Content-Type", begin.content_type});
     if (!begin.version.empty())
--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -212,7 +212,6 @@
 void backend_load::on_sent_elsewhere(const std::string& server,
                                      microseconds read, instant now) {
     load_record& record = records_[server];
-    ++record.elsewhere_since;
     add_prompt(record, read, now);
 }
 
@@ -250,7 +249,6 @@
     record.status = status;
     record.reported = now;
     record.outstanding_then = record.outstanding;
-    record.elsewhere_since = 0;
 }
 
 void backend_load::retain(const absl::flat_hash_set<std::string>& listed) {
@@ -259,16 +257,4 @@
     });
 }
 
-nlohmann::json backend_load::dump(instant now) const {
-    nlohmann::json state = nlohmann::json::object();
-    for (const auto& [id, record] : records_)
-        state[id] = {
-            {"outstanding", record.outstanding},
-            {"failures", record.failures},
-            {"rests", record.rests_until > now},
-            {"report_age_ms",
-             record.status ? (now - record.reported) / milliseconds(1) : -1}};
-    return state;
-}
-
 } // namespace ospreystage
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -50,11 +50,6 @@
 constexpr std::uint32_t least_urgency = 7;
 constexpr std::uint32_t first_urgency = 1;
 
-bool is_event_stream(const http_response& response) {
-    const std::string* type = find_field(response.fields, "Content-Type");
-    return type != nullptr && type->starts_with("text/event-stream");
-}
-
 /// Says that a request never runs, and when its caller may return.
 http_response make_refusal(const char* reason, milliseconds retry_after) {
     const std::chrono::duration<double> wait = retry_after;
@@ -90,10 +85,6 @@
                 [this] { check_silence(); });
 }
 
-nlohmann::json gateway::dump() const {
-    return {{"in_progress", requests_.size()}};
-}
-
 gateway::request_record* gateway::find(exchange_id exchange) {
     const auto found = requests_.find(static_cast<std::uint64_t>(exchange));
     return found == requests_.end() ? nullptr : found->second.get();
@@ -313,8 +304,9 @@
     heard_[record->server] = record->heard;
     record->head = head;
     record->head.body.clear();
-    record->is_event_stream = record->kind == request_kind::streaming &&
-                              head.status < 300 && is_event_stream(head);
+    record->is_event_stream =
+        record->kind == request_kind::streaming && head.status < 300 &&
+        is_event_stream(field_value(head.fields, "Content-Type"));
 }
 
 void gateway::on_body(exchange_id exchange, std::string_view data) {
--- a/src/weights/engine_loader.cpp
+++ b/src/weights/engine_loader.cpp
@@ -72,14 +72,6 @@
     return act(order_switch{wanted_, report_->orders});
 }
 
-nlohmann::json engine_loader::dump() const {
-    return {{"wanted", wanted_},
-            {"held", held_},
-            {"in_use", report_ ? report_->version : 0},
-            {"staged", staged_ ? staged_->count() : 0},
-            {"busy", is_busy_}};
-}
-
 milliseconds switch_turn(std::size_t rank, std::size_t count,
                          milliseconds first, milliseconds last) {
     if (count < 2 || last <= first)
--- a/src/weights/named_versions.cpp
+++ b/src/weights/named_versions.cpp
@@ -50,13 +50,4 @@
     return least;
 }
 
-nlohmann::json named_versions::dump() const {
-    nlohmann::json state = nlohmann::json::object();
-    for (const auto& [model, records] : models_)
-        for (const named_record& record : records)
-            state[model].push_back({{"version", record.version},
-                                    {"saw_naming", record.saw_naming}});
-    return state;
-}
-
 } // namespace ospreystage
--- a/tests/caller_api.cpp
+++ b/tests/caller_api.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/eventually.hpp"
 #include "tests/support/free_ports.hpp"
 #include "tests/support/raw_connection.hpp"
 #include "tests/support/running_kernel.hpp"
@@ -14,11 +15,13 @@
 #include <vector>
 
 using namespace ospreystage;
+using support::eventually;
 using testing::raw_connection;
 using testing::running_kernel;
 
 namespace {
 
+constexpr seconds patience{8};
 constexpr const char* chat_body =
     R"({"model":"assistant","messages":[],"stream":true})";
 
@@ -63,16 +66,6 @@
     caller_api callers;
 };
 
-bool wait_for(const std::function<bool()>& done) {
-    const instant until = steady::now() + seconds(8);
-    while (!done()) {
-        if (steady::now() > until)
-            return false;
-        std::this_thread::sleep_for(milliseconds(2));
-    }
-    return true;
-}
-
 void deliver(running_kernel& running, api_fixture& api,
              const exchange_event& event) {
     running.ask([&] {
@@ -92,7 +85,7 @@
     running_kernel running(api.core);
     raw_connection caller(api.local);
     caller.send(chat_request(chat_body));
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     CHECK(api.last.service == "assistant");
     CHECK(api.last.organisation == "head-office");
     CHECK(api.last.stream);
@@ -114,7 +107,7 @@
     running_kernel running(api.core);
     raw_connection caller(api.local);
     caller.send(chat_request(chat_body));
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     deliver(running, api,
             answer_begin_action{0, 200, "text/event-stream", "v1"});
     deliver(running, api, refuse_action{0, outcome::unknown, "agent_lost", {}});
@@ -128,7 +121,7 @@
     running_kernel running(api.core);
     raw_connection caller(api.local);
     caller.send(chat_request(chat_body));
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     deliver(running, api, answer_begin_action{0, 200, "text/plain", "v1"});
     deliver(running, api, answer_part_action{0, "half"});
     deliver(running, api, refuse_action{0, outcome::unknown, "agent_lost", {}});
@@ -143,7 +136,7 @@
     raw_connection caller(api.local);
     caller.send("GET /v1/services/ledger/rows/7?part=2&x=%20 HTTP/1.1\r\n"
                 "Host: x\r\nIdempotency-Key: k\r\n\r\n");
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     CHECK(api.last.service == "ledger");
     CHECK(api.last.path == "/rows/7?part=2&x=%20");
     CHECK(api.last.organisation == "default");
@@ -164,7 +157,7 @@
     for (const auto& [reason, status] : statuses) {
         caller.send(chat_request(chat_body));
         ++count;
-        REQUIRE(wait_for([&] { return api.begun == count; }));
+        REQUIRE(eventually(patience, [&] { return api.begun == count; }));
         deliver(running, api,
                 refuse_action{0, outcome::not_run, reason, milliseconds(1500)});
         const std::string answer = caller.read_until("}}");
@@ -180,7 +173,7 @@
     running_kernel running(api.core);
     raw_connection open(api.local);
     open.send(chat_request(chat_body));
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     running.ask([&] {
         api.callers.abandon_all();
         return true;
@@ -200,9 +193,9 @@
     {
         raw_connection caller(api.local);
         caller.send(chat_request(chat_body));
-        REQUIRE(wait_for([&] { return api.begun == 1; }));
+        REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     }
-    CHECK(wait_for([&] { return api.cancelled == 1; }));
+    CHECK(eventually(patience, [&] { return api.cancelled == 1; }));
     deliver(running, api, answer_part_action{0, "late"});
     CHECK(running.ask([&] { return api.callers.size(); }) == 0);
 }
@@ -212,13 +205,13 @@
     running_kernel running(api.core);
     raw_connection caller(api.local, 4096);
     caller.send(chat_request(chat_body));
-    REQUIRE(wait_for([&] { return api.begun == 1; }));
+    REQUIRE(eventually(patience, [&] { return api.begun == 1; }));
     deliver(running, api,
             answer_begin_action{0, 200, "text/event-stream", "v1"});
     deliver(running, api,
             answer_part_action{0, std::string(8 * 1024 * 1024, 'p')});
     CHECK(running.ask([&] { return api.callers.size(); }) == 1);
-    CHECK(wait_for([&] { return api.cancelled == 1; }));
+    CHECK(eventually(patience, [&] { return api.cancelled == 1; }));
     CHECK(running.ask([&] { return api.callers.size(); }) == 0);
 }
 
--- a/tests/distribution.cpp
+++ b/tests/distribution.cpp
@@ -1,11 +1,11 @@
 #include <ospreystage/weights/distribution.hpp>
 
 #include <catch2/catch.hpp>
+#include <tests/support/eventually.hpp>
 #include <tests/support/local_node.hpp>
 #include <tests/support/standin.hpp>
 #include <tests/support/weights.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr seconds patience{30};
 constexpr std::uint32_t chunk_bytes = 64 * 1024;
 constexpr std::uint64_t link_rate = 8 * 1024 * 1024;
 constexpr std::uint64_t origin_rate = 2 * link_rate;
@@ -21,16 +22,6 @@
 const weights_spec large_model{"large", 256 * chunk_bytes, chunk_bytes, 9};
 const weights_spec successor{"successor", 48 * chunk_bytes, chunk_bytes, 8};
 
-bool eventually(const std::function<bool()>& condition) {
-    const instant limit = steady::now() + seconds(30);
-    while (steady::now() < limit) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(milliseconds(5));
-    }
-    return false;
-}
-
 /// Agents of three data centres in this process, and an origin beside it.
 class agents {
   public:
@@ -156,7 +147,7 @@
     const digest version = fleet.publish(model);
     fleet.start();
     fleet.want({{version, 1}});
-    REQUIRE(eventually([&] { return fleet.complete(version); }));
+    REQUIRE(eventually(patience, [&] { return fleet.complete(version); }));
     CHECK(fleet.bytes("agent-4", describe(model)) == all_bytes(model));
     CHECK(fleet.origin_copies(version) <= 1.05);
 }
@@ -167,7 +158,7 @@
     fleet.origin.post("/control/faults", {{"corrupt_percent", 5}});
     fleet.start();
     fleet.want({{version, 1}});
-    REQUIRE(eventually([&] { return fleet.complete(version); }));
+    REQUIRE(eventually(patience, [&] { return fleet.complete(version); }));
     CHECK(fleet.corrupt_chunks() > 0);
     CHECK(fleet.bytes("agent-1", describe(model)) == all_bytes(model));
 }
@@ -178,9 +169,10 @@
     const digest second = fleet.publish(successor);
     fleet.start();
     fleet.want({{first, 1}});
-    REQUIRE(eventually([&] { return fleet.origin_copies(first) > 0.2; }));
+    REQUIRE(
+        eventually(patience, [&] { return fleet.origin_copies(first) > 0.2; }));
     fleet.want({{second, 1}});
-    REQUIRE(eventually([&] { return fleet.complete(second); }));
+    REQUIRE(eventually(patience, [&] { return fleet.complete(second); }));
     CHECK(fleet.origin_copies(first) < 1);
     CHECK_FALSE(fleet.complete(first));
     CHECK(fleet.bytes("agent-2", describe(successor)) == all_bytes(successor));
@@ -191,9 +183,11 @@
     const digest version = fleet.publish(model);
     fleet.start();
     fleet.want({{version, 1}});
-    REQUIRE(eventually([&] { return fleet.origin_copies(version) > 0.3; }));
+    REQUIRE(eventually(patience,
+                       [&] { return fleet.origin_copies(version) > 0.3; }));
     fleet.stop("agent-3");
-    CHECK(eventually([&] { return fleet.complete(version, "agent-3"); }));
+    CHECK(eventually(patience,
+                     [&] { return fleet.complete(version, "agent-3"); }));
 }
 
 TEST_CASE("distribution - survives the origin once one copy was read") {
@@ -201,7 +195,8 @@
     const digest version = fleet.publish(model);
     fleet.start();
     fleet.want({{version, 1}});
-    REQUIRE(eventually([&] { return fleet.origin_copies(version) >= 1; }));
+    REQUIRE(eventually(patience,
+                       [&] { return fleet.origin_copies(version) >= 1; }));
     fleet.origin.post("/control/faults", {{"down", true}});
-    CHECK(eventually([&] { return fleet.complete(version); }));
+    CHECK(eventually(patience, [&] { return fleet.complete(version); }));
 }
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -1,30 +1,21 @@
 #include <ospreystage/network/codec.hpp>
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include <tests/support/eventually.hpp>
 #include <tests/support/local_node.hpp>
-#include <unistd.h>
+#include <tests/support/raw_connection.hpp>
 
 #include <atomic>
-#include <functional>
 
 using namespace ospreystage;
+using support::eventually;
 using support::free_port;
 using support::local_node;
+using testing::raw_connection;
 
 namespace {
 
-bool eventually(const std::function<bool()>& condition) {
-    const instant limit = steady::now() + seconds(10);
-    while (steady::now() < limit) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(milliseconds(5));
-    }
-    return false;
-}
+constexpr seconds patience{10};
 
 void direct_to(local_node& from, std::uint16_t port) {
     from.link_layer->set_directory([port](const std::string&) {
@@ -32,44 +23,6 @@
     });
 }
 
-/// A plain TCP connection that speaks only what the test writes.
-class raw_connection {
-  public:
-    explicit raw_connection(std::uint16_t port)
-        : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in remote{};
-        remote.sin_family = AF_INET;
-        remote.sin_port = htons(port);
-        remote.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(connect(descriptor_, reinterpret_cast<sockaddr*>(&remote),
-                        sizeof(remote)) == 0);
-    }
-    ~raw_connection() { close(descriptor_); }
-    raw_connection(const raw_connection&) = delete;
-    raw_connection& operator=(const raw_connection&) = delete;
-
-    void write(const std::string& bytes) const {
-        send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    }
-
-    /// Reads until the peer closes; returns false if it does not within 10 s.
-    [[nodiscard]] bool is_closed_by_peer() const {
-        const timeval limit{10, 0};
-        setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-        char buffer[4096];
-        for (;;) {
-            const auto count = recv(descriptor_, buffer, sizeof(buffer), 0);
-            if (count == 0 || (count < 0 && errno == ECONNRESET))
-                return true;
-            if (count < 0)
-                return false;
-        }
-    }
-
-  private:
-    int descriptor_;
-};
-
 } // namespace
 
 TEST_CASE("links - a message reaches the named process") {
@@ -88,7 +41,7 @@
     client.core.post("links", [&] {
         client.link_layer->send("agent-1", seal_order{{{"entry-1", 1}, 7}});
     });
-    CHECK(eventually([&] { return received == 7; }));
+    CHECK(eventually(patience, [&] { return received == 7; }));
 }
 
 TEST_CASE("links - a wrong token is refused and costs nobody else anything") {
@@ -108,9 +61,9 @@
     client.start();
     stranger.start();
     client.core.post("links", [&] { client.link_layer->open("agent-1"); });
-    REQUIRE(eventually([&] { return up == 1; }));
+    REQUIRE(eventually(patience, [&] { return up == 1; }));
     stranger.core.post("links", [&] { stranger.link_layer->open("agent-1"); });
-    CHECK(eventually([&] { return refused == 1; }));
+    CHECK(eventually(patience, [&] { return refused == 1; }));
     const auto still_open = client.core.call("links", [&] {
         return client.link_layer->find("agent-1").has_value();
     });
@@ -121,12 +74,12 @@
     const std::uint16_t port = free_port();
     local_node server("agent-1", port, 1);
     server.start();
-    const raw_connection broken(port);
-    broken.write("\xff\xff\xff\xff garbage");
-    CHECK(broken.is_closed_by_peer());
-    const raw_connection early(port);
-    early.write(encode_frame(seal_order{}));
-    CHECK(early.is_closed_by_peer());
+    raw_connection broken({"127.0.0.1", port});
+    broken.send("\xff\xff\xff\xff garbage");
+    CHECK(broken.await_end());
+    raw_connection early({"127.0.0.1", port});
+    early.send(encode_frame(seal_order{}));
+    CHECK(early.await_end());
 }
 
 TEST_CASE("links - a silent connection is given up on") {
@@ -139,10 +92,10 @@
             if (reason == "silent")
                 ++down;
         });
-    const raw_connection silent(port);
-    silent.write(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
-    CHECK(eventually([&] { return down == 1; }));
-    CHECK(silent.is_closed_by_peer());
+    raw_connection silent({"127.0.0.1", port});
+    silent.send(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
+    CHECK(eventually(patience, [&] { return down == 1; }));
+    CHECK(silent.await_end());
 }
 
 TEST_CASE("links - nothing of an earlier epoch is delivered") {
@@ -154,17 +107,17 @@
             last = order.attempt.sequence;
         });
     server.start();
-    const raw_connection older(port);
-    older.write(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
-    older.write(encode_frame(seal_order{{{"entry-1", 1}, 1}}));
-    REQUIRE(eventually([&] { return last == 1; }));
-    const raw_connection newer(port);
-    newer.write(encode_frame(hello{"token", {"entry-1", 1}, {}, 2}));
-    CHECK(older.is_closed_by_peer());
-    const raw_connection stale(port);
-    stale.write(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
-    stale.write(encode_frame(seal_order{{{"entry-1", 1}, 3}}));
-    CHECK(stale.is_closed_by_peer());
+    raw_connection older({"127.0.0.1", port});
+    older.send(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
+    older.send(encode_frame(seal_order{{{"entry-1", 1}, 1}}));
+    REQUIRE(eventually(patience, [&] { return last == 1; }));
+    raw_connection newer({"127.0.0.1", port});
+    newer.send(encode_frame(hello{"token", {"entry-1", 1}, {}, 2}));
+    CHECK(older.await_end());
+    raw_connection stale({"127.0.0.1", port});
+    stale.send(encode_frame(hello{"token", {"entry-1", 1}, {}, 1}));
+    stale.send(encode_frame(seal_order{{{"entry-1", 1}, 3}}));
+    CHECK(stale.await_end());
     CHECK(last == 1);
 }
 
@@ -172,12 +125,12 @@
     const std::uint16_t port = free_port();
     local_node server("agent-1", port, 1);
     server.start();
-    const raw_connection newer(port);
-    newer.write(encode_frame(hello{"token", {"entry-1", 5}, {}, 1}));
+    raw_connection newer({"127.0.0.1", port});
+    newer.send(encode_frame(hello{"token", {"entry-1", 5}, {}, 1}));
     std::this_thread::sleep_for(milliseconds(50));
-    const raw_connection older(port);
-    older.write(encode_frame(hello{"token", {"entry-1", 4}, {}, 9}));
-    CHECK(older.is_closed_by_peer());
+    raw_connection older({"127.0.0.1", port});
+    older.send(encode_frame(hello{"token", {"entry-1", 4}, {}, 9}));
+    CHECK(older.await_end());
 }
 
 TEST_CASE("links - an address in use is an error") {
@@ -213,11 +166,11 @@
                 "strange_datagrams", 0);
         });
     };
-    REQUIRE(eventually([&] { return strange() == 1; }));
+    REQUIRE(eventually(patience, [&] { return strange() == 1; }));
     CHECK(received == 0);
     ping.sequence = 1;
     peer.core.post("links", [&] {
         peer.link_layer->send_datagram({"127.0.0.1", port}, ping);
     });
-    CHECK(eventually([&] { return received == 1; }));
+    CHECK(eventually(patience, [&] { return received == 1; }));
 }
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -127,6 +127,10 @@
     send(SIGTERM);
 }
 
+void child_process::hang_up() {
+    send(SIGHUP);
+}
+
 void child_process::kill() {
     send(SIGKILL);
     reap(0);
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -53,6 +53,7 @@
     // ---- Signals -----------------------------------------------------------
 
     void terminate(); ///< Asks for a graceful stop.
+    void hang_up();   ///< Tells that settings have changed.
     void kill();      ///< Ends the process and reaps it.
     void freeze();    ///< Stops the process until `thaw`.
     void thaw();
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -59,6 +59,11 @@
     return std::exchange(input_, "");
 }
 
+bool raw_connection::await_end(milliseconds patience) {
+    read_all(patience);
+    return connected_ && ended_;
+}
+
 bool raw_connection::read_some(instant until) {
     const auto left =
         std::chrono::ceil<milliseconds>(until - steady::now()).count();
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -31,6 +31,10 @@
     /// Reads to the end of the connection, or of the patience.
     std::string read_all(milliseconds patience = seconds(5));
 
+    /// Reads until the peer ends the connection; returns false if it does not
+    /// within the patience, or if the connection was never open.
+    [[nodiscard]] bool await_end(milliseconds patience = seconds(10));
+
     /// Returns true once the peer has ended the connection.
     [[nodiscard]] bool has_ended() const noexcept { return ended_; }
 
--- a/tests/support/running_kernel.hpp
+++ b/tests/support/running_kernel.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "eventually.hpp"
+
 #include <ospreystage/core/kernel.hpp>
 
-#include <chrono>
 #include <thread>
 #include <utility>
 
@@ -26,14 +27,8 @@
     /// Waits until `done` holds on the kernel's thread; returns false if it
     /// does not within `limit`.
     template <typename Condition>
-    bool until(Condition done, std::chrono::milliseconds limit) {
-        const instant end = steady::now() + limit;
-        while (!ask(done)) {
-            if (steady::now() > end)
-                return false;
-            std::this_thread::sleep_for(std::chrono::milliseconds(2));
-        }
-        return true;
+    bool until(Condition done, milliseconds limit) {
+        return support::eventually(limit, [&] { return ask(done); });
     }
 
     void stop() {
--- a/tests/support/serving_fleet.cpp
+++ b/tests/support/serving_fleet.cpp
@@ -1,9 +1,9 @@
+#include <tests/support/eventually.hpp>
 #include <tests/support/operations.hpp>
 #include <tests/support/serving_fleet.hpp>
 
 #include <algorithm>
 #include <stdexcept>
-#include <thread>
 
 namespace ospreystage::support {
 
@@ -14,17 +14,6 @@
 constexpr seconds live_limit{30};
 constexpr milliseconds poll_interval{50};
 
-template <typename Condition>
-bool await(Condition condition) {
-    const instant limit = steady::now() + live_limit;
-    while (steady::now() < limit) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return false;
-}
-
 bool serves(const fleet& system, const std::string& agent) {
     const nlohmann::json state = dump_of(system, agent);
     const nlohmann::json::json_pointer path(
@@ -86,12 +75,15 @@
 }
 
 bool await_serving(const fleet& system, const std::string& agent) {
-    return await([&] { return serves(system, agent); });
+    return eventually(
+        live_limit, [&] { return serves(system, agent); }, poll_interval);
 }
 
 bool await_replicas(const fleet& system, const std::string& entry,
                     const digest& version) {
-    return await([&] { return knows_replicas(system, entry, version); });
+    return eventually(
+        live_limit, [&] { return knows_replicas(system, entry, version); },
+        poll_interval);
 }
 
 } // namespace ospreystage::support
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -1,3 +1,5 @@
+#include "tests/support/child_process.hpp"
+#include "tests/support/eventually.hpp"
 #include "tests/support/free_ports.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/raw_connection.hpp"
@@ -6,24 +8,29 @@
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <spawn.h>
-#include <sys/wait.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 using namespace ospreystage;
+using support::child_process;
+using support::eventually;
 using testing::platform_store;
 using testing::raw_connection;
 
 namespace {
 
 constexpr seconds patience{10};
+/// Exit status of a process that SIGKILL has ended.
+constexpr int killed_status = 128 + SIGKILL;
 
 /// An entry of the platform whose output goes to a pipe that nobody reads
 /// before the test does.
@@ -32,36 +39,29 @@
     explicit entry_process(const platform_store& store)
         : ports_(support::free_ports(3)),
           file_(std::filesystem::temp_directory_path() /
-                fmt::format("ospreystage-entry-{}.conf", getpid())) {
+                fmt::format("ospreystage-entry-{}.conf", getpid())),
+          pipe_(file_ + ".pipe") {
         write_settings(store, "");
-        std::array<int, 2> ends{};
-        REQUIRE(pipe2(ends.data(), O_CLOEXEC) == 0);
-        output_ = ends[0];
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-        posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
-        std::string program =
-            std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage";
-        std::string first = "platform";
-        std::string second = "entry";
-        std::array<char*, 4> arguments{program.data(), first.data(),
-                                       second.data(), nullptr};
-        std::string variable = "OSPREYSTAGE_NODE_FILE=" + file_;
-        std::array<char*, 2> environment{variable.data(), nullptr};
-        const int status =
-            posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                        arguments.data(), environment.data());
-        posix_spawn_file_actions_destroy(&actions);
-        close(ends[1]);
-        REQUIRE(status == 0);
+        REQUIRE(mkfifo(pipe_.c_str(), S_IRUSR | S_IWUSR) == 0);
+        output_ = open(pipe_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+        REQUIRE(output_ >= 0);
+        setenv("OSPREYSTAGE_NODE_FILE", file_.c_str(), 1);
+        error failure;
+        child_ = value_or_error(
+            [this] {
+                return child_process::start(
+                    {std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage",
+                     "platform", "entry"},
+                    pipe_);
+            },
+            failure);
+        unsetenv("OSPREYSTAGE_NODE_FILE");
+        REQUIRE(child_);
     }
     ~entry_process() {
-        if (!has_ended_) {
-            kill(pid_, SIGKILL);
-            waitpid(pid_, nullptr, 0);
-        }
+        child_.reset();
         close(output_);
+        std::filesystem::remove(pipe_);
         std::filesystem::remove(file_);
     }
     entry_process(const entry_process&) = delete;
@@ -81,26 +81,15 @@
     [[nodiscard]] address front() const { return {"127.0.0.1", ports_[0]}; }
     [[nodiscard]] address ready() const { return {"127.0.0.1", ports_[1]}; }
 
-    void send(int signal) const { kill(pid_, signal); }
+    [[nodiscard]] child_process& child() { return *child_; }
 
-    /// Waits for the end; returns the exit status, or -1.
-    int wait() {
-        const instant until = steady::now() + patience;
-        int status = 0;
-        while (waitpid(pid_, &status, WNOHANG) == 0) {
-            if (steady::now() > until)
-                return -1;
-            std::this_thread::sleep_for(milliseconds(10));
-        }
-        has_ended_ = true;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
+    /// Waits for the end; returns the exit status.
+    std::optional<int> wait() { return child_->wait(patience); }
 
     /// Returns what the process has written, without waiting for more.
     [[nodiscard]] std::string read_output() const {
         std::string text;
         std::array<char, 65536> buffer{};
-        fcntl(output_, F_SETFL, O_NONBLOCK);
         for (;;) {
             const ssize_t count = read(output_, buffer.data(), buffer.size());
             if (count <= 0)
@@ -111,22 +100,18 @@
 
     /// Waits until the process has written `part`.
     bool await_output(const std::string& part) {
-        const instant until = steady::now() + patience;
-        while (steady::now() < until) {
+        return eventually(patience, [&] {
             seen_ += read_output();
-            if (seen_.find(part) != std::string::npos)
-                return true;
-            std::this_thread::sleep_for(milliseconds(10));
-        }
-        return false;
+            return seen_.find(part) != std::string::npos;
+        });
     }
 
   private:
     std::vector<std::uint16_t> ports_;
     std::string file_;
-    pid_t pid_ = 0;
+    std::string pipe_;
     int output_ = -1;
-    bool has_ended_ = false;
+    std::optional<child_process> child_;
     std::string seen_;
 };
 
@@ -139,13 +124,10 @@
 }
 
 bool await_ready(const entry_process& entry) {
-    const instant until = steady::now() + patience;
-    while (steady::now() < until) {
-        if (ask(entry.ready(), "/v1/readyz").find(" 200 ") != std::string::npos)
-            return true;
-        std::this_thread::sleep_for(milliseconds(20));
-    }
-    return false;
+    return eventually(patience, [&] {
+        return ask(entry.ready(), "/v1/readyz").find(" 200 ") !=
+               std::string::npos;
+    });
 }
 
 void put_configuration(platform_store& store, int version) {
@@ -162,13 +144,9 @@
                    milliseconds limit) {
     const std::string wanted =
         fmt::format("ospreystage_configuration_version {}\n", version);
-    const instant until = steady::now() + limit;
-    while (steady::now() < until) {
-        if (ask(entry.ready(), "/metrics").find(wanted) != std::string::npos)
-            return true;
-        std::this_thread::sleep_for(milliseconds(20));
-    }
-    return false;
+    return eventually(limit, [&] {
+        return ask(entry.ready(), "/metrics").find(wanted) != std::string::npos;
+    });
 }
 
 constexpr const char* entry_key = "ospreystage/entries/edge-1";
@@ -190,7 +168,7 @@
             break;
     CHECK(answered == requests);
     CHECK(steady::now() - began < seconds(30));
-    entry.send(SIGTERM);
+    entry.child().terminate();
     CHECK(entry.wait() == 0);
 }
 
@@ -218,14 +196,14 @@
     entry_process entry(store);
     REQUIRE(await_ready(entry));
     entry.write_settings(store, "bounds.drain_ms=900\n");
-    entry.send(SIGHUP);
+    entry.child().hang_up();
     CHECK(entry.await_output("\"taken\":[\"bounds.drain_ms\"]"));
     entry.write_settings(store, "bounds.drain_ms=soon\n");
     CHECK(entry.await_output("settings_not_taken"));
     entry.write_settings(store, "bounds.contact_ms=5000\n");
     CHECK(entry.await_output("bounds.contact_ms"));
     CHECK(ask(entry.ready(), "/v1/readyz").find(" 200 ") != std::string::npos);
-    entry.send(SIGTERM);
+    entry.child().terminate();
     CHECK(entry.wait() == 0);
 }
 
@@ -248,8 +226,8 @@
         store.set_status(0);
         CHECK(await_version(entry, 6, seconds(3)));
         store.set_status(503);
-        entry.send(SIGKILL);
-        CHECK(entry.wait() == -1);
+        entry.child().kill();
+        CHECK(entry.wait() == killed_status);
     }
     // Without the store nothing is known: refused, not answered wrongly.
     const entry_process next(store);
@@ -265,15 +243,11 @@
     fill(store);
     entry_process entry(store);
     REQUIRE(await_ready(entry));
-    const instant listed_until = steady::now() + patience;
-    while (!store.value(entry_key) && steady::now() < listed_until)
-        std::this_thread::sleep_for(milliseconds(10));
-    REQUIRE(store.value(entry_key));
+    REQUIRE(eventually(patience,
+                       [&] { return store.value(entry_key).has_value(); }));
     const instant began = steady::now();
-    entry.send(SIGTERM);
-    while (store.value(entry_key) && steady::now() - began < seconds(1))
-        std::this_thread::sleep_for(milliseconds(10));
-    CHECK_FALSE(store.value(entry_key));
+    entry.child().terminate();
+    CHECK(eventually(seconds(1), [&] { return !store.value(entry_key); }));
     // Callers that hold its address still get answers.
     while (steady::now() - began < milliseconds(2500)) {
         CHECK(ask(entry.front(), "/nowhere").find(" 404 ") !=
@@ -291,8 +265,8 @@
     {
         entry_process entry(store);
         REQUIRE(await_ready(entry));
-        entry.send(SIGKILL);
-        CHECK(entry.wait() == -1);
+        entry.child().kill();
+        CHECK(entry.wait() == killed_status);
     }
     const entry_process next(store);
     const instant began = steady::now();
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -55,6 +55,25 @@
            body;
 }
 
+/// Sends "one", and some time after its end "two"; returns how that ended.
+outcome fetch_two(const scripted_server& server, milliseconds pause) {
+    kernel core;
+    web_client client(core);
+    outcome first;
+    outcome second;
+    fetch(client, server, "one", first);
+    bool has_asked = false;
+    run_until(core, [&] {
+        if (first.has_ended && !has_asked) {
+            has_asked = true;
+            core.after("test", pause,
+                       [&] { fetch(client, server, "two", second); });
+        }
+        return second.has_ended;
+    });
+    return second;
+}
+
 outcome fetch_once(const scripted_answer& answer) {
     scripted_server server([&](const std::string&) { return answer; });
     kernel core;
@@ -125,20 +144,7 @@
             answer.late_bytes = answer_of("", "extra");
         return answer;
     });
-    kernel core;
-    web_client client(core);
-    outcome first;
-    outcome second;
-    fetch(client, server, "one", first);
-    bool has_asked = false;
-    run_until(core, [&] {
-        if (first.has_ended && !has_asked) {
-            has_asked = true;
-            core.after("test", milliseconds(150),
-                       [&] { fetch(client, server, "two", second); });
-        }
-        return second.has_ended;
-    });
+    const outcome second = fetch_two(server, milliseconds(150));
     REQUIRE(second.has_ended);
     CHECK(second.end == call_end::complete);
     CHECK(second.response.body == "two");
@@ -150,23 +156,33 @@
         const bool is_first = request.find("one") != std::string::npos;
         return scripted_answer{answer_of(is_first ? "one" : "two", "x"), false};
     });
-    kernel core;
-    web_client client(core);
-    outcome first;
-    outcome second;
-    fetch(client, server, "one", first);
-    bool has_asked = false;
-    run_until(core, [&] {
-        if (first.has_ended && !has_asked) {
-            has_asked = true;
-            fetch(client, server, "two", second);
-        }
-        return second.has_ended;
-    });
+    const outcome second = fetch_two(server, milliseconds(0));
     CHECK(second.end == call_end::complete);
     CHECK(server.connections() == 1);
 }
 
+TEST_CASE("web client - names the server unless the request does") {
+    std::string received;
+    scripted_server server([&](const std::string& request) {
+        received = request;
+        return scripted_answer{answer_of("one", "x")};
+    });
+    const auto host_of = [&](const http_request& request) {
+        kernel core;
+        web_client client(core);
+        client.fetch(server.endpoint(), request, {},
+                     [&](call_end, const http_response&) { core.stop(); });
+        core.after("test", patience, [&core] { core.stop(); });
+        core.run();
+        const std::size_t field = received.find("Host: ");
+        REQUIRE(field != std::string::npos);
+        CHECK(received.find("Host: ", field + 1) == std::string::npos);
+        return received.substr(field, received.find("\r\n", field) - field);
+    };
+    CHECK(host_of({}) == "Host: " + to_string(server.endpoint()));
+    CHECK(host_of(make_request("one")) == "Host: a");
+}
+
 TEST_CASE("web client - a silent server ends the call at its timeout") {
     scripted_server server(
         [](const std::string&) { return scripted_answer{}; });
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/eventually.hpp"
 #include "tests/support/free_ports.hpp"
 #include "tests/support/raw_connection.hpp"
 #include "tests/support/running_kernel.hpp"
@@ -15,17 +16,19 @@
 #include <vector>
 
 using namespace ospreystage;
+using support::eventually;
 using testing::raw_connection;
 using testing::running_kernel;
 
 namespace {
 
+constexpr seconds patience{5};
 constexpr const char* get_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
 /// Server that answers with the target and the body that it read.
 class echo_server {
   public:
-    echo_server()
+    explicit echo_server(const server_limits& limits = {})
         : local{"127.0.0.1", support::free_ports(1).front()},
           server(core,
                  {[this](exchange_id exchange, const http_request& request) {
@@ -34,6 +37,7 @@
                   },
                   [this](exchange_id) { ++abandoned; },
                   [this](exchange_id) { ++drained; }, nullptr}) {
+        server.set_limits(limits);
         error failure;
         REQUIRE(value_or_error(
             [&]() -> leaf::result<bool> {
@@ -61,17 +65,6 @@
     return text.find(part) != std::string::npos;
 }
 
-/// Waits until `done` holds; returns whether it did in time.
-bool wait_for(const std::function<bool()>& done) {
-    const instant until = steady::now() + seconds(5);
-    while (!done()) {
-        if (steady::now() > until)
-            return false;
-        std::this_thread::sleep_for(milliseconds(2));
-    }
-    return true;
-}
-
 } // namespace
 
 TEST_CASE("web server - requests sent ahead are answered in their order") {
@@ -96,11 +89,7 @@
 }
 
 TEST_CASE("web server - malformed and too large requests get a clear status") {
-    echo_server echo;
-    server_limits limits;
-    limits.max_header_bytes = 1024;
-    limits.max_body_bytes = 100;
-    echo.server.set_limits(limits);
+    echo_server echo({.max_header_bytes = 1024, .max_body_bytes = 100});
     const running_kernel running(echo.core);
     const std::string long_field(2048, 'f');
     const std::map<std::string, std::string> cases = {
@@ -124,10 +113,7 @@
 }
 
 TEST_CASE("web server - a refusal reaches a caller that still sends its body") {
-    echo_server echo;
-    server_limits limits;
-    limits.max_body_bytes = 100;
-    echo.server.set_limits(limits);
+    echo_server echo({.max_body_bytes = 100});
     const running_kernel running(echo.core);
     raw_connection caller(echo.local);
     const std::string body(4 * 1024 * 1024, 'b');
@@ -139,10 +125,7 @@
 }
 
 TEST_CASE("web server - a request that is not received in time is refused") {
-    echo_server echo;
-    server_limits limits;
-    limits.header_timeout = milliseconds(100);
-    echo.server.set_limits(limits);
+    echo_server echo({.header_timeout = milliseconds(100)});
     const running_kernel running(echo.core);
     raw_connection caller(echo.local);
     caller.send("GET /a HTTP/1.1\r\nHo");
@@ -151,10 +134,7 @@
 }
 
 TEST_CASE("web server - an idle connection is closed without an answer") {
-    echo_server echo;
-    server_limits limits;
-    limits.idle_timeout = milliseconds(300);
-    echo.server.set_limits(limits);
+    echo_server echo({.idle_timeout = milliseconds(300)});
     const running_kernel running(echo.core);
     raw_connection caller(echo.local);
     caller.send(get_request);
@@ -173,10 +153,10 @@
     running_kernel running(echo.core);
     raw_connection caller(echo.local, 4096);
     caller.send(get_request);
-    REQUIRE(wait_for([&] { return echo.requests == 1; }));
+    REQUIRE(eventually(patience, [&] { return echo.requests == 1; }));
     const std::string part(16 * 1024, 'p');
     std::size_t sent = 0;
-    const bool is_held_back = wait_for([&] {
+    const bool is_held_back = eventually(patience, [&] {
         sent += part.size();
         return !running.ask([&] { return echo.server.write(stream, part); });
     });
@@ -204,9 +184,9 @@
     {
         raw_connection caller(echo.local);
         caller.send(get_request);
-        REQUIRE(wait_for([&] { return echo.requests == 1; }));
+        REQUIRE(eventually(patience, [&] { return echo.requests == 1; }));
     }
-    CHECK(wait_for([&] { return echo.abandoned == 1; }));
+    CHECK(eventually(patience, [&] { return echo.abandoned == 1; }));
     CHECK(running.ask([&] { return echo.server.exchanges(); }) == 0);
     CHECK(running.ask([&] { return echo.server.connections(); }) == 0);
 }
