--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -3,8 +3,10 @@
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/ids.hpp>
 
+#include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -418,4 +420,38 @@
     document_push, chunk_have, manifest_request, manifest_reply, chunk_request,
     chunk_data, engine_report, weights_assignment, attempt_notice>;
 
+/// Names of the alternatives of `message`, in their order.
+inline constexpr std::array<std::string_view, std::variant_size_v<message>>
+    message_names = {"hello",
+                     "hello_reply",
+                     "heartbeat",
+                     "run_order",
+                     "run_refused",
+                     "answer_begin",
+                     "answer_part",
+                     "answer_end",
+                     "run_failed",
+                     "seal_order",
+                     "seal_failed",
+                     "cancel_order",
+                     "load_report",
+                     "claim_request",
+                     "claim_reply",
+                     "claim_release",
+                     "recover_request",
+                     "recover_reply",
+                     "gossip_ping",
+                     "gossip_ack",
+                     "sync_request",
+                     "sync_reply",
+                     "document_push",
+                     "chunk_have",
+                     "manifest_request",
+                     "manifest_reply",
+                     "chunk_request",
+                     "chunk_data",
+                     "engine_report",
+                     "weights_assignment",
+                     "attempt_notice"};
+
 } // namespace ospreystage
--- a/include/ospreystage/network/network.hpp
+++ b/include/ospreystage/network/network.hpp
@@ -7,16 +7,25 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ospreystage {
 
 /// Identifies a TCP connection of the `network` service.
 enum class connection_id : std::uint64_t {};
 
+/// Bytes of one type of message since the start, over TCP and UDP.
+struct message_traffic {
+    std::string_view name;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
 /// Transport of frames over TCP and of datagrams over UDP.
 ///
 /// Runs on the kernel thread. A malformed frame closes its connection only.
@@ -58,6 +67,9 @@
     /// Returns the bytes received over TCP and UDP since the start.
     [[nodiscard]] std::uint64_t received_bytes() const noexcept;
 
+    /// Returns the traffic of each type of message that was sent or received.
+    [[nodiscard]] std::vector<message_traffic> traffic() const;
+
     [[nodiscard]] nlohmann::json dump() const;
 
     // ---- Modifiers ---------------------------------------------------------
@@ -79,6 +91,8 @@
     static constexpr std::size_t max_pending_bytes = 24 * 1024 * 1024;
 
   private:
+    using bytes_by_type = std::array<std::uint64_t, message_names.size()>;
+
     struct connection_record {
         int descriptor = -1;
         bool connecting = false;
@@ -107,6 +121,8 @@
     std::uint64_t next_connection_ = 1;
     std::uint64_t sent_bytes_ = 0;
     std::uint64_t received_bytes_ = 0;
+    bytes_by_type sent_by_type_{}; ///< Queued for TCP, or sent by UDP.
+    bytes_by_type received_by_type_{};
     std::uint64_t rejected_datagrams_ = 0;
     std::string datagram_key_;
     int listener_socket_ = -1;
--- a/src/network/network.cpp
+++ b/src/network/network.cpp
@@ -90,6 +90,15 @@
     return received_bytes_;
 }
 
+std::vector<message_traffic> network::traffic() const {
+    std::vector<message_traffic> result;
+    for (std::size_t type = 0; type < message_names.size(); ++type)
+        if (sent_by_type_[type] > 0 || received_by_type_[type] > 0)
+            result.push_back({message_names[type], sent_by_type_[type],
+                              received_by_type_[type]});
+    return result;
+}
+
 nlohmann::json network::dump() const {
     nlohmann::json state;
     state["sent_bytes"] = sent_bytes_;
@@ -131,7 +140,9 @@
         drop(connection, "send queue is full");
         return false;
     }
-    record.output += encode_frame(value);
+    const std::string frame = encode_frame(value);
+    sent_by_type_[value.index()] += frame.size();
+    record.output += frame;
     // Frames queued in one event-loop turn are sent with one system call.
     if (!record.connecting && !record.write_blocked &&
         !std::exchange(record.flush_scheduled, true))
@@ -162,8 +173,10 @@
     const auto sent =
         sendto(datagram_socket_, payload.data(), payload.size(), 0,
                reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
-    if (sent > 0)
+    if (sent > 0) {
         sent_bytes_ += static_cast<std::uint64_t>(sent);
+        sent_by_type_[value.index()] += static_cast<std::uint64_t>(sent);
+    }
 }
 
 void network::accept_all() {
@@ -281,6 +294,7 @@
             return;
         }
         offset += frame_bytes;
+        received_by_type_[value->index()] += frame_bytes;
         handlers_.received(id, std::move(*value));
     }
 }
@@ -341,8 +355,10 @@
         error ignored;
         auto value = value_or_error(
             [&] { return decode_payload(payload, to_string(from)); }, ignored);
-        if (value)
-            handlers_.datagram(from, std::move(*value));
+        if (!value)
+            continue;
+        received_by_type_[value->index()] += static_cast<std::uint64_t>(count);
+        handlers_.datagram(from, std::move(*value));
     }
 }
 
--- a/tests/links.cpp
+++ b/tests/links.cpp
@@ -174,3 +174,36 @@
     });
     CHECK(eventually(timeout, [&] { return received == 1; }));
 }
+
+TEST_CASE("links - bytes are counted by type of message") {
+    const std::uint16_t port = free_port();
+    local_node server("agent-1", port, 1);
+    local_node client("entry-1", free_port(), 1);
+    direct_to(client, port);
+    server.start();
+    client.start();
+    client.core.post("links", [&] {
+        client.link_layer->send("agent-1", seal_order{{{"entry-1", 1}, 7}});
+        client.link_layer->send_datagram({"127.0.0.1", port}, gossip_ping{});
+    });
+    const auto traffic_of = [](local_node& node, std::string_view name) {
+        return node.core
+            .call("links",
+                  [&] {
+                      for (const message_traffic& each :
+                           node.core.find<network>("network").traffic())
+                          if (each.name == name)
+                              return each;
+                      return message_traffic{};
+                  })
+            .value();
+    };
+    for (const char* name : {"hello", "seal_order", "gossip_ping"}) {
+        INFO(name);
+        REQUIRE(eventually(
+            timeout, [&] { return traffic_of(server, name).received > 0; }));
+        CHECK(traffic_of(server, name).received ==
+              traffic_of(client, name).sent);
+        CHECK(traffic_of(server, name).sent == 0);
+    }
+}
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 using namespace ospreystage;
@@ -186,6 +187,25 @@
           }) == store_failure::no_lease);
 }
 
+TEST_CASE("store client - every call is reported with its size and outcome") {
+    platform_store store;
+    store.put("a/1", std::string(1000, 'x'));
+    store.fail_next("/v1/kv-range", 1, 503);
+    std::vector<std::tuple<std::string, bool, bool>> reported;
+    for (int call = 0; call < 2; ++call)
+        call_store<store_result>(store, [&](store_client& client, auto done) {
+            client.set_observer([&](const store_call& ended) {
+                reported.emplace_back(ended.operation,
+                                      ended.failure.has_value(),
+                                      ended.received_bytes > 1000);
+            });
+            client.read_all("a/", std::move(done));
+        });
+    REQUIRE(reported.size() == 2);
+    CHECK(reported[0] == std::tuple("read a/", true, false));
+    CHECK(reported[1] == std::tuple("read a/", false, true));
+}
+
 // ---- Site watch ------------------------------------------------------------
 
 TEST_CASE("site watch - configurations are applied and never revert") {
