--- /dev/null
+++ b/tests/system_shared_links.cpp
@@ -0,0 +1,230 @@
+#include "tests/support/child_process.hpp"
+#include "tests/support/eventually.hpp"
+#include "tests/support/free_ports.hpp"
+#include "tests/support/platform_store.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/slow_link.hpp"
+#include "tests/support/text_file.hpp"
+
+#include <ospreystage/network/socket_address.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace ospreystage;
+using support::child_process;
+using support::eventually;
+using testing::platform_store;
+using testing::raw_connection;
+using testing::slow_link;
+
+namespace {
+
+constexpr seconds timeout{10};
+
+/// Entry processes of one data centre, each at a loopback address of its own.
+class entry_group {
+  public:
+    entry_group(const address& store, int count)
+        : ports_(support::free_ports(3)),
+          folder_(std::filesystem::temp_directory_path() /
+                  fmt::format("ospreystage-entries-{}", getpid())) {
+        std::filesystem::create_directories(folder_);
+        for (int number = 1; number <= count; ++number)
+            start(store, number);
+    }
+    ~entry_group() {
+        entries_.clear();
+        std::filesystem::remove_all(folder_);
+    }
+    entry_group(const entry_group&) = delete;
+    entry_group& operator=(const entry_group&) = delete;
+
+    [[nodiscard]] std::uint16_t internal_port() const { return ports_[2]; }
+
+    /// Returns the lowest configuration version that an entry has in force.
+    [[nodiscard]] double min_version() const {
+        double result = 1e9;
+        for (const entry& each : entries_)
+            result = std::min(
+                result, metric(each, "ospreystage_configuration_version"));
+        return result;
+    }
+
+    [[nodiscard]] bool await_version(double version, milliseconds limit) const {
+        return eventually(limit, [&] { return min_version() >= version; });
+    }
+
+  private:
+    struct entry {
+        address ready;
+        std::unique_ptr<child_process> process;
+    };
+
+    void start(const address& store, int number) {
+        const std::string host = fmt::format("127.0.0.{}", number + 1);
+        const std::string file = folder_ / fmt::format("{}.conf", number);
+        REQUIRE(support::write_text_file(
+            file, fmt::format("node=edge-{}\nip={}\nzone=hall-a\nregion=north\n"
+                              "zones.hall-a=north\nlisten.front={}:{}\n"
+                              "listen.ready={}:{}\ninternal_ports={},{}\n"
+                              "platform.address={}\nbounds.drain_ms=3000\n",
+                              number, host, host, ports_[0], host, ports_[1],
+                              ports_[2], ports_[2] + 9, to_string(store))));
+        setenv("OSPREYSTAGE_NODE_FILE", file.c_str(), 1);
+        error failure;
+        auto child = value_or_error(
+            [&] {
+                return child_process::start(
+                    {std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage",
+                     "platform", "entry"},
+                    folder_ / fmt::format("{}.log", number));
+            },
+            failure);
+        unsetenv("OSPREYSTAGE_NODE_FILE");
+        REQUIRE(child);
+        entries_.push_back(
+            {{host, ports_[1]},
+             std::make_unique<child_process>(std::move(*child))});
+    }
+
+    [[nodiscard]] static double metric(const entry& each,
+                                       const std::string& name) {
+        raw_connection caller(each.ready);
+        caller.send("GET /metrics HTTP/1.1\r\nHost: a\r\n"
+                    "Connection: close\r\n\r\n");
+        const std::string text = caller.read_all(seconds(2));
+        const std::size_t found = text.find(name + " ");
+        return found == std::string::npos
+                   ? -1
+                   : std::strtod(text.c_str() + found + name.size(), nullptr);
+    }
+
+    std::vector<std::uint16_t> ports_;
+    std::filesystem::path folder_;
+    std::vector<entry> entries_;
+};
+
+/// UDP socket in place of an agent; counts the bytes that it receives.
+class agent_socket {
+  public:
+    explicit agent_socket(const address& local)
+        : descriptor_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0)) {
+        const auto raw = to_socket_address(local);
+        REQUIRE(bind(descriptor_, reinterpret_cast<const sockaddr*>(&*raw),
+                     sizeof(*raw)) == 0);
+    }
+    ~agent_socket() { close(descriptor_); }
+    agent_socket(const agent_socket&) = delete;
+    agent_socket& operator=(const agent_socket&) = delete;
+
+    /// Discards what has arrived, and returns the bytes that arrive in
+    /// `duration`.
+    std::size_t receive_for(milliseconds duration) {
+        static_cast<void>(receive());
+        const instant until = steady::now() + duration;
+        std::size_t total = 0;
+        while (steady::now() < until) {
+            total += receive();
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        return total;
+    }
+
+  private:
+    std::size_t receive() {
+        std::array<char, 65536> buffer{};
+        std::size_t total = 0;
+        for (;;) {
+            const auto count =
+                recv(descriptor_, buffer.data(), buffer.size(), 0);
+            if (count < 0)
+                return total;
+            total += static_cast<std::size_t>(count);
+        }
+    }
+
+    int descriptor_;
+};
+
+/// Returns a configuration of at least `padding` bytes with one engine service.
+std::string configuration_text(int version, std::size_t padding) {
+    return fmt::format(
+        R"({{"version":{},"routes":[],"services":[{{"name":"llm","engine":
+            {{"slots":12,"layers":16,"chunks":64,"chunk_bytes":32768,
+              "models":[{{"name":"m"}}]}}}}],"padding":"{}"}})",
+        version, std::string(padding, 'x'));
+}
+
+void put_engine(platform_store& store, int number) {
+    store.put(fmt::format("servers/i-{:04}", number),
+              fmt::format(R"({{"service":"llm","address":"127.0.1.{}:8284",
+                              "zone":"hall-a","slots":12,"state":"ready"}})",
+                          number));
+}
+
+/// Returns the bytes that one of 60 agents receives from `entries` in 4 s.
+std::size_t agent_bytes(int entries) {
+    constexpr int engines = 60;
+    platform_store store;
+    store.put("op/config", configuration_text(3, 0));
+    for (int number = 1; number <= engines; ++number)
+        put_engine(store, number);
+    const entry_group group(store.endpoint(), entries);
+    REQUIRE(group.await_version(3, timeout));
+    agent_socket agent({"127.0.1.1", group.internal_port()});
+    // Until all entries are registered.
+    std::this_thread::sleep_for(seconds(3));
+    return agent.receive_for(seconds(4));
+}
+
+} // namespace
+
+TEST_CASE("shared links - what an agent receives does not grow with the number "
+          "of entries") {
+    const std::size_t few = agent_bytes(3);
+    const std::size_t many = agent_bytes(9);
+    REQUIRE(few > 0);
+    CHECK(static_cast<double>(many) < 1.5 * static_cast<double>(few));
+}
+
+TEST_CASE("shared links - configurations in quick succession are in force in "
+          "time over a link that carries few copies") {
+    constexpr int entries = 8;
+    constexpr std::size_t configuration_bytes = 75'000;
+    constexpr std::uint64_t link_bytes_per_second = 600'000;
+    constexpr seconds time_to_apply{3}; // bounds.config_apply_ms
+    platform_store store;
+    store.put("op/config", configuration_text(1, 0));
+    slow_link link(store.endpoint(), link_bytes_per_second);
+    const entry_group group(link.endpoint(), entries);
+    REQUIRE(group.await_version(1, timeout));
+    std::this_thread::sleep_for(seconds(3));
+    for (int version = 2; version <= 7; ++version) {
+        store.put("op/config",
+                  configuration_text(version, configuration_bytes));
+        std::this_thread::sleep_for(milliseconds(330));
+    }
+    CHECK(group.await_version(7, time_to_apply));
+}
+
+TEST_CASE("shared links - entries read a configuration whose transfer takes "
+          "longer than the timeout of a call") {
+    platform_store store;
+    store.put("op/config", configuration_text(1, 900'000));
+    slow_link link(store.endpoint(), 1'000'000);
+    const entry_group group(link.endpoint(), 2);
+    CHECK(group.await_version(1, seconds(8)));
+}
