--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -29,7 +29,7 @@
     no_answer,     ///< The connection ended before the response head.
     truncated,     ///< The connection ended within the response.
     malformed,     ///< The server did not send a valid response.
-    timeout,       ///< `call_options::timeout` passed.
+    timeout,       ///< `timeout` or `idle_timeout` of `call_options` passed.
 };
 
 /// Returns the name of a `call_end` for logs.
@@ -39,6 +39,9 @@
 struct call_options {
     milliseconds connect_timeout{400}; ///< Until the connection is open.
     milliseconds timeout{10'000};      ///< Until the response is complete.
+    /// Longest time without received bytes once the request was sent; the call
+    /// ends with `timeout` after it. Absent: not limited.
+    std::optional<milliseconds> idle_timeout;
     /// Header field that responses echo from their request; a response with
     /// another value belongs to an earlier request and is discarded. Empty: no
     /// check.
@@ -114,6 +117,9 @@
         bool is_cancelled = false;
         std::optional<timer_id> connect_timer;
         std::optional<timer_id> timer;
+        std::optional<milliseconds> idle_timeout;
+        std::optional<timer_id> idle_timer;
+        instant last_received{}; ///< Or the time at which it was sent.
     };
 
     [[nodiscard]] std::uint64_t acquire(const address& server, bool reuse);
@@ -121,6 +127,7 @@
     void on_connected(std::uint64_t id);
     void on_readable(std::uint64_t id);
     void on_ended(std::uint64_t id, stream_socket::end_kind kind);
+    void check_idle(call_id call);
     void start_parser(std::uint64_t id);
     void deliver_head(std::uint64_t id);
     void finish(std::uint64_t id, call_end end);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -76,6 +76,7 @@
         record->echoed_value = *value;
     record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
+    record->idle_timeout = options.idle_timeout;
     const std::uint64_t connection = acquire(server, options.reuse);
     record->connection = connection;
     record->timer = core_.after(service_name, options.timeout, [this, call] {
@@ -193,7 +194,27 @@
     connection_record& target = *connections_.at(connection);
     start_parser(connection);
     record.is_sent = true;
+    record.last_received = steady::now();
     target.socket.write(record.output);
+    if (record.idle_timeout)
+        check_idle(call);
+}
+
+/// Ends the call if nothing was received for its idle timeout; otherwise checks
+/// again when that may be the case.
+void web_client::check_idle(call_id call) {
+    const auto found = calls_.find(static_cast<std::uint64_t>(call));
+    if (found == calls_.end())
+        return;
+    call_record& record = *found->second;
+    record.idle_timer.reset();
+    const auto remaining =
+        record.last_received + *record.idle_timeout - steady::now();
+    if (remaining <= std::chrono::nanoseconds(0))
+        finish(record.connection, call_end::timeout);
+    else
+        record.idle_timer = core_.after(service_name, remaining,
+                                        [this, call] { check_idle(call); });
 }
 
 void web_client::start_parser(std::uint64_t id) {
@@ -259,6 +280,8 @@
         drop(id);
         return;
     }
+    calls_.at(static_cast<std::uint64_t>(*found->second->call))->last_received =
+        steady::now();
     while (true) {
         connection_record& record = *found->second;
         const parse_progress progress =
@@ -333,6 +356,8 @@
         core_.cancel(*ended->timer);
     if (ended->connect_timer)
         core_.cancel(*ended->connect_timer);
+    if (ended->idle_timer)
+        core_.cancel(*ended->idle_timer);
     record.call.reset();
     // Pending output means that the server responded before it had read the
     // request; unread input after the response belongs to no request.
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -1,4 +1,5 @@
 #include "tests/support/scripted_server.hpp"
+#include "tests/support/slow_link.hpp"
 
 #include <ospreystage/http/web_client.hpp>
 
@@ -252,3 +253,45 @@
     run_until(core, [&] { return result.has_ended; });
     CHECK(client.has_free_connection(server.endpoint(), 1));
 }
+
+TEST_CASE("web client - a long transfer is not an idle one") {
+    const scripted_server server([](const std::string&) {
+        return scripted_answer{answer_of("one", std::string(200'000, 'x'))};
+    });
+    testing::slow_link link(server.endpoint(), 400'000);
+    kernel core;
+    web_client client(core);
+    call_options options;
+    options.idle_timeout = milliseconds(200);
+    outcome result;
+    client.fetch(link.endpoint(), make_request("one"), options,
+                 [&](call_end end, http_response response) {
+                     result = {true, end, std::move(response)};
+                 });
+    run_until(core, [&] { return result.has_ended; });
+    CHECK(result.end == call_end::complete);
+    CHECK(result.response.body.size() == 200'000);
+}
+
+TEST_CASE("web client - a response that stops arriving ends after the idle "
+          "timeout") {
+    const scripted_server server([](const std::string&) {
+        return scripted_answer{
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"};
+    });
+    kernel core;
+    web_client client(core);
+    call_options options;
+    options.idle_timeout = milliseconds(150);
+    outcome result;
+    const instant started = steady::now();
+    client.fetch(server.endpoint(), make_request("one"), options,
+                 [&](call_end end, http_response response) {
+                     result = {true, end, std::move(response)};
+                 });
+    run_until(core, [&] { return result.has_ended; });
+    CHECK(result.end == call_end::timeout);
+    CHECK(result.response.body == "part");
+    CHECK(steady::now() - started >= milliseconds(150));
+    CHECK(steady::now() - started < seconds(2));
+}
