Do not take a server that withdraws after an outage for a lapsed one

Only servers that no list has shown since the outage are kept now, and entries likewise.

backend registry - a server that withdraws after an outage is removed at once: new, fails on the code before.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreystage {
@@ -42,8 +43,9 @@
 /// Backend servers that may receive requests, as listed by the platform.
 ///
 /// While the list is unreachable, the last one received stays in force. After
-/// an outage, servers missing from the list are kept for a grace period, since
-/// those whose registration expired during the outage register again.
+/// an outage, servers that no list has shown since are kept for a grace period:
+/// those whose registration expired during the outage register again. A server
+/// that was listed after the outage and is missing later has left.
 class backend_registry {
   public:
     struct options {
@@ -57,8 +59,15 @@
     explicit backend_registry(const options& limits);
     backend_registry() : backend_registry(options{}) {}
 
-    /// Replaces the list with a complete one that was read successfully.
-    void on_list(std::vector<backend_server> listed, instant now);
+    /// Replaces the list with a complete one whose read began at `read_at`.
+    void on_list(std::vector<backend_server> listed, instant now,
+                 instant read_at);
+    void on_list(std::vector<backend_server> listed, instant now) {
+        on_list(std::move(listed), now, now);
+    }
+
+    /// Records an outage that another process saw end at `ended`.
+    void on_outage_ended(instant ended);
 
     /// Records a failed read of the list.
     void on_unreachable(instant now);
@@ -77,18 +86,23 @@
     [[nodiscard]] std::vector<std::string>
     ids_at(const address& endpoint) const;
     [[nodiscard]] bool has_list() const noexcept { return has_list_; }
+    /// Returns the end of the last outage.
+    [[nodiscard]] std::optional<instant> outage_ended() const noexcept {
+        return outage_ended_;
+    }
     /// Returns the age of the last list, or nothing if none was received.
     [[nodiscard]] std::optional<milliseconds> age(instant now) const;
 
   private:
     struct server_record {
         backend_server server;
+        instant listed_at{};              ///< Last read that showed it.
         std::optional<instant> remove_at; ///< Set while not listed.
     };
 
     options limits_;
     absl::flat_hash_map<std::string, server_record> servers_;
-    std::optional<instant> last_received_;
+    std::optional<instant> last_read_at_;
     std::optional<instant> unreachable_since_;
     std::optional<instant> outage_ended_; ///< Time of the last recovery.
     bool has_list_ = false;
--- a/include/ospreystage/fleet/entry_list.hpp
+++ b/include/ospreystage/fleet/entry_list.hpp
@@ -13,18 +13,23 @@
 /// Entries that callers may be directed to.
 ///
 /// After an outage of the store, entries whose registration expired meanwhile
-/// are kept for the time that they need to register again.
+/// are kept for the time that they need to register again. An entry that was
+/// listed after the outage and is removed later has left.
 class entry_list {
   public:
     explicit entry_list(milliseconds reregistration_time)
         : reregistration_time_(reregistration_time) {}
 
     /// `callers` is the address at which the entry accepts requests.
-    void on_listed(const std::string& name, const address& callers);
+    void on_listed(const std::string& name, const address& callers,
+                   instant now);
     void on_removed(const std::string& name, instant now);
     /// Treats every entry that is not in `names` as removed.
     void retain(const std::vector<std::string>& names, instant now);
     void on_store_recovered(instant now) { outage_ended_ = now; }
+    [[nodiscard]] std::optional<instant> outage_ended() const noexcept {
+        return outage_ended_;
+    }
     void advance(instant now);
 
     [[nodiscard]] std::vector<address> caller_addresses() const;
@@ -33,6 +38,7 @@
   private:
     struct entry_record {
         address caller_address;
+        instant listed_at{};
         std::optional<instant> remove_at;
     };
 
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -35,12 +35,17 @@
         unreachable_since_ = now;
 }
 
-void backend_registry::on_list(std::vector<backend_server> listed,
-                               instant now) {
+void backend_registry::on_outage_ended(instant ended) {
+    if (!outage_ended_ || *outage_ended_ < ended)
+        outage_ended_ = ended;
+}
+
+void backend_registry::on_list(std::vector<backend_server> listed, instant now,
+                               instant read_at) {
     if (unreachable_since_ && now - *unreachable_since_ > limits_.outage_after)
         outage_ended_ = now;
     unreachable_since_.reset();
-    last_received_ = now;
+    last_read_at_ = read_at;
     has_list_ = true;
     absl::flat_hash_set<std::string> seen;
     for (backend_server& entry : listed) {
@@ -56,6 +61,7 @@
                        {"draining", entry.is_draining},
                        {"started_unix_ms", entry.started_unix_ms}});
         record.server = std::move(entry);
+        record.listed_at = now;
         record.remove_at.reset();
     }
     const bool may_return =
@@ -63,7 +69,9 @@
     for (auto& [id, record] : servers_)
         if (!seen.contains(id) && !record.remove_at)
             record.remove_at =
-                may_return ? *outage_ended_ + limits_.reregistration_time : now;
+                may_return && record.listed_at < *outage_ended_
+                    ? *outage_ended_ + limits_.reregistration_time
+                    : now;
     advance(now);
 }
 
@@ -109,9 +117,9 @@
 }
 
 std::optional<milliseconds> backend_registry::age(instant now) const {
-    if (!last_received_)
+    if (!last_read_at_)
         return std::nullopt;
-    return std::chrono::duration_cast<milliseconds>(now - *last_received_);
+    return std::chrono::duration_cast<milliseconds>(now - *last_read_at_);
 }
 
 } // namespace ospreystage
--- a/src/fleet/entry_list.cpp
+++ b/src/fleet/entry_list.cpp
@@ -4,16 +4,18 @@
 
 namespace ospreystage {
 
-void entry_list::on_listed(const std::string& name, const address& callers) {
-    entries_[name] = {callers, std::nullopt};
+void entry_list::on_listed(const std::string& name, const address& callers,
+                           instant now) {
+    entries_[name] = {callers, now, std::nullopt};
 }
 
 void entry_list::on_removed(const std::string& name, instant now) {
     const auto found = entries_.find(name);
     if (found == entries_.end() || found->second.remove_at)
         return;
-    const bool may_return =
-        outage_ended_ && now - *outage_ended_ < reregistration_time_;
+    const bool may_return = outage_ended_ &&
+                            now - *outage_ended_ < reregistration_time_ &&
+                            found->second.listed_at < *outage_ended_;
     found->second.remove_at =
         may_return ? *outage_ended_ + reregistration_time_ : now;
     advance(now);
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -58,6 +58,36 @@
     CHECK(registry.find("b") != nullptr);
 }
 
+TEST_CASE(
+    "backend registry - a server that withdraws after an outage is removed "
+    "at once") {
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start);
+    registry.on_unreachable(start + seconds(1));
+    const instant returned = start + seconds(6);
+    registry.on_list({make_server("a")}, returned);
+    REQUIRE(registry.find("b") != nullptr);
+    registry.on_list({}, returned + milliseconds(600));
+    CHECK(registry.find("a") == nullptr);
+    CHECK(registry.find("b") != nullptr);
+}
+
+TEST_CASE("backend registry - an outage that another process saw counts") {
+    backend_registry registry;
+    registry.on_list({make_server("a")}, start);
+    registry.on_outage_ended(start + seconds(5));
+    registry.on_list({}, start + seconds(6));
+    CHECK(registry.find("a") != nullptr);
+    registry.on_list({}, start + seconds(8));
+    CHECK(registry.find("a") == nullptr);
+}
+
+TEST_CASE("backend registry - the age of the list counts from its read") {
+    backend_registry registry;
+    registry.on_list({}, start + seconds(3), start + seconds(1));
+    CHECK(registry.age(start + seconds(4)) == seconds(3));
+}
+
 TEST_CASE("backend registry - a short failure is no outage") {
     backend_registry registry;
     registry.on_list({make_server("a")}, start);
@@ -92,7 +122,7 @@
 
 TEST_CASE("entry list - entries expired in an outage are kept a while") {
     entry_list entries(seconds(2));
-    entries.on_listed("one", {"10.0.0.1", 80});
+    entries.on_listed("one", {"10.0.0.1", 80}, start);
     entries.on_store_recovered(start + seconds(10));
     entries.on_removed("one", start + seconds(11));
     CHECK(entries.size() == 1);
@@ -100,10 +130,18 @@
     CHECK(entries.size() == 0);
 }
 
+TEST_CASE("entry list - an entry listed after an outage is removed at once") {
+    entry_list entries(seconds(2));
+    entries.on_store_recovered(start + seconds(10));
+    entries.on_listed("one", {"10.0.0.1", 80}, start + seconds(11));
+    entries.on_removed("one", start + milliseconds(11'500));
+    CHECK(entries.size() == 0);
+}
+
 TEST_CASE("entry list - an entry that leaves is removed at once") {
     entry_list entries(seconds(2));
-    entries.on_listed("one", {"10.0.0.1", 80});
-    entries.on_listed("two", {"10.0.0.2", 80});
+    entries.on_listed("one", {"10.0.0.1", 80}, start);
+    entries.on_listed("two", {"10.0.0.2", 80}, start);
     entries.on_removed("one", start + seconds(1));
     REQUIRE(entries.caller_addresses().size() == 1);
     CHECK(entries.caller_addresses().front().host == "10.0.0.2");
