Let two entries of a region read the store for the others

Two entries of a region, chosen by rendezvous hashing, read the store as before. The others ask them in turn every 200 ms for what is newer. Everything carries the store's revision and the time of its read, so that copies of different entries are comparable and the newer one wins, and every entry knows how old its state is: once it is older than two thirds of the drain time, or another entry asks it, an entry reads the store itself.

--- /dev/null
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <ospreystage/core/clock.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ospreystage {
+
+/// Decides whether an entry reads the platform's store itself, or takes the
+/// state of the site from the entries of its region that do (the readers).
+///
+/// An entry reads the store if it is one of the readers, if another entry takes
+/// the state from it, or if what the readers give it is too old. The number of
+/// reads then depends on the number of regions, not on that of the entries, and
+/// entries that choose different readers still get their state.
+class feed_selection {
+  public:
+    struct options {
+        std::size_t readers = 2; ///< Per region.
+        /// Age up to which the state from a reader replaces an own read.
+        milliseconds max_age{2000};
+        /// Time after a request of another entry in which this entry reads.
+        milliseconds requester_timeout{2000};
+        /// Time after the start in which the readers may answer first.
+        milliseconds startup_grace{400};
+    };
+
+    feed_selection(std::string self, const options& limits, instant started);
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] bool is_reader() const;
+
+    /// Returns true if this entry should read the store now.
+    [[nodiscard]] bool reads_store(instant now) const;
+
+    /// Returns the readers of the region other than this entry.
+    [[nodiscard]] const std::vector<std::string>& sources() const noexcept {
+        return sources_;
+    }
+
+    // ---- Events ------------------------------------------------------------
+
+    /// Sets the names of the entries of this entry's region.
+    void set_entries(std::vector<std::string> names);
+
+    /// Records a state from another entry that was read from the store at
+    /// `read_at`.
+    void on_state(instant read_at);
+
+    /// Records that another entry asked for the state.
+    void on_request(instant now);
+
+    void set_max_age(milliseconds max_age) { limits_.max_age = max_age; }
+    [[nodiscard]] milliseconds max_age() const noexcept {
+        return limits_.max_age;
+    }
+
+  private:
+    std::string self_;
+    options limits_;
+    instant started_;
+    bool has_entries_ = false;
+    bool is_ranked_first_ = false;
+    std::vector<std::string> sources_;
+    std::optional<instant> state_read_at_;
+    std::optional<instant> requested_at_;
+};
+
+} // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <ospreystage/core/address.hpp>
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/error.hpp>
+#include <ospreystage/fleet/backend_registry.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ospreystage {
+
+/// Document of the operators, as it is stored.
+struct site_document {
+    std::string key;
+    std::string text;
+    std::int64_t revision = 0; ///< Of its last change.
+    friend bool operator==(const site_document&,
+                           const site_document&) = default;
+};
+
+/// Registration of an entry.
+struct site_entry {
+    std::string name;
+    address callers;    ///< Accepts callers' requests.
+    std::string region; ///< Empty if not known.
+    friend bool operator==(const site_entry&, const site_entry&) = default;
+};
+
+/// Revisions of the store up to which each part of a `site_copy` is complete;
+/// 0: nothing is known.
+struct site_revisions {
+    std::int64_t documents = 0;
+    std::int64_t entries = 0;
+    std::int64_t servers = 0;
+    friend bool operator==(const site_revisions&,
+                           const site_revisions&) = default;
+};
+
+/// What is newer in one `site_copy` than in another.
+struct site_changes {
+    site_revisions revisions; ///< Of the newer state.
+    /// Ages of the newer state when the reply was made; absent: never read.
+    std::optional<milliseconds> documents_age;
+    std::optional<milliseconds> servers_age;
+    /// Time since the store was last reachable again after an outage.
+    std::optional<milliseconds> outage_ended_ago;
+    std::vector<site_document> documents; ///< Changed documents.
+    /// All entries, if their revision is newer.
+    std::vector<site_entry> entries;
+    /// All servers, if their revision is newer.
+    std::vector<backend_server> servers;
+};
+
+/// An entry's copy of what the platform's store says about the site.
+///
+/// Every part has the revision and the time at which it was read. Copies of
+/// different entries are therefore comparable: an entry may bring its copy up
+/// to date from another one instead of the store, whichever is newer, and knows
+/// how old the result is.
+class site_copy {
+  public:
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] const site_revisions& revisions() const noexcept {
+        return revisions_;
+    }
+    [[nodiscard]] const std::map<std::string, site_entry>&
+    entries() const noexcept {
+        return entries_;
+    }
+    [[nodiscard]] const std::vector<backend_server>& servers() const noexcept {
+        return servers_;
+    }
+
+    /// Returns the age of the older one of documents and servers, or nothing if
+    /// one of them was never read.
+    [[nodiscard]] std::optional<milliseconds> age(instant now) const;
+
+    /// Returns what has changed since `known`.
+    [[nodiscard]] site_changes changes_since(const site_revisions& known,
+                                             instant now) const;
+
+    // ---- Reads of the store ------------------------------------------------
+
+    void on_document(const site_document& document);
+    /// Records that the documents are complete up to `revision`.
+    void on_documents_read(std::int64_t revision, instant read_at);
+    /// Records that the documents had not changed at `read_at`.
+    void on_documents_confirmed(instant read_at);
+    void on_entry(const site_entry& entry);
+    void on_entry_removed(const std::string& name);
+    void on_entries_read(std::int64_t revision);
+    /// Replaces the servers by a complete list.
+    void on_servers_read(std::vector<backend_server> listed,
+                         std::int64_t revision, instant read_at);
+    void on_outage_ended(instant at);
+
+    // ---- Changes from another copy -----------------------------------------
+
+    /// The parts of `site_changes` that were newer.
+    struct applied_parts {
+        std::vector<site_document> documents; ///< Newer documents.
+        bool has_entries = false;
+        /// Time at which the newer servers were read from the store.
+        std::optional<instant> servers_read_at;
+        std::optional<instant> outage_ended; ///< Last outage, if newer.
+    };
+    /// Applies what is newer; `requested_at` is the time of the request.
+    applied_parts apply(const site_changes& changes, instant requested_at);
+
+  private:
+    site_revisions revisions_;
+    std::map<std::string, site_document> documents_;
+    std::map<std::string, site_entry> entries_;
+    std::vector<backend_server> servers_;
+    std::optional<instant> documents_read_at_;
+    std::optional<instant> servers_read_at_;
+    std::optional<instant> outage_ended_at_;
+};
+
+/// Encodes revisions or changes for another entry.
+[[nodiscard]] std::string encode(const site_revisions& known);
+[[nodiscard]] std::string encode(const site_changes& changes);
+
+/// Decodes what `encode` returned; fails with `malformed` for other bytes.
+[[nodiscard]] leaf::result<site_revisions>
+decode_site_revisions(std::string_view bytes, const std::string& peer);
+[[nodiscard]] leaf::result<site_changes>
+decode_site_changes(std::string_view bytes, const std::string& peer);
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/fleet/site_copy.cpp
@@ -0,0 +1,236 @@
+#include <ospreystage/fleet/site_copy.hpp>
+#include <ospreystage/impl/bounded_archive.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace ospreystage {
+
+// ---- Encoding --------------------------------------------------------------
+
+template <typename Archive>
+void serialize(Archive& archive, held_layers& value) {
+    archive(value.from, value.to, value.version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, backend_server& value) {
+    archive(value.id, value.service, value.endpoint, value.data_centre,
+            value.slots, value.is_draining, value.started_unix_ms,
+            value.layers);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, site_document& value) {
+    archive(value.key, value.text, value.revision);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, site_entry& value) {
+    archive(value.name, value.callers, value.region);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, site_revisions& value) {
+    archive(value.documents, value.entries, value.servers);
+}
+
+namespace {
+
+/// Wire form of an optional age: -1 if there is none.
+std::int64_t encode_age(const std::optional<milliseconds>& age) {
+    return age ? age->count() : -1;
+}
+
+std::optional<milliseconds> decode_age(std::int64_t count) {
+    return count < 0 ? std::nullopt : std::optional(milliseconds(count));
+}
+
+template <typename Decode>
+auto decode_all(std::string_view bytes, const std::string& peer,
+                const char* step, Decode decode)
+    -> leaf::result<
+        decltype(decode(std::declval<impl::bounded_input_archive&>()))> {
+    try {
+        impl::bounded_input_archive archive(bytes);
+        auto value = decode(archive);
+        if (!archive.exhausted())
+            return fail(error_code::malformed, step, peer,
+                        "trailing bytes after the value");
+        return value;
+    } catch (const std::exception& problem) {
+        return fail(error_code::malformed, step, peer, problem.what());
+    }
+}
+
+} // namespace
+
+std::string encode(const site_revisions& known) {
+    std::string bytes;
+    impl::string_output_archive archive(bytes);
+    archive(known);
+    return bytes;
+}
+
+std::string encode(const site_changes& changes) {
+    std::string bytes;
+    impl::string_output_archive archive(bytes);
+    archive(changes.revisions, encode_age(changes.documents_age),
+            encode_age(changes.servers_age),
+            encode_age(changes.outage_ended_ago), changes.documents,
+            changes.entries, changes.servers);
+    return bytes;
+}
+
+leaf::result<site_revisions> decode_site_revisions(std::string_view bytes,
+                                                   const std::string& peer) {
+    return decode_all(bytes, peer, "site.revisions", [](auto& archive) {
+        site_revisions known;
+        archive(known);
+        return known;
+    });
+}
+
+leaf::result<site_changes> decode_site_changes(std::string_view bytes,
+                                               const std::string& peer) {
+    return decode_all(bytes, peer, "site.changes", [](auto& archive) {
+        site_changes changes;
+        std::int64_t documents_age = 0;
+        std::int64_t servers_age = 0;
+        std::int64_t outage_ended_ago = 0;
+        archive(changes.revisions, documents_age, servers_age, outage_ended_ago,
+                changes.documents, changes.entries, changes.servers);
+        changes.documents_age = decode_age(documents_age);
+        changes.servers_age = decode_age(servers_age);
+        changes.outage_ended_ago = decode_age(outage_ended_ago);
+        return changes;
+    });
+}
+
+// ---- Observers -------------------------------------------------------------
+
+namespace {
+
+std::optional<milliseconds> elapsed_since(const std::optional<instant>& moment,
+                                          instant now) {
+    if (!moment)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(now - *moment);
+}
+
+/// Moves `moment` forward to `candidate` if that is later.
+void advance_to(std::optional<instant>& moment, instant candidate) {
+    if (!moment || *moment < candidate)
+        moment = candidate;
+}
+
+} // namespace
+
+std::optional<milliseconds> site_copy::age(instant now) const {
+    const auto documents = elapsed_since(documents_read_at_, now);
+    const auto servers = elapsed_since(servers_read_at_, now);
+    if (!documents || !servers)
+        return std::nullopt;
+    return std::max(*documents, *servers);
+}
+
+site_changes site_copy::changes_since(const site_revisions& known,
+                                      instant now) const {
+    site_changes changes;
+    changes.revisions = revisions_;
+    changes.documents_age = elapsed_since(documents_read_at_, now);
+    changes.servers_age = elapsed_since(servers_read_at_, now);
+    changes.outage_ended_ago = elapsed_since(outage_ended_at_, now);
+    for (const auto& [key, document] : documents_)
+        if (document.revision > known.documents)
+            changes.documents.push_back(document);
+    if (revisions_.entries > known.entries)
+        for (const auto& [name, entry] : entries_)
+            changes.entries.push_back(entry);
+    if (revisions_.servers > known.servers)
+        changes.servers = servers_;
+    return changes;
+}
+
+// ---- Reads of the store ----------------------------------------------------
+
+void site_copy::on_document(const site_document& document) {
+    site_document& held = documents_[document.key];
+    if (held.revision < document.revision)
+        held = document;
+}
+
+void site_copy::on_documents_read(std::int64_t revision, instant read_at) {
+    revisions_.documents = std::max(revisions_.documents, revision);
+    advance_to(documents_read_at_, read_at);
+}
+
+void site_copy::on_documents_confirmed(instant read_at) {
+    if (documents_read_at_)
+        advance_to(documents_read_at_, read_at);
+}
+
+void site_copy::on_entry(const site_entry& entry) {
+    entries_[entry.name] = entry;
+}
+
+void site_copy::on_entry_removed(const std::string& name) {
+    entries_.erase(name);
+}
+
+void site_copy::on_entries_read(std::int64_t revision) {
+    revisions_.entries = std::max(revisions_.entries, revision);
+}
+
+void site_copy::on_servers_read(std::vector<backend_server> listed,
+                                std::int64_t revision, instant read_at) {
+    if (revision < revisions_.servers)
+        return;
+    servers_ = std::move(listed);
+    revisions_.servers = revision;
+    advance_to(servers_read_at_, read_at);
+}
+
+void site_copy::on_outage_ended(instant at) {
+    advance_to(outage_ended_at_, at);
+}
+
+// ---- Changes from another copy ---------------------------------------------
+
+site_copy::applied_parts site_copy::apply(const site_changes& changes,
+                                          instant requested_at) {
+    applied_parts applied;
+    for (const site_document& document : changes.documents) {
+        const auto held = documents_.find(document.key);
+        if (held != documents_.end() &&
+            held->second.revision >= document.revision)
+            continue;
+        on_document(document);
+        applied.documents.push_back(document);
+    }
+    if (changes.documents_age && changes.revisions.documents > 0)
+        on_documents_read(changes.revisions.documents,
+                          requested_at - *changes.documents_age);
+    if (changes.revisions.entries > revisions_.entries) {
+        entries_.clear();
+        for (const site_entry& entry : changes.entries)
+            on_entry(entry);
+        on_entries_read(changes.revisions.entries);
+        applied.has_entries = true;
+    }
+    if (changes.servers_age && changes.revisions.servers > revisions_.servers) {
+        applied.servers_read_at = requested_at - *changes.servers_age;
+        on_servers_read(changes.servers, changes.revisions.servers,
+                        *applied.servers_read_at);
+    }
+    if (changes.outage_ended_ago) {
+        const instant ended = requested_at - *changes.outage_ended_ago;
+        if (!outage_ended_at_ || *outage_ended_at_ < ended)
+            applied.outage_ended = ended;
+        on_outage_ended(ended);
+    }
+    return applied;
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/src/fleet/site_feed.cpp
@@ -0,0 +1,111 @@
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/fleet/site_feed.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+constexpr const char* service_name = "site_feed";
+constexpr const char* target = "/v1/site";
+constexpr milliseconds poll_interval{200};
+constexpr milliseconds connect_timeout{300};
+/// Longest time without data from a reader; then the next one is asked.
+constexpr milliseconds idle_timeout{400};
+constexpr milliseconds total_timeout{5000};
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_bad_request = 400;
+
+} // namespace
+
+site_feed::site_feed(kernel& core, web_client& client, site_copy& copy,
+                     options configuration, update_handler on_update)
+    : core_(core), client_(client), copy_(copy),
+      options_(std::move(configuration)),
+      selection_(options_.self, options_.selection, steady::now()),
+      on_update_(std::move(on_update)),
+      server_(core, {[this](exchange_id exchange, const http_request& request) {
+                         server_.respond(exchange, answer(request));
+                     },
+                     nullptr, nullptr}) {}
+
+leaf::result<void> site_feed::start() {
+    BOOST_LEAF_CHECK(server_.listen(options_.local));
+    core_.every(service_name, poll_interval, [this] { poll(); });
+    return {};
+}
+
+void site_feed::on_entries_changed() {
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : copy_.entries())
+        if (entry.region == options_.region)
+            names.push_back(name);
+    selection_.set_entries(std::move(names));
+}
+
+void site_feed::poll() {
+    const instant now = steady::now();
+    const auto age = copy_.age(now);
+    const std::vector<std::string>& sources = selection_.sources();
+    const bool needs_state =
+        !selection_.is_reader() || !age || *age > selection_.max_age();
+    if (is_polling_ || sources.empty() || !needs_state)
+        return;
+    const std::string source = sources[next_source_++ % sources.size()];
+    const auto found = copy_.entries().find(source);
+    if (found == copy_.entries().end())
+        return;
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = encode(copy_.revisions());
+    call_options call;
+    call.connect_timeout = connect_timeout;
+    call.idle_timeout = idle_timeout;
+    call.timeout = total_timeout;
+    is_polling_ = true;
+    client_.fetch(
+        {found->second.callers.host, options_.local.port}, request, call,
+        [this, source, now](call_end end, const http_response& response) {
+            is_polling_ = false;
+            if (end == call_end::complete && response.status == status_ok)
+                on_changes(source, now, response.body);
+        });
+}
+
+void site_feed::on_changes(const std::string& source, instant requested_at,
+                           const std::string& body) {
+    error failure;
+    const auto changes = value_or_error(
+        [&] { return decode_site_changes(body, source); }, failure);
+    if (!changes) {
+        log_event(log_level::warn, "site_changes_unreadable",
+                  {{"error", to_string(failure)}});
+        return;
+    }
+    const site_copy::applied_parts applied =
+        copy_.apply(*changes, requested_at);
+    if (changes->documents_age && changes->servers_age)
+        selection_.on_state(requested_at - std::max(*changes->documents_age,
+                                                    *changes->servers_age));
+    on_update_(applied);
+}
+
+http_response site_feed::answer(const http_request& request) {
+    http_response response;
+    error failure;
+    const auto known = value_or_error(
+        [&] { return decode_site_revisions(request.body, "entry"); }, failure);
+    if (request.target != target || !known) {
+        response.status = status_bad_request;
+        return response;
+    }
+    const instant now = steady::now();
+    selection_.on_request(now);
+    return text_response("application/octet-stream",
+                         encode(copy_.changes_since(*known, now)));
+}
+
+} // namespace ospreystage
--- /dev/null
+++ b/tests/site_feed.cpp
@@ -0,0 +1,231 @@
+#include "tests/support/free_ports.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/running_kernel.hpp"
+
+#include <ospreystage/fleet/site_feed.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace ospreystage;
+using testing::raw_connection;
+using testing::running_kernel;
+
+namespace {
+
+const instant start{seconds(1000)};
+
+backend_server make_server(const std::string& id) {
+    backend_server server;
+    server.id = id;
+    server.service = "desk";
+    server.endpoint = {"10.0.0.1", 80};
+    server.layers = {{0, 16, 2}};
+    return server;
+}
+
+/// Returns a copy with one document, entry and server, read at revision 10.
+site_copy make_copy(instant read_at) {
+    site_copy copy;
+    copy.on_document({"op/config", "text", 7});
+    copy.on_documents_read(10, read_at);
+    copy.on_entry({"edge-1", {"10.0.0.9", 8000}, "north"});
+    copy.on_entries_read(10);
+    copy.on_servers_read({make_server("i-1")}, 10, read_at);
+    return copy;
+}
+
+site_changes transfer(const site_copy& from, const site_copy& to, instant now) {
+    error failure;
+    auto changes = value_or_error(
+        [&] {
+            return decode_site_changes(
+                encode(from.changes_since(to.revisions(), now)), "test");
+        },
+        failure);
+    REQUIRE(changes);
+    return std::move(*changes);
+}
+
+feed_selection make_selection(const std::string& self) {
+    return {self, {}, start};
+}
+
+const std::vector<std::string> five_entries{"e-1", "e-2", "e-3", "e-4", "e-5"};
+
+} // namespace
+
+// ---- Copies ----------------------------------------------------------------
+
+TEST_CASE("site copy - an empty copy takes over everything with its age") {
+    const site_copy source = make_copy(start);
+    site_copy copy;
+    const auto applied =
+        copy.apply(transfer(source, copy, start + milliseconds(300)),
+                   start + milliseconds(300));
+    CHECK(copy.revisions() == source.revisions());
+    REQUIRE(applied.documents.size() == 1);
+    CHECK(applied.documents.front().text == "text");
+    CHECK(applied.has_entries);
+    CHECK(applied.servers_read_at == start);
+    CHECK(copy.servers() == source.servers());
+    CHECK(copy.entries() == source.entries());
+    CHECK(copy.age(start + seconds(1)) == seconds(1));
+}
+
+TEST_CASE("site copy - an older copy changes nothing") {
+    const site_copy source = make_copy(start);
+    site_copy copy = make_copy(start);
+    copy.on_document({"op/config", "newer", 12});
+    copy.on_documents_read(12, start + seconds(1));
+    copy.on_servers_read({}, 12, start + seconds(1));
+    copy.on_entry_removed("edge-1");
+    copy.on_entries_read(12);
+    // Requested before the copy read the newer state elsewhere.
+    const site_changes late = source.changes_since({}, start);
+    const auto applied = copy.apply(late, start + seconds(1));
+    CHECK(applied.documents.empty());
+    CHECK_FALSE(applied.has_entries);
+    CHECK_FALSE(applied.servers_read_at);
+    CHECK(copy.servers().empty());
+    CHECK(copy.entries().empty());
+    CHECK(copy.revisions().servers == 12);
+}
+
+TEST_CASE("site copy - unchanged parts are not sent again") {
+    const site_copy source = make_copy(start);
+    const site_changes changes =
+        source.changes_since(source.revisions(), start);
+    CHECK(changes.documents.empty());
+    CHECK(changes.entries.empty());
+    CHECK(changes.servers.empty());
+    CHECK(changes.servers_age == milliseconds(0));
+}
+
+TEST_CASE("site copy - its age is that of the older part") {
+    site_copy copy = make_copy(start);
+    copy.on_servers_read({}, 12, start + seconds(3));
+    CHECK(copy.age(start + seconds(4)) == seconds(4));
+    copy.on_documents_confirmed(start + seconds(3));
+    CHECK(copy.age(start + seconds(4)) == seconds(1));
+    CHECK_FALSE(site_copy().age(start));
+}
+
+TEST_CASE("site copy - bytes that are no changes are refused") {
+    error failure;
+    const std::string bytes = encode(make_copy(start).changes_since({}, start));
+    CHECK_FALSE(value_or_error(
+        [&] { return decode_site_changes(bytes + "x", "test"); }, failure));
+    CHECK(failure.code == error_code::malformed);
+    CHECK_FALSE(value_or_error(
+        [&] {
+            return decode_site_changes(bytes.substr(0, bytes.size() / 2),
+                                       "test");
+        },
+        failure));
+    CHECK_FALSE(value_or_error(
+        [&] { return decode_site_revisions("short", "test"); }, failure));
+}
+
+// ---- Selection -------------------------------------------------------------
+
+TEST_CASE("feed selection - two entries of a region read the store") {
+    int readers = 0;
+    for (const std::string& name : five_entries) {
+        feed_selection selection = make_selection(name);
+        selection.set_entries(five_entries);
+        selection.on_state(start);
+        if (selection.reads_store(start + milliseconds(500))) {
+            ++readers;
+            CHECK(selection.sources().size() == 1);
+        } else {
+            CHECK(selection.sources().size() == 2);
+        }
+    }
+    CHECK(readers == 2);
+}
+
+TEST_CASE(
+    "feed selection - an entry reads the store once the readers' state is "
+    "too old") {
+    feed_selection selection = make_selection("e-0");
+    selection.set_entries(five_entries);
+    REQUIRE_FALSE(selection.is_reader());
+    selection.on_state(start);
+    CHECK_FALSE(selection.reads_store(start + seconds(2)));
+    CHECK(selection.reads_store(start + milliseconds(2001)));
+    selection.on_state(start + seconds(3));
+    CHECK_FALSE(selection.reads_store(start + seconds(4)));
+}
+
+TEST_CASE("feed selection - an entry that others ask reads the store") {
+    feed_selection selection = make_selection("e-0");
+    selection.set_entries(five_entries);
+    selection.on_state(start + seconds(10));
+    selection.on_request(start + seconds(10));
+    CHECK(selection.reads_store(start + seconds(11)));
+    selection.on_state(start + seconds(13));
+    CHECK_FALSE(selection.reads_store(start + seconds(13)));
+}
+
+TEST_CASE("feed selection - the readers may answer first after a start") {
+    feed_selection selection = make_selection("e-0");
+    CHECK_FALSE(selection.reads_store(start + milliseconds(100)));
+    CHECK(selection.reads_store(start + milliseconds(400)));
+    selection.set_entries({});
+    CHECK(selection.is_reader());
+    CHECK(selection.reads_store(start));
+}
+
+// ---- Feed ------------------------------------------------------------------
+
+TEST_CASE("site feed - a copy follows the reader that answers") {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    site_copy copy;
+    for (site_copy* each : {&source, &copy}) {
+        each->on_entry({"reader", {"127.0.0.2", 80}, "north"});
+        each->on_entry({"stopped", {"127.0.0.4", 80}, "north"});
+        each->on_entry({"elsewhere", {"127.0.0.9", 80}, "south"});
+    }
+    int updates = 0;
+    site_feed reader(core, client, source,
+                     {"reader", "north", {"127.0.0.2", port}, {}}, nullptr);
+    site_feed follower(core, client, copy,
+                       {"follower", "north", {"127.0.0.3", port}, {}},
+                       [&](const site_copy::applied_parts&) { ++updates; });
+    running_kernel running(core);
+    running.ask([&] {
+        error failure;
+        const auto listening = value_or_error(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(reader.start());
+                BOOST_LEAF_CHECK(follower.start());
+                return true;
+            },
+            failure);
+        follower.on_entries_changed();
+        return listening.has_value();
+    });
+    CHECK(running.until([&] { return copy.revisions().servers == 10; },
+                        seconds(2)));
+    CHECK(running.ask(
+        [&] { return reader.selection().reads_store(steady::now()); }));
+    running.ask([&] {
+        source.on_document({"op/config", "newer", 11});
+        source.on_documents_read(11, steady::now());
+        return true;
+    });
+    CHECK(running.until([&] { return copy.revisions().documents == 11; },
+                        seconds(2)));
+    CHECK(running.ask([&] { return updates; }) >= 2);
+    raw_connection stranger({"127.0.0.2", port});
+    stranger.send("POST /v1/site HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 1\r\nConnection: close\r\n\r\nx");
+    CHECK(stranger.read_all().find(" 400 ") != std::string::npos);
+    running.stop();
+}
