--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -389,8 +389,7 @@
                            const agent_location&) = default;
 };
 
-/// Data that an agent needs to bring its engine to the requested version; also
-/// subscribes the sender to reports.
+/// Data that an agent needs to bring its engine to the requested version.
 struct weights_assignment {
     std::string service;
     std::string model;
@@ -407,18 +406,26 @@
                        origin, chunks, chunk_bytes, layers, agents)
 };
 
+/// Subscribes the sender to the engine reports of an agent of `service`.
+struct report_subscription {
+    std::string service;
+    OSPREYSTAGE_FIELDS(service)
+};
+
 #undef OSPREYSTAGE_FIELDS
 
 /// Every message of the peer protocol.
 ///
 /// The order is the wire format: new alternatives go to the end.
-using message = std::variant<
-    hello, hello_reply, heartbeat, run_order, run_refused, answer_begin,
-    answer_part, answer_end, run_failed, seal_order, seal_failed, cancel_order,
-    load_report, claim_request, claim_reply, claim_release, recover_request,
-    recover_reply, gossip_ping, gossip_ack, sync_request, sync_reply,
-    document_push, chunk_have, manifest_request, manifest_reply, chunk_request,
-    chunk_data, engine_report, weights_assignment, attempt_notice>;
+using message =
+    std::variant<hello, hello_reply, heartbeat, run_order, run_refused,
+                 answer_begin, answer_part, answer_end, run_failed, seal_order,
+                 seal_failed, cancel_order, load_report, claim_request,
+                 claim_reply, claim_release, recover_request, recover_reply,
+                 gossip_ping, gossip_ack, sync_request, sync_reply,
+                 document_push, chunk_have, manifest_request, manifest_reply,
+                 chunk_request, chunk_data, engine_report, weights_assignment,
+                 attempt_notice, report_subscription>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -452,6 +459,7 @@
                      "chunk_data",
                      "engine_report",
                      "weights_assignment",
-                     "attempt_notice"};
+                     "attempt_notice",
+                     "report_subscription"};
 
 } // namespace ospreystage
