--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -269,6 +269,25 @@
         seconds(1)));
 }
 
+TEST_CASE("site watch - state from other entries does not replace the snapshot "
+          "that a compacted history requires") {
+    platform_store store;
+    store.put("op/config", configuration_text(3));
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return entry.routes.is_configured(); },
+                          seconds(1)));
+    store.compact();
+    store.put("op/config", configuration_text(4));
+    CHECK(running.until(
+        [&] {
+            // An answer of another entry without anything newer.
+            entry.watch.on_feed({});
+            return entry.routes.current().version == 4;
+        },
+        seconds(2)));
+}
+
 TEST_CASE("site watch - malformed server registrations are ignored") {
     platform_store store;
     store.put("servers/i-1", server_text(80));
