Reset the connection of a cancelled call

Closing a connection in order lets the system go on sending what it has queued, however long a narrow link takes for it. A cancelled call resets its connection instead, so that this part is discarded.

web client - the rest of a cancelled request is not sent: failed before (2,000,072 bytes received of 2,000,000 and a head), passes now.

--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -57,6 +57,10 @@
     /// accepts without blocking; no handler is called afterwards.
     void close();
 
+    /// Resets the connection: output that has not reached the peer is
+    /// discarded. No handler is called afterwards.
+    void abort();
+
     /// Stops reading, and closes once the queued output was passed to the
     /// system.
     void close_after_output();
--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -78,8 +78,9 @@
                   const call_options& options,
                   std::function<void(call_end, http_response)> done);
 
-    /// Cancels a call and closes its connection; its handlers are not called
-    /// afterwards.
+    /// Cancels a call and resets its connection, so that the part of the
+    /// request that has not reached the server is discarded. Its handlers are
+    /// not called afterwards.
     void cancel(call_id call);
 
     /// Pauses or resumes reading the response.
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -108,6 +108,17 @@
     connected_ = false;
 }
 
+void stream_socket::abort() {
+    if (descriptor_ < 0)
+        return;
+    output_.clear();
+    written_ = 0;
+    const linger reset_on_close{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset_on_close,
+               sizeof(reset_on_close));
+    close();
+}
+
 void stream_socket::close_after_output() {
     if (!is_open())
         return;
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -128,7 +128,10 @@
     if (found == calls_.end())
         return;
     found->second->is_cancelled = true;
-    finish(found->second->connection, call_end::truncated);
+    const std::uint64_t connection = found->second->connection;
+    // What the server has not received yet is not worth sending any more.
+    connections_.at(connection)->socket.abort();
+    finish(connection, call_end::truncated);
 }
 
 void web_client::set_reading(call_id call, bool enabled) {
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -1,12 +1,17 @@
+#include "tests/support/free_ports.hpp"
 #include "tests/support/scripted_server.hpp"
 #include "tests/support/slow_link.hpp"
 
 #include <ospreystage/http/web_client.hpp>
+#include <ospreystage/network/socket_address.hpp>
 
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <string>
+#include <vector>
 
 using namespace ospreystage;
 using testing::scripted_answer;
@@ -295,3 +300,39 @@
     CHECK(steady::now() - started >= milliseconds(150));
     CHECK(steady::now() - started < seconds(2));
 }
+
+TEST_CASE("web client - the rest of a cancelled request is not sent") {
+    constexpr std::size_t body_bytes = 2'000'000;
+    error failure;
+    const std::uint16_t port = support::free_ports(1).front();
+    const auto listener = value_or_error(
+        [&] {
+            return open_listener({"127.0.0.1", port}, 1, "test");
+        },
+        failure);
+    REQUIRE(listener);
+    kernel core;
+    web_client client(core);
+    http_request request = make_request("one");
+    request.method = "POST";
+    request.body.assign(body_bytes, 'x');
+    const call_id call =
+        client.start({"127.0.0.1", port}, request, {}, call_handlers{});
+    core.after("test", milliseconds(100), [&] {
+        client.cancel(call);
+        core.stop();
+    });
+    core.run();
+    const int accepted = accept(*listener, nullptr, nullptr);
+    REQUIRE(accepted >= 0);
+    std::size_t received = 0;
+    std::vector<char> buffer(65536);
+    ssize_t count = 0;
+    while ((count = read(accepted, buffer.data(), buffer.size())) > 0)
+        received += static_cast<std::size_t>(count);
+    // Closed in order, the whole output buffer of the system would follow.
+    CHECK(count < 0);
+    CHECK(received < body_bytes / 2);
+    close(accepted);
+    close(*listener);
+}
