Count failed reads as an outage only since the last list

An entry that cannot reach the store gets lists from the readers of its region. Between two of them its own failed read would have counted as an outage from the beginning of that read, so that servers missing from the next list were kept for 2.2 s.

backend registry - failed reads between lists from elsewhere are no outage.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -69,7 +69,8 @@
     /// Records an outage that another process saw end at `ended`.
     void on_outage_ended(instant ended);
 
-    /// Records a failed read of the list.
+    /// Records a read of the list that began at `now` and failed. An outage
+    /// counts from the last list at the earliest.
     void on_unreachable(instant now);
 
     /// Removes missing servers whose grace period has ended.
@@ -103,6 +104,7 @@
     options limits_;
     absl::flat_hash_map<std::string, server_record> servers_;
     std::optional<instant> last_read_at_;
+    std::optional<instant> last_listed_at_; ///< When `on_list` was called.
     std::optional<instant> unreachable_since_;
     std::optional<instant> outage_ended_; ///< Time of the last recovery.
     bool has_list_ = false;
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -32,7 +32,7 @@
 
 void backend_registry::on_unreachable(instant now) {
     if (!unreachable_since_)
-        unreachable_since_ = now;
+        unreachable_since_ = std::max(now, last_listed_at_.value_or(now));
 }
 
 void backend_registry::on_outage_ended(instant ended) {
@@ -46,6 +46,7 @@
         outage_ended_ = now;
     unreachable_since_.reset();
     last_read_at_ = read_at;
+    last_listed_at_ = now;
     has_list_ = true;
     absl::flat_hash_set<std::string> seen;
     for (backend_server& entry : listed) {
--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -20,6 +20,7 @@
     if (found == by_region_.end())
         return {};
     std::vector<std::string> names;
+    names.reserve(found->second.size());
     for (const auto& [name, entry] : found->second)
         names.push_back(name);
     std::vector<std::string> order = rendezvous_order(host, std::move(names));
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -82,6 +82,15 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE("backend registry - failed reads between lists from elsewhere are no "
+          "outage") {
+    backend_registry registry;
+    registry.on_list({make_server("a")}, start + milliseconds(800));
+    registry.on_unreachable(start);
+    registry.on_list({}, start + milliseconds(1200));
+    CHECK(registry.find("a") == nullptr);
+}
+
 TEST_CASE("backend registry - the age of the list counts from its read") {
     backend_registry registry;
     registry.on_list({}, start + seconds(3), start + seconds(1));
--- a/tests/system_shared_links.cpp
+++ b/tests/system_shared_links.cpp
@@ -157,6 +157,11 @@
     }
 
   private:
+    struct subscriber {
+        sockaddr_in remote{};
+        instant since{};
+    };
+
     static constexpr std::uint16_t engine_port = 8284;
     static constexpr std::size_t datagram_key_bytes = 16;
     static constexpr milliseconds report_interval{80};
@@ -181,29 +186,29 @@
             const auto value = value_or_error(
                 [&] { return decode_payload(payload, "entry"); }, failure);
             if (value && std::holds_alternative<report_subscription>(*value))
-                subscribers_[from_socket_address(raw)] = steady::now();
+                subscribers_[to_string(from_socket_address(raw))] = {
+                    raw, steady::now()};
         }
     }
 
     std::size_t report() {
         reported_at_ = steady::now();
-        std::erase_if(subscribers_, [&](const auto& subscriber) {
-            return reported_at_ - subscriber.second > subscription_time;
+        std::erase_if(subscribers_, [&](const auto& entry) {
+            return reported_at_ - entry.second.since > subscription_time;
         });
         const std::string payload =
             key_ + encode_payload(engine_report{engine_, 1, 0, 1, false});
-        for (const auto& [entry, since] : subscribers_) {
-            const auto raw = to_socket_address(entry);
+        for (const auto& [name, entry] : subscribers_)
             sendto(descriptor_, payload.data(), payload.size(), 0,
-                   reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
-        }
+                   reinterpret_cast<const sockaddr*>(&entry.remote),
+                   sizeof(entry.remote));
         return subscribers_.size();
     }
 
     address engine_;
     std::string key_;
     int descriptor_;
-    std::map<address, instant> subscribers_;
+    std::map<std::string, subscriber> subscribers_; ///< By address.
     instant reported_at_{};
 };
 
