--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -288,6 +288,23 @@
         seconds(2)));
 }
 
+TEST_CASE(
+    "site watch - entries of earlier releases are listed without a region") {
+    platform_store store;
+    store.put("ospreystage/entries/old", "10.0.0.7:80");
+    store.put("ospreystage/entries/new", "10.0.0.8:80 north");
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until(
+        [&] { return entry.watch.copy().entries().size() >= 2; }, seconds(1)));
+    CHECK(running.ask([&] {
+        const auto& entries = entry.watch.copy().entries();
+        return entries.at("old").region.empty() &&
+               entries.at("new").region == "north" &&
+               entries.at("old").callers == address{"10.0.0.7", 80};
+    }));
+}
+
 TEST_CASE("site watch - malformed server registrations are ignored") {
     platform_store store;
     store.put("servers/i-1", server_text(80));
