--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -26,6 +26,7 @@
     std::vector<std::string> order = rendezvous_order(host, std::move(names));
     order.resize(std::min(order.size(), entries_per_vm));
     std::vector<const site_entry*> result;
+    result.reserve(order.size());
     for (const std::string& name : order)
         result.push_back(&found->second.at(name));
     return result;
@@ -35,14 +36,17 @@
 entry_duties::entries_of(const std::string& region) const {
     std::vector<const site_entry*> result;
     const auto found = by_region_.find(region);
-    if (found != by_region_.end())
-        for (const auto& [name, entry] : found->second)
-            result.push_back(&entry);
+    if (found == by_region_.end())
+        return result;
+    result.reserve(found->second.size());
+    for (const auto& [name, entry] : found->second)
+        result.push_back(&entry);
     return result;
 }
 
 std::vector<std::string> entry_duties::regions() const {
     std::vector<std::string> result;
+    result.reserve(by_region_.size());
     for (const auto& [region, entries] : by_region_)
         result.push_back(region);
     return result;
