Let entries of other regions assign where a region has fewer than three

The places that a region's entries leave are taken by others, chosen alike.

entry duties - a VM of a region with one entry gets assignments from several: new.

--- a/include/ospreystage/fleet/entry_duties.hpp
+++ b/include/ospreystage/fleet/entry_duties.hpp
@@ -28,6 +28,12 @@
     [[nodiscard]] std::vector<const site_entry*>
     responsible(const std::string& region, const std::string& host) const;
 
+    /// Returns the entries that send assignments to the VM at `host` of
+    /// `region`: those that deal with it and, if the region has too few
+    /// entries, others, so that the VM does not depend on a single one.
+    [[nodiscard]] std::vector<const site_entry*>
+    assigners(const std::string& region, const std::string& host) const;
+
     /// Returns all entries of a region.
     [[nodiscard]] std::vector<const site_entry*>
     entries_of(const std::string& region) const;
--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -32,6 +32,26 @@
     return result;
 }
 
+std::vector<const site_entry*>
+entry_duties::assigners(const std::string& region,
+                        const std::string& host) const {
+    std::vector<const site_entry*> result = responsible(region, host);
+    if (result.size() >= entries_per_vm)
+        return result;
+    std::map<std::string, const site_entry*> others;
+    std::vector<std::string> names;
+    for (const auto& [other, entries] : by_region_)
+        if (other != region)
+            for (const auto& [name, entry] : entries) {
+                others[name] = &entry;
+                names.push_back(name);
+            }
+    for (const std::string& name : rendezvous_order(host, std::move(names)))
+        if (result.size() < entries_per_vm)
+            result.push_back(others.at(name));
+    return result;
+}
+
 std::vector<const site_entry*>
 entry_duties::entries_of(const std::string& region) const {
     std::vector<const site_entry*> result;
--- a/tests/entry_duties.cpp
+++ b/tests/entry_duties.cpp
@@ -80,3 +80,20 @@
     CHECK(duties.entries_of("south").size() == 2);
     CHECK(duties.regions().size() == 2);
 }
+
+TEST_CASE(
+    "entry duties - a VM of a region with one entry gets assignments from "
+    "several") {
+    auto entries = make_entries(4);
+    entries["west-0"] = {"west-0", {"west-0", 8000}, "west"};
+    entry_duties duties;
+    duties.set_entries(entries);
+    const auto chosen = duties.assigners("west", "10.0.0.1");
+    REQUIRE(chosen.size() == entry_duties::entries_per_vm);
+    CHECK(chosen.front()->name == "west-0");
+    CHECK(chosen[1]->region != "west");
+    CHECK(duties.assigners("empty", "10.0.0.1").size() ==
+          entry_duties::entries_per_vm);
+    for (const site_entry* entry : duties.assigners("north", "10.0.0.1"))
+        CHECK(entry->region == "north");
+}
