--- a/include/ospreystage/fleet/entry_duties.hpp
+++ b/include/ospreystage/fleet/entry_duties.hpp
@@ -45,4 +45,8 @@
     std::map<std::string, std::map<std::string, site_entry>> by_region_;
 };
 
+/// Returns true if `entries` has one called `name`.
+[[nodiscard]] bool has_entry(const std::vector<const site_entry*>& entries,
+                             const std::string& name);
+
 } // namespace ospreystage
--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -32,7 +32,8 @@
 
     // ---- Observers ---------------------------------------------------------
 
-    [[nodiscard]] bool is_reader() const;
+    /// Returns true if this entry reads the store for its region.
+    [[nodiscard]] bool is_reader() const noexcept { return is_reader_; }
 
     /// Returns true if this entry should read the store now.
     [[nodiscard]] bool reads_store(instant now) const;
@@ -63,8 +64,7 @@
     std::string self_;
     options limits_;
     instant started_;
-    bool has_entries_ = false;
-    bool is_ranked_first_ = false;
+    bool is_reader_ = false; ///< Not before the entries are known.
     std::vector<std::string> sources_;
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -87,13 +87,17 @@
 
     // ---- Reads of the store ------------------------------------------------
 
-    void on_document(const site_document& document);
+    /// Returns true if the document is newer than the one held.
+    bool on_document(const site_document& document);
     /// Records that the documents are complete up to `revision`.
     void on_documents_read(std::int64_t revision, instant read_at);
     /// Records that the documents had not changed at `read_at`.
     void on_documents_confirmed(instant read_at);
     void on_entry(const site_entry& entry);
     void on_entry_removed(const std::string& name);
+    /// Replaces all entries.
+    void on_entries_snapshot(const std::vector<site_entry>& entries);
+    /// Records that the entries are complete up to `revision`.
     void on_entries_read(std::int64_t revision);
     /// Replaces the servers by a complete list.
     void on_servers_read(std::vector<backend_server> listed,
--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -72,4 +72,11 @@
     return result;
 }
 
+bool has_entry(const std::vector<const site_entry*>& entries,
+               const std::string& name) {
+    return std::any_of(
+        entries.begin(), entries.end(),
+        [&](const site_entry* entry) { return entry->name == name; });
+}
+
 } // namespace ospreystage
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -17,12 +17,8 @@
                                instant started)
     : self_(std::move(self)), limits_(limits), started_(started) {}
 
-bool feed_selection::is_reader() const {
-    return has_entries_ && is_ranked_first_;
-}
-
 bool feed_selection::reads_store(instant now) const {
-    if (is_reader())
+    if (is_reader_)
         return true;
     if (requested_at_ && now - *requested_at_ <= limits_.requester_timeout)
         return true;
@@ -41,8 +37,7 @@
     if (!is_registered)
         order.push_back(self_);
     order.resize(std::min(order.size(), limits_.readers));
-    has_entries_ = true;
-    is_ranked_first_ = std::erase(order, self_) > 0;
+    is_reader_ = std::erase(order, self_) > 0;
     sources_ = std::move(order);
 }
 
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -1,8 +1,7 @@
 #include <ospreystage/fleet/site_copy.hpp>
-#include <ospreystage/impl/bounded_archive.hpp>
+#include <ospreystage/impl/decode.hpp>
 
 #include <algorithm>
-#include <exception>
 #include <utility>
 
 namespace ospreystage {
@@ -47,23 +46,6 @@
     return count < 0 ? std::nullopt : std::optional(milliseconds(count));
 }
 
-template <typename Decode>
-auto decode_all(std::string_view bytes, const std::string& peer,
-                const char* step, Decode decode)
-    -> leaf::result<
-        decltype(decode(std::declval<impl::bounded_input_archive&>()))> {
-    try {
-        impl::bounded_input_archive archive(bytes);
-        auto value = decode(archive);
-        if (!archive.exhausted())
-            return fail(error_code::malformed, step, peer,
-                        "trailing bytes after the value");
-        return value;
-    } catch (const std::exception& problem) {
-        return fail(error_code::malformed, step, peer, problem.what());
-    }
-}
-
 } // namespace
 
 std::string encode(const site_revisions& known) {
@@ -85,7 +67,7 @@
 
 leaf::result<site_revisions> decode_site_revisions(std::string_view bytes,
                                                    const std::string& peer) {
-    return decode_all(bytes, peer, "site.revisions", [](auto& archive) {
+    return impl::decode_all(bytes, "site.revisions", peer, [](auto& archive) {
         site_revisions known;
         archive(known);
         return known;
@@ -94,7 +76,7 @@
 
 leaf::result<site_changes> decode_site_changes(std::string_view bytes,
                                                const std::string& peer) {
-    return decode_all(bytes, peer, "site.changes", [](auto& archive) {
+    return impl::decode_all(bytes, "site.changes", peer, [](auto& archive) {
         site_changes changes;
         std::int64_t documents_age = 0;
         std::int64_t servers_age = 0;
@@ -155,10 +137,12 @@
 
 // ---- Reads of the store ----------------------------------------------------
 
-void site_copy::on_document(const site_document& document) {
+bool site_copy::on_document(const site_document& document) {
     site_document& held = documents_[document.key];
-    if (held.revision < document.revision)
-        held = document;
+    if (held.revision >= document.revision)
+        return false;
+    held = document;
+    return true;
 }
 
 void site_copy::on_documents_read(std::int64_t revision, instant read_at) {
@@ -179,6 +163,12 @@
     entries_.erase(name);
 }
 
+void site_copy::on_entries_snapshot(const std::vector<site_entry>& entries) {
+    entries_.clear();
+    for (const site_entry& entry : entries)
+        on_entry(entry);
+}
+
 void site_copy::on_entries_read(std::int64_t revision) {
     revisions_.entries = std::max(revisions_.entries, revision);
 }
@@ -201,21 +191,14 @@
 site_copy::applied_parts site_copy::apply(const site_changes& changes,
                                           instant requested_at) {
     applied_parts applied;
-    for (const site_document& document : changes.documents) {
-        const auto held = documents_.find(document.key);
-        if (held != documents_.end() &&
-            held->second.revision >= document.revision)
-            continue;
-        on_document(document);
-        applied.documents.push_back(document);
-    }
+    for (const site_document& document : changes.documents)
+        if (on_document(document))
+            applied.documents.push_back(document);
     if (changes.documents_age && changes.revisions.documents > 0)
         on_documents_read(changes.revisions.documents,
                           requested_at - *changes.documents_age);
     if (changes.revisions.entries > revisions_.entries) {
-        entries_.clear();
-        for (const site_entry& entry : changes.entries)
-            on_entry(entry);
+        on_entries_snapshot(changes.entries);
         on_entries_read(changes.revisions.entries);
         applied.has_entries = true;
     }
--- a/src/network/codec.cpp
+++ b/src/network/codec.cpp
@@ -1,8 +1,6 @@
-#include <ospreystage/impl/bounded_archive.hpp>
+#include <ospreystage/impl/decode.hpp>
 #include <ospreystage/network/codec.hpp>
 
-#include <exception>
-
 namespace ospreystage {
 
 namespace {
@@ -30,18 +28,11 @@
 
 leaf::result<message> decode_payload(std::string_view payload,
                                      const std::string& peer) {
-    try {
+    return impl::decode_all(payload, "codec.decode", peer, [](auto& archive) {
         message value;
-        impl::bounded_input_archive archive(payload);
         archive(value);
-        if (!archive.exhausted())
-            return fail(error_code::malformed, "codec.decode", peer,
-                        "trailing bytes after the message");
         return value;
-    } catch (const std::exception& problem) {
-        return fail(error_code::malformed, "codec.decode", peer,
-                    problem.what());
-    }
+    });
 }
 
 std::string encode_frame(const message& value) {
