--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/child_process.hpp"
 #include "tests/support/eventually.hpp"
 #include "tests/support/free_ports.hpp"
+#include "tests/support/platform_entry.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/raw_connection.hpp"
 #include "tests/support/text_file.hpp"
@@ -13,7 +14,6 @@
 
 #include <array>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -23,6 +23,7 @@
 using namespace ospreystage;
 using support::child_process;
 using support::eventually;
+using testing::get_raw;
 using testing::platform_store;
 using testing::raw_connection;
 
@@ -44,17 +45,10 @@
         REQUIRE(mkfifo(pipe_.c_str(), S_IRUSR | S_IWUSR) == 0);
         output_ = open(pipe_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
         REQUIRE(output_ >= 0);
-        setenv("OSPREYSTAGE_NODE_FILE", file_.c_str(), 1);
         error failure;
         child_ = value_or_error(
-            [this] {
-                return child_process::start(
-                    {std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage",
-                     "platform", "entry"},
-                    pipe_);
-            },
+            [this] { return testing::start_platform_entry(file_, pipe_); },
             failure);
-        unsetenv("OSPREYSTAGE_NODE_FILE");
         REQUIRE(child_);
     }
     ~entry_process() {
@@ -114,17 +108,9 @@
     std::string seen_;
 };
 
-std::string get(const address& server, const std::string& target) {
-    raw_connection caller(server);
-    caller.send(fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
-                            "X-Request-Id: 1\r\nConnection: close\r\n\r\n",
-                            target));
-    return caller.read_all(seconds(2));
-}
-
 bool await_ready(const entry_process& entry) {
     return eventually(timeout, [&] {
-        return get(entry.ready(), "/v1/readyz").find(" 200 ") !=
+        return get_raw(entry.ready(), "/v1/readyz").find(" 200 ") !=
                std::string::npos;
     });
 }
@@ -144,7 +130,7 @@
     const std::string expected =
         fmt::format("ospreystage_configuration_version {}\n", version);
     return eventually(limit, [&] {
-        return get(entry.ready(), "/metrics").find(expected) !=
+        return get_raw(entry.ready(), "/metrics").find(expected) !=
                std::string::npos;
     });
 }
@@ -163,7 +149,8 @@
     const instant started = steady::now();
     int answered = 0;
     for (int count = 0; count < requests; ++count)
-        if (get(entry.front(), "/nowhere").find(" 404 ") != std::string::npos)
+        if (get_raw(entry.front(), "/nowhere").find(" 404 ") !=
+            std::string::npos)
             ++answered;
         else
             break;
@@ -185,7 +172,7 @@
     CHECK(entry.await_output("\"event\":\"request_not_routed\""));
     CHECK(entry.await_output("\"request\":\"id-77\""));
     CHECK(entry.await_output("\"event\":\"started\""));
-    const std::string metrics = get(entry.ready(), "/metrics");
+    const std::string metrics = get_raw(entry.ready(), "/metrics");
     CHECK(metrics.find("ospreystage_log_lines_dropped 0") != std::string::npos);
     CHECK(metrics.find("ospreystage_configuration_version 3") !=
           std::string::npos);
@@ -203,7 +190,8 @@
     CHECK(entry.await_output("settings_not_taken"));
     entry.write_settings(store, "bounds.contact_ms=5000\n");
     CHECK(entry.await_output("bounds.contact_ms"));
-    CHECK(get(entry.ready(), "/v1/readyz").find(" 200 ") != std::string::npos);
+    CHECK(get_raw(entry.ready(), "/v1/readyz").find(" 200 ") !=
+          std::string::npos);
     entry.child().terminate();
     CHECK(entry.wait() == 0);
 }
@@ -221,7 +209,7 @@
         CHECK(await_version(entry, 5, milliseconds(200)));
         put_configuration(store, 6);
         store.set_status(503);
-        CHECK(get(entry.front(), "/nowhere").find(" 404 ") !=
+        CHECK(get_raw(entry.front(), "/nowhere").find(" 404 ") !=
               std::string::npos);
         store.compact();
         store.set_status(0);
@@ -234,8 +222,9 @@
     // 503 rather than answered with 404.
     const entry_process next(store);
     std::this_thread::sleep_for(seconds(1));
-    CHECK(get(next.front(), "/nowhere").find(" 503 ") != std::string::npos);
-    CHECK(get(next.ready(), "/v1/readyz").find(" 503 ") != std::string::npos);
+    CHECK(get_raw(next.front(), "/nowhere").find(" 503 ") != std::string::npos);
+    CHECK(get_raw(next.ready(), "/v1/readyz").find(" 503 ") !=
+          std::string::npos);
     store.set_status(0);
     CHECK(await_version(next, 6, seconds(3)));
 }
@@ -252,7 +241,7 @@
     CHECK(eventually(seconds(1), [&] { return !store.value(entry_key); }));
     // Callers that have cached its address still get answers.
     while (steady::now() - started < milliseconds(2500)) {
-        CHECK(get(entry.front(), "/nowhere").find(" 404 ") !=
+        CHECK(get_raw(entry.front(), "/nowhere").find(" 404 ") !=
               std::string::npos);
         std::this_thread::sleep_for(milliseconds(50));
     }
@@ -274,5 +263,5 @@
     const instant started = steady::now();
     CHECK(await_ready(next));
     CHECK(steady::now() - started < seconds(6));
-    CHECK(get(next.front(), "/nowhere").find(" 404 ") != std::string::npos);
+    CHECK(get_raw(next.front(), "/nowhere").find(" 404 ") != std::string::npos);
 }
--- a/tests/system_shared_links.cpp
+++ b/tests/system_shared_links.cpp
@@ -1,8 +1,8 @@
 #include "tests/support/child_process.hpp"
 #include "tests/support/eventually.hpp"
 #include "tests/support/free_ports.hpp"
+#include "tests/support/platform_entry.hpp"
 #include "tests/support/platform_store.hpp"
-#include "tests/support/raw_connection.hpp"
 #include "tests/support/slow_link.hpp"
 #include "tests/support/text_file.hpp"
 
@@ -32,7 +32,6 @@
 using support::child_process;
 using support::eventually;
 using testing::platform_store;
-using testing::raw_connection;
 using testing::slow_link;
 
 namespace {
@@ -88,17 +87,13 @@
                               "platform.address={}\nbounds.drain_ms=3000\n",
                               number, host, host, ports_[0], host, ports_[1],
                               ports_[2], ports_[2] + 9, to_string(store))));
-        setenv("OSPREYSTAGE_NODE_FILE", file.c_str(), 1);
         error failure;
         auto child = value_or_error(
             [&] {
-                return child_process::start(
-                    {std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage",
-                     "platform", "entry"},
-                    folder_ / fmt::format("{}.log", number));
+                return testing::start_platform_entry(
+                    file, folder_ / fmt::format("{}.log", number));
             },
             failure);
-        unsetenv("OSPREYSTAGE_NODE_FILE");
         REQUIRE(child);
         entries_.push_back(
             {{host, ports_[1]},
@@ -107,10 +102,7 @@
 
     [[nodiscard]] static double metric(const entry& each,
                                        const std::string& name) {
-        raw_connection caller(each.ready);
-        caller.send("GET /metrics HTTP/1.1\r\nHost: a\r\n"
-                    "Connection: close\r\n\r\n");
-        const std::string text = caller.read_all(seconds(2));
+        const std::string text = testing::get_raw(each.ready, "/metrics");
         const std::size_t found = text.find(name + " ");
         return found == std::string::npos
                    ? -1
@@ -257,6 +249,20 @@
           1.5 * static_cast<double>(few.reports));
 }
 
+TEST_CASE("shared links - an agent is asked for reports as soon as the "
+          "configuration describes its engine") {
+    platform_store store;
+    put_engine(store, 1);
+    const entry_group group(store.endpoint(), 1);
+    REQUIRE(group.await_version(0, timeout));
+    agent_socket agent({"127.0.1.1", group.internal_port()});
+    // The list of servers is known long before; the next periodic subscription
+    // comes later than the end of the test.
+    std::this_thread::sleep_for(milliseconds(2300));
+    store.put("op/config", configuration_text(3, 0));
+    CHECK(agent.run(milliseconds(800)).reports > 0);
+}
+
 TEST_CASE("shared links - configurations in quick succession are in force in "
           "time over a link that carries few copies") {
     constexpr int entries = 8;
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -43,16 +43,21 @@
     return request;
 }
 
+void fetch(web_client& client, const address& server, const std::string& id,
+           const call_options& options, outcome& result) {
+    client.fetch(server, make_request(id), options,
+                 [&result](call_end end, http_response response) {
+                     result = {true, end, std::move(response)};
+                 });
+}
+
 void fetch(web_client& client, const scripted_server& server,
            const std::string& id, outcome& result,
            milliseconds timeout = milliseconds(2000)) {
     call_options options;
     options.echoed_field = "X-Request-Id";
     options.timeout = timeout;
-    client.fetch(server.endpoint(), make_request(id), options,
-                 [&result](call_end end, http_response response) {
-                     result = {true, end, std::move(response)};
-                 });
+    fetch(client, server.endpoint(), id, options, result);
 }
 
 std::string answer_of(const std::string& id, const std::string& body) {
@@ -269,10 +274,7 @@
     call_options options;
     options.idle_timeout = milliseconds(200);
     outcome result;
-    client.fetch(link.endpoint(), make_request("one"), options,
-                 [&](call_end end, http_response response) {
-                     result = {true, end, std::move(response)};
-                 });
+    fetch(client, link.endpoint(), "one", options, result);
     run_until(core, [&] { return result.has_ended; });
     CHECK(result.end == call_end::complete);
     CHECK(result.response.body.size() == 200'000);
@@ -290,10 +292,7 @@
     options.idle_timeout = milliseconds(150);
     outcome result;
     const instant started = steady::now();
-    client.fetch(server.endpoint(), make_request("one"), options,
-                 [&](call_end end, http_response response) {
-                     result = {true, end, std::move(response)};
-                 });
+    fetch(client, server.endpoint(), "one", options, result);
     run_until(core, [&] { return result.has_ended; });
     CHECK(result.end == call_end::timeout);
     CHECK(result.response.body == "part");
