Read the limits that servers name; log their changes and count such answers

The adapter decodes the field once (a number, none, or not told: unreadable, or the answer to a misdirected request, which may be another server's); the gateway logs `server_limit_changed` and counts `ospreystage_limit_answers_total`. Nothing is decided by it yet.

--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace ospreystage {
 
@@ -30,6 +31,20 @@
     std::optional<std::uint64_t> last_event_id; ///< Resumes a stream after it.
 };
 
+/// The answer names no limit: its server is not in need.
+struct no_limit_named {};
+/// The server accepts this many requests a second from all entries together.
+struct limit_named {
+    double per_second = 0;
+};
+/// The answer tells nothing of the server's limit: the value cannot be read, or
+/// another server may have answered.
+struct limit_not_told {};
+
+/// What an answer tells of its server's limit.
+using limit_statement =
+    std::variant<no_limit_named, limit_named, limit_not_told>;
+
 /// Maps the header fields of callers and backend servers to the types above.
 struct caller_protocol {
     std::function<caller_request(const http_request&)> read_request;
@@ -38,6 +53,8 @@
         attempt_fields;
     /// Returns true if the response states that the request was not run.
     std::function<bool(const http_response&)> is_not_run;
+    /// Returns what the response tells of the server's limit.
+    std::function<limit_statement(const http_response&)> limit_of;
     /// Header field with the request's id, which servers echo in responses.
     std::string id_field;
 };
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -116,6 +116,8 @@
     void place(exchange_id exchange);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
+    void on_limit_statement(const request_record& record,
+                            const limit_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
     void on_call_ended(exchange_id exchange, call_end end);
     void on_stream_ended(exchange_id exchange, call_end end);
@@ -152,6 +154,8 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<request_record>>
         requests_;
     absl::flat_hash_map<std::string, retry_window> retries_;
+    /// Requests a second that each server named in its last answer, or null.
+    absl::flat_hash_map<std::string, nlohmann::json> named_limits_;
     /// Time of the last data from each server, on any call.
     absl::flat_hash_map<std::string, instant> last_received_;
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -313,6 +313,7 @@
         return;
     record->last_received = steady::now();
     last_received_[record->server] = record->last_received;
+    on_limit_statement(*record, protocol_.limit_of(head));
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
@@ -320,6 +321,27 @@
         is_event_stream(field_value(head.fields, "Content-Type"));
 }
 
+/// Counts the answers that name a limit, and logs each change of a limit.
+void gateway::on_limit_statement(const request_record& record,
+                                 const limit_statement& statement) {
+    if (std::holds_alternative<limit_not_told>(statement))
+        return;
+    nlohmann::json named;
+    if (const auto* limit = std::get_if<limit_named>(&statement)) {
+        named = limit->per_second;
+        metrics_.count("ospreystage_limit_answers_total");
+    }
+    nlohmann::json& known = named_limits_[record.server];
+    if (known == named)
+        return;
+    log_event(log_level::info, "server_limit_changed",
+              {{"server", record.server},
+               {"service", record.service},
+               {"per_second", named},
+               {"previous", std::exchange(known, named)},
+               {"request", record.caller.id}});
+}
+
 void gateway::on_body(exchange_id exchange, std::string_view data) {
     request_record* record = find(exchange);
     if (record == nullptr)
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace ospreystage;
@@ -259,3 +260,23 @@
     response.status = 421;
     CHECK(protocol.is_not_run(response));
 }
+
+TEST_CASE("caller protocol - an answer names a limit, none, or does not tell") {
+    const caller_protocol protocol = make_caller_protocol();
+    http_response response;
+    response.status = 200;
+    const auto statement = [&](const std::string& value) {
+        response.fields = {{"Server-Limit", value}};
+        return protocol.limit_of(response);
+    };
+    CHECK(std::holds_alternative<no_limit_named>(protocol.limit_of(response)));
+    CHECK(std::get<limit_named>(statement("0.25")).per_second == 0.25);
+    CHECK(std::get<limit_named>(statement("0")).per_second == 0);
+    for (const char* value : {"", "soon", "-1", "nan", "inf", "1,5"})
+        CHECK(std::holds_alternative<limit_not_told>(statement(value)));
+    response.status = 503;
+    CHECK(std::get<limit_named>(statement("3")).per_second == 3);
+    // The answer of a server that took over the address of another one.
+    response.status = 421;
+    CHECK(std::holds_alternative<limit_not_told>(statement("3")));
+}
