--- a/tests/system_shared_links.cpp
+++ b/tests/system_shared_links.cpp
@@ -1,10 +1,6 @@
-#include "tests/support/child_process.hpp"
-#include "tests/support/eventually.hpp"
-#include "tests/support/free_ports.hpp"
-#include "tests/support/platform_entry.hpp"
+#include "tests/support/entry_group.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/slow_link.hpp"
-#include "tests/support/text_file.hpp"
 
 #include <ospreystage/core/ids.hpp>
 #include <ospreystage/network/codec.hpp>
@@ -18,10 +14,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <filesystem>
 #include <map>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -29,8 +22,7 @@
 #include <vector>
 
 using namespace ospreystage;
-using support::child_process;
-using support::eventually;
+using testing::entry_group;
 using testing::platform_store;
 using testing::slow_link;
 
@@ -38,82 +30,6 @@
 
 constexpr seconds timeout{10};
 
-/// Entry processes of one data centre, each at a loopback address of its own.
-class entry_group {
-  public:
-    entry_group(const address& store, int count)
-        : ports_(support::free_ports(3)),
-          folder_(std::filesystem::temp_directory_path() /
-                  fmt::format("ospreystage-entries-{}", getpid())) {
-        std::filesystem::create_directories(folder_);
-        for (int number = 1; number <= count; ++number)
-            start(store, number);
-    }
-    ~entry_group() {
-        entries_.clear();
-        std::filesystem::remove_all(folder_);
-    }
-    entry_group(const entry_group&) = delete;
-    entry_group& operator=(const entry_group&) = delete;
-
-    [[nodiscard]] std::uint16_t internal_port() const { return ports_[2]; }
-
-    /// Returns the lowest configuration version that an entry has in force.
-    [[nodiscard]] double min_version() const {
-        double result = 1e9;
-        for (const entry& each : entries_)
-            result = std::min(
-                result, metric(each, "ospreystage_configuration_version"));
-        return result;
-    }
-
-    [[nodiscard]] bool await_version(double version, milliseconds limit) const {
-        return eventually(limit, [&] { return min_version() >= version; });
-    }
-
-  private:
-    struct entry {
-        address ready;
-        std::unique_ptr<child_process> process;
-    };
-
-    void start(const address& store, int number) {
-        const std::string host = fmt::format("127.0.0.{}", number + 1);
-        const std::string file = folder_ / fmt::format("{}.conf", number);
-        REQUIRE(support::write_text_file(
-            file, fmt::format("node=edge-{}\nip={}\nzone=hall-a\nregion=north\n"
-                              "zones.hall-a=north\nlisten.front={}:{}\n"
-                              "listen.ready={}:{}\ninternal_ports={},{}\n"
-                              "platform.address={}\nbounds.drain_ms=3000\n",
-                              number, host, host, ports_[0], host, ports_[1],
-                              ports_[2], ports_[2] + 9, to_string(store))));
-        error failure;
-        auto child = value_or_error(
-            [&] {
-                return testing::start_platform_entry(
-                    file, folder_ / fmt::format("{}.log", number));
-            },
-            failure);
-        REQUIRE(child);
-        entries_.push_back(
-            {{host, ports_[1]},
-             std::make_unique<child_process>(std::move(*child))});
-    }
-
-    [[nodiscard]] static double metric(const entry& each,
-                                       const std::string& name) {
-        const std::string text = testing::get_raw(each.ready, "/metrics");
-        const std::size_t found = text.find(name + " ");
-        return found == std::string::npos
-                   ? -1
-                   : std::strtod(text.c_str() + found + name.size(), nullptr);
-    }
-
-    std::vector<std::uint16_t> ports_;
-    std::filesystem::path folder_;
-    std::vector<entry> entries_;
-};
-
 /// UDP socket in place of an agent: reports on an idle engine to the entries
 /// that subscribed, and counts what it receives and sends.
 class agent_socket {
