Add permits for servers that name a limit, issued by one entry a server

A limit holds for all entries together while each sees a part of the requests. For each server the entries of its region that deal with its VM are ordered by rendezvous hashing: the first issues a permit for each request, the second one stands in while the first does not answer within 50 ms. Two may issue at once while lists of entries differ; so only an entry that has been first for a while, with a recent view of the site, issues the whole limit, and every other one 0.4 of it: 5.6 x limit + 3 in 4 s at most, where 6 x limit + 5 are allowed. A limit ends after two answers without it, half a second apart.

Nothing calls it yet.

--- a/include/ospreystage/fleet/entry_duties.hpp
+++ b/include/ospreystage/fleet/entry_duties.hpp
@@ -42,6 +42,9 @@
     [[nodiscard]] std::vector<const site_entry*>
     entries_of(const std::string& region) const;
 
+    /// Returns the entries of all regions.
+    [[nodiscard]] std::vector<const site_entry*> all() const;
+
     [[nodiscard]] std::size_t size_of(const std::string& region) const;
 
     /// Returns the regions that have entries.
--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -421,6 +421,39 @@
     OSPREYSTAGE_FIELDS(reports, notices)
 };
 
+// ---- Datagrams between entries: limits of backend servers ------------------
+
+/// Tells what an answer of a backend server said of its limit.
+struct limit_report {
+    std::string server;
+    bool is_named = false; ///< False: the answer named no limit.
+    double per_second = 0; ///< Requests a second from all entries together.
+    OSPREYSTAGE_FIELDS(server, is_named, per_second)
+};
+
+/// Asks for the permit to send one request to a server that has named a limit.
+struct permit_request {
+    std::string server;
+    std::uint64_t sequence = 0; ///< Of the asking entry, echoed in the reply.
+    double per_second = 0;      ///< Limit that the asking entry knows.
+    OSPREYSTAGE_FIELDS(server, sequence, per_second)
+};
+
+enum class permit_verdict : std::uint8_t {
+    granted,
+    denied,    ///< At the limit, or the receiver issues no permits for it.
+    unlimited, ///< The limit has ended.
+};
+
+/// Answer to `permit_request`.
+struct permit_reply {
+    std::string server;
+    std::uint64_t sequence = 0;
+    permit_verdict verdict = permit_verdict::denied;
+    std::uint32_t wait_ms = 0; ///< Denied: time until the next permit.
+    OSPREYSTAGE_FIELDS(server, sequence, verdict, wait_ms)
+};
+
 #undef OSPREYSTAGE_FIELDS
 
 /// Every message of the peer protocol.
@@ -434,7 +467,8 @@
                  gossip_ping, gossip_ack, sync_request, sync_reply,
                  document_push, chunk_have, manifest_request, manifest_reply,
                  chunk_request, chunk_data, engine_report, weights_assignment,
-                 attempt_notice, report_subscription, load_digest>;
+                 attempt_notice, report_subscription, load_digest, limit_report,
+                 permit_request, permit_reply>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -470,6 +504,9 @@
                      "weights_assignment",
                      "attempt_notice",
                      "report_subscription",
-                     "load_digest"};
+                     "load_digest",
+                     "limit_report",
+                     "permit_request",
+                     "permit_reply"};
 
 } // namespace ospreystage
--- /dev/null
+++ b/include/ospreystage/serving/limit_exchange.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/fleet/backend_registry.hpp>
+#include <ospreystage/fleet/entry_duties.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/serving/caller_protocol.hpp>
+#include <ospreystage/serving/entry_datagram.hpp>
+#include <ospreystage/serving/permit_issuer.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreystage {
+
+/// The request may be sent now.
+struct permit_granted {};
+/// The server takes no request now.
+struct permit_denied {
+    milliseconds wait{}; ///< Time until it may be asked for again.
+};
+/// Another entry was asked.
+struct permit_pending {
+    std::uint64_t sequence = 0;
+    milliseconds timeout{}; ///< After which `on_timeout` is due.
+};
+using permit_decision =
+    std::variant<permit_granted, permit_denied, permit_pending>;
+
+/// Keeps the entries together within the limits that backend servers name.
+///
+/// A server in need names in its answers how many requests a second it takes
+/// from all entries. Each entry sees a part of the requests only, so one of
+/// them, chosen by `entry_duties`, issues a permit for each request to such a
+/// server; a second one stands in while it does not answer. An entry without a
+/// permit uses other servers.
+class limit_exchange {
+  public:
+    struct options {
+        std::string self; ///< Name of this entry.
+        /// Returns the region of a data centre.
+        std::function<std::string(const std::string& data_centre)> region_of;
+        /// Returns the age of what this entry knows of the site, if anything.
+        std::function<std::optional<milliseconds>()> site_age;
+        /// Age up to which the list of entries counts as current.
+        milliseconds max_site_age{1000};
+        /// An asked entry that has not answered by then is taken for gone.
+        milliseconds reply_timeout{50};
+        /// For this long the stand-in is then asked instead.
+        milliseconds silence_time{1000};
+        /// After a denial, the next permit is asked for after this time at the
+        /// latest: the limit may have ended.
+        milliseconds max_denial{1000};
+        permit_issuer::options issuer{};
+    };
+
+    limit_exchange(options configuration, const entry_duties& duties,
+                   const backend_registry& servers,
+                   std::function<void(const entry_datagram&)> send);
+
+    // ---- Observers ---------------------------------------------------------
+
+    /// Returns the limit that a server has named, in requests a second.
+    [[nodiscard]] std::optional<double> limit(const std::string& server) const;
+
+    /// Returns true if no permit for the server is to be had at `now`.
+    [[nodiscard]] bool is_closed(const std::string& server, instant now) const;
+
+    [[nodiscard]] std::size_t limited_servers() const noexcept {
+        return known_.size();
+    }
+
+    // ---- Permits -----------------------------------------------------------
+
+    /// Requests the permit to send one request to a server with a limit.
+    [[nodiscard]] permit_decision request(const std::string& server,
+                                          instant now);
+
+    /// Returns the decision of another entry; nothing if the reply is late or
+    /// was not asked for.
+    [[nodiscard]] std::optional<permit_decision>
+    on_reply(const permit_reply& reply, instant now);
+
+    /// Gives up waiting for a reply; the server is asked for elsewhere, or is
+    /// closed.
+    void on_timeout(std::uint64_t sequence, instant now);
+
+    /// Returns when a caller that no server has room for should return, given
+    /// the `closed` servers and the number of `entries`. Successive callers get
+    /// successive times, at the rate at which this entry gets permits.
+    [[nodiscard]] milliseconds
+    retry_after(const std::vector<const backend_server*>& closed,
+                std::uint32_t entries, instant now);
+
+    // ---- Events ------------------------------------------------------------
+
+    /// Records what an answer of a server said, and tells other entries if they
+    /// need to know.
+    void on_answer(const std::string& server, const limit_statement& statement,
+                   instant now);
+    void on_report(const limit_report& report, instant now);
+    /// Returns the reply to another entry's request for a permit; nothing if
+    /// the server is not known here.
+    [[nodiscard]] std::optional<permit_reply>
+    on_request(const permit_request& asked, instant now);
+
+    /// Drops what is known of servers that have left or have started anew.
+    void on_servers_changed();
+    /// Tells entries that are new on the list of the limits for which this
+    /// entry is responsible.
+    void on_entries_changed();
+
+  private:
+    struct limit_record {
+        double per_second = 0;
+        std::int64_t started_unix_ms = 0; ///< Of the server's process.
+        instant closed_until{};
+        instant stand_in_until{}; ///< The stand-in is asked until then.
+    };
+    struct pending_request {
+        std::string server;
+        bool is_at_stand_in = false;
+    };
+
+    [[nodiscard]] std::vector<const site_entry*>
+    issuers(const std::string& server) const;
+    [[nodiscard]] permit_issuer::decision issue(const std::string& server,
+                                                double per_second, instant now);
+    permit_decision apply(const std::string& server,
+                          const permit_issuer::decision& decision, instant now);
+    /// Returns true if the limit is new or has another value.
+    bool learn(const std::string& server, double per_second,
+               const char* source);
+    void close(limit_record& record, milliseconds wait, instant now) const;
+
+    options options_;
+    const entry_duties& duties_;
+    const backend_registry& servers_;
+    std::function<void(const entry_datagram&)> send_;
+    permit_issuer issuer_;
+    std::mt19937_64 random_;
+    absl::flat_hash_map<std::string, limit_record> known_;
+    absl::flat_hash_map<std::uint64_t, pending_request> pending_;
+    /// Latest time at which a refused caller of each service should return.
+    absl::flat_hash_map<std::string, instant> last_returns_;
+    absl::flat_hash_set<std::string> entries_; ///< Names on the last list.
+    std::uint64_t next_sequence_;
+};
+
+} // namespace ospreystage
--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -4,6 +4,7 @@
 #include <ospreystage/fleet/entry_duties.hpp>
 #include <ospreystage/network/messages.hpp>
 #include <ospreystage/serving/backend_load.hpp>
+#include <ospreystage/serving/entry_datagram.hpp>
 
 #include <optional>
 #include <string>
@@ -21,11 +22,7 @@
 /// older.
 class load_exchange {
   public:
-    /// A datagram and the entries that it goes to.
-    struct outgoing {
-        std::vector<const site_entry*> receivers;
-        message value;
-    };
+    using outgoing = entry_datagram;
 
     /// `self` and `region` are the name and the region of this entry.
     load_exchange(std::string self, std::string region,
--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -76,6 +76,14 @@
     return result;
 }
 
+std::vector<const site_entry*> entry_duties::all() const {
+    std::vector<const site_entry*> result;
+    for (const auto& [region, entries] : by_region_)
+        for (const auto& [name, entry] : entries)
+            result.push_back(&entry);
+    return result;
+}
+
 std::size_t entry_duties::size_of(const std::string& region) const {
     const auto found = by_region_.find(region);
     return found == by_region_.end() ? 0 : found->second.size();
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -3,6 +3,7 @@
 #include <tests/bench/control.hpp>
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
+#include <tests/bench/limits.hpp>
 #include <tests/bench/quickstart.hpp>
 #include <tests/bench/requests.hpp>
 
@@ -17,6 +18,7 @@
     ospreystage::bench::add_capacity(app, status);
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
+    ospreystage::bench::add_limits(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
