--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -9,6 +9,7 @@
 #include <ospreystage/serving/backend_load.hpp>
 #include <ospreystage/serving/caller_protocol.hpp>
 #include <ospreystage/serving/event_splitter.hpp>
+#include <ospreystage/serving/limit_exchange.hpp>
 #include <ospreystage/serving/retry_window.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -20,6 +21,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace ospreystage {
 
@@ -46,8 +48,9 @@
   public:
     gateway(kernel& core, web_client& client, const route_table& routes,
             const backend_registry& servers, backend_load& load,
-            metrics& request_metrics, caller_protocol protocol,
-            gateway_context context, const retry_window::options& retry_limits);
+            limit_exchange& limits, metrics& request_metrics,
+            caller_protocol protocol, gateway_context context,
+            const retry_window::options& retry_limits);
 
     /// Sets the server that receives callers' requests.
     void attach(web_server& server);
@@ -60,6 +63,9 @@
     /// was sent.
     void on_drained(exchange_id exchange);
 
+    /// Handles the reply of another entry to a request for a permit.
+    void on_permit_reply(const permit_reply& reply);
+
     /// Starts the periodic check for idle attempts.
     void start();
 
@@ -91,6 +97,9 @@
         instant deadline{};
         timer_id deadline_timer{};
 
+        /// Choice of a server for which a permit has been requested.
+        std::optional<placement> awaiting_permit;
+
         std::uint32_t sent_attempts = 0; ///< Attempts sent to a server.
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
@@ -114,10 +123,15 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
+    void refuse_placement(exchange_id exchange,
+                          const placement_decision& decision,
+                          const std::vector<const backend_server*>& at_limit);
+    void await_permit(exchange_id exchange, const placement& chosen);
+    void on_permit(exchange_id exchange, const placement& chosen,
+                   const permit_decision& decision);
+    void on_permit_timeout(std::uint64_t sequence);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
-    void on_limit_statement(const request_record& record,
-                            const limit_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
     void on_call_ended(exchange_id exchange, call_end end);
     void on_stream_ended(exchange_id exchange, call_end end);
@@ -144,6 +158,7 @@
     const route_table& routes_;
     const backend_registry& servers_;
     backend_load& load_;
+    limit_exchange& limits_;
     metrics& metrics_;
     caller_protocol protocol_;
     gateway_context context_;
@@ -154,8 +169,8 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<request_record>>
         requests_;
     absl::flat_hash_map<std::string, retry_window> retries_;
-    /// Requests a second that each server named in its last answer, or null.
-    absl::flat_hash_map<std::string, nlohmann::json> named_limits_;
+    /// Requests that wait for a permit, by its sequence.
+    absl::flat_hash_map<std::uint64_t, exchange_id> awaiting_permits_;
     /// Time of the last data from each server, on any call.
     absl::flat_hash_map<std::string, instant> last_received_;
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -73,13 +73,13 @@
 
 gateway::gateway(kernel& core, web_client& client, const route_table& routes,
                  const backend_registry& servers, backend_load& load,
-                 metrics& request_metrics, caller_protocol protocol,
-                 gateway_context context,
+                 limit_exchange& limits, metrics& request_metrics,
+                 caller_protocol protocol, gateway_context context,
                  const retry_window::options& retry_limits)
     : core_(core), client_(client), routes_(routes), servers_(servers),
-      load_(load), metrics_(request_metrics), protocol_(std::move(protocol)),
-      context_(std::move(context)), retry_limits_(retry_limits),
-      random_(std::random_device{}()) {}
+      load_(load), limits_(limits), metrics_(request_metrics),
+      protocol_(std::move(protocol)), context_(std::move(context)),
+      retry_limits_(retry_limits), random_(std::random_device{}()) {}
 
 void gateway::attach(web_server& server) {
     server_ = &server;
@@ -219,17 +219,113 @@
     std::erase_if(servers, [&](const backend_server* server) {
         return !client_.has_free_connection(server->endpoint, share);
     });
+    const instant now = steady::now();
+    std::vector<const backend_server*> at_limit;
+    std::erase_if(servers, [&](const backend_server* server) {
+        if (!limits_.is_closed(server->id, now))
+            return false;
+        at_limit.push_back(server);
+        return true;
+    });
     const placement_decision decision =
-        load_.place(placement_query, servers, entries, steady::now());
+        load_.place(placement_query, servers, entries, now);
     if (const auto* chosen = std::get_if<placement>(&decision))
-        send(exchange, *chosen);
-    else if (const auto* refusal = std::get_if<no_capacity>(&decision))
+        await_permit(exchange, *chosen);
+    else
+        refuse_placement(exchange, decision, at_limit);
+}
+
+void gateway::refuse_placement(
+    exchange_id exchange, const placement_decision& decision,
+    const std::vector<const backend_server*>& at_limit) {
+    if (const auto* refusal = std::get_if<no_capacity>(&decision))
         refuse(exchange, "no server has room in time", refusal->retry_after);
+    else if (!at_limit.empty())
+        refuse(
+            exchange, "servers are at their limits",
+            limits_.retry_after(at_limit, context_.entries(), steady::now()));
     else
         // Servers take seconds to load weights, so this uses the longest delay.
         refuse(exchange, "no server can answer", no_server_retry_after);
 }
 
+// ---- Permits ---------------------------------------------------------------
+
+/// Sends the request once the chosen server's limit permits it: at once, unless
+/// the server has named a limit.
+void gateway::await_permit(exchange_id exchange, const placement& chosen) {
+    if (!limits_.limit(chosen.server)) {
+        send(exchange, chosen);
+        return;
+    }
+    const permit_decision decision =
+        limits_.request(chosen.server, steady::now());
+    const auto* pending = std::get_if<permit_pending>(&decision);
+    if (pending == nullptr) {
+        on_permit(exchange, chosen, decision);
+        return;
+    }
+    find(exchange)->awaiting_permit = chosen;
+    awaiting_permits_.emplace(pending->sequence, exchange);
+    core_.after(
+        service_name, pending->timeout,
+        [this, sequence = pending->sequence] { on_permit_timeout(sequence); });
+}
+
+void gateway::on_permit(exchange_id exchange, const placement& chosen,
+                        const permit_decision& decision) {
+    const bool is_granted = std::holds_alternative<permit_granted>(decision);
+    metrics_.count(
+        fmt::format("ospreystage_permits_total{{granted=\"{}\"}}", is_granted));
+    const backend_server* server = servers_.find(chosen.server);
+    if (is_granted && server != nullptr && !server->is_draining) {
+        send(exchange, chosen);
+        return;
+    }
+    if (const auto* denied = std::get_if<permit_denied>(&decision))
+        log_event(log_level::info, "permit_denied",
+                  {{"request", find(exchange)->caller.id},
+                   {"server", chosen.server},
+                   {"wait_ms", denied->wait.count()}});
+    place(exchange);
+}
+
+void gateway::on_permit_reply(const permit_reply& reply) {
+    const auto decision = limits_.on_reply(reply, steady::now());
+    if (!decision)
+        return;
+    const auto waiting = awaiting_permits_.extract(reply.sequence);
+    if (waiting.empty())
+        return;
+    const exchange_id exchange = waiting.mapped();
+    request_record* record = find(exchange);
+    // The caller may have left, or the deadline passed, meanwhile.
+    if (record == nullptr)
+        return;
+    const auto chosen = std::exchange(record->awaiting_permit, std::nullopt);
+    if (chosen)
+        on_permit(exchange, *chosen, *decision);
+}
+
+void gateway::on_permit_timeout(std::uint64_t sequence) {
+    const auto waiting = awaiting_permits_.extract(sequence);
+    if (waiting.empty())
+        return;
+    limits_.on_timeout(sequence, steady::now());
+    const exchange_id exchange = waiting.mapped();
+    request_record* record = find(exchange);
+    if (record == nullptr || !record->awaiting_permit)
+        return;
+    metrics_.count("ospreystage_permit_timeouts_total");
+    log_event(log_level::warn, "permit_not_answered",
+              {{"request", record->caller.id},
+               {"server", record->awaiting_permit->server}});
+    record->awaiting_permit.reset();
+    place(exchange);
+}
+
+// ---- Attempts at a server --------------------------------------------------
+
 void gateway::send(exchange_id exchange, const placement& chosen) {
     request_record& record = *find(exchange);
     const instant now = steady::now();
@@ -313,7 +409,10 @@
         return;
     record->last_received = steady::now();
     last_received_[record->server] = record->last_received;
-    on_limit_statement(*record, protocol_.limit_of(head));
+    const limit_statement statement = protocol_.limit_of(head);
+    if (std::holds_alternative<limit_named>(statement))
+        metrics_.count("ospreystage_limit_answers_total");
+    limits_.on_answer(record->server, statement, record->last_received);
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
@@ -321,27 +420,6 @@
         is_event_stream(field_value(head.fields, "Content-Type"));
 }
 
-/// Counts the answers that name a limit, and logs each change of a limit.
-void gateway::on_limit_statement(const request_record& record,
-                                 const limit_statement& statement) {
-    if (std::holds_alternative<limit_not_told>(statement))
-        return;
-    nlohmann::json named;
-    if (const auto* limit = std::get_if<limit_named>(&statement)) {
-        named = limit->per_second;
-        metrics_.count("ospreystage_limit_answers_total");
-    }
-    nlohmann::json& known = named_limits_[record.server];
-    if (known == named)
-        return;
-    log_event(log_level::info, "server_limit_changed",
-              {{"server", record.server},
-               {"service", record.service},
-               {"per_second", named},
-               {"previous", std::exchange(known, named)},
-               {"request", record.caller.id}});
-}
-
 void gateway::on_body(exchange_id exchange, std::string_view data) {
     request_record* record = find(exchange);
     if (record == nullptr)
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -6,9 +6,12 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace ospreystage;
@@ -23,9 +26,13 @@
 class gateway_fixture {
   public:
     gateway_fixture()
-        : load({}, 1), client(core),
-          tested_gateway(core, client, routes, servers, load, gateway_metrics,
-                         platform::make_caller_protocol(),
+        : load({}, 1), limits(limit_options(), duties, servers,
+                              [this](const entry_datagram& datagram) {
+                                  datagrams.push_back(datagram.value);
+                              }),
+          client(core),
+          tested_gateway(core, client, routes, servers, load, limits,
+                         gateway_metrics, platform::make_caller_protocol(),
                          {[] { return 1U; },
                           [](const std::string&) { return std::uint64_t{0}; },
                           [](const backend_server&, microseconds) {}},
@@ -92,13 +99,19 @@
     }
 
     struct outcome {
-        bool has_ended = false;
         call_end end = call_end::complete;
         http_response response;
+        milliseconds duration{};
     };
 
     outcome send_request(const std::string& method = "POST") {
-        outcome result;
+        return send_requests(1, method).front();
+    }
+
+    /// Sends requests one after the other; may be called once.
+    std::vector<outcome> send_requests(std::size_t count,
+                                       const std::string& method = "POST") {
+        std::vector<outcome> results;
         http_request request;
         request.method = method;
         request.target = "/x/1";
@@ -107,25 +120,62 @@
                           {"X-Request-Deadline", "3000"},
                           {"Api-Key", "secret"},
                           {"X-Tenant", "forged"}};
-        client.fetch(front_address, request, {},
-                     [&](call_end end, http_response response) {
-                         result = {true, end, std::move(response)};
-                     });
+        std::function<void()> send_next = [&] {
+            const instant started = steady::now();
+            client.fetch(front_address, request, {},
+                         [&, started](call_end end, http_response response) {
+                             results.push_back(
+                                 {end, std::move(response),
+                                  std::chrono::duration_cast<milliseconds>(
+                                      steady::now() - started)});
+                             if (results.size() < count)
+                                 send_next();
+                         });
+        };
+        send_next();
         core.every("test", milliseconds(2), [&] {
-            if (result.has_ended)
+            if (results.size() == count)
                 core.stop();
         });
         core.after("test", test_timeout, [this] { core.stop(); });
         core.run();
-        REQUIRE(result.has_ended);
+        REQUIRE(results.size() == count);
+        return results;
+    }
+
+    /// Lists entries of one region; this one is called edge-1.
+    void add_entries(const std::vector<std::string>& names) {
+        std::map<std::string, site_entry> entries;
+        for (const std::string& name : names)
+            entries[name] = {name, {name, 8000}, "north"};
+        duties.set_entries(entries);
+    }
+
+    /// Returns the requests for permits sent so far.
+    [[nodiscard]] std::vector<permit_request> permit_requests() const {
+        std::vector<permit_request> result;
+        for (const message& value : datagrams)
+            if (const auto* asked = std::get_if<permit_request>(&value))
+                result.push_back(*asked);
         return result;
     }
 
+    static limit_exchange::options limit_options() {
+        limit_exchange::options options;
+        options.self = "edge-1";
+        options.region_of = [](const std::string&) { return "north"; };
+        options.site_age = [] { return milliseconds(100); };
+        return options;
+    }
+
+    std::vector<message> datagrams; ///< To other entries.
     kernel core;
     metrics gateway_metrics;
     route_table routes;
     backend_registry servers;
     backend_load load;
+    entry_duties duties;
+    limit_exchange limits;
     web_client client;
     gateway tested_gateway;
     web_server front_server;
@@ -356,3 +406,107 @@
     CHECK(find_field(result.response.fields, "Retry-After") != nullptr);
     CHECK(runs == 0);
 }
+
+namespace {
+
+scripted_answer limited_answer(const char* per_second) {
+    return {make_response(200, fmt::format("Server-Limit: {}\r\n", per_second),
+                          "ok")};
+}
+
+double retry_after_s(const http_response& response) {
+    const std::string* value = find_field(response.fields, "Retry-After");
+    REQUIRE(value != nullptr);
+    return std::stod(*value);
+}
+
+} // namespace
+
+TEST_CASE("gateway - a server at its limit is left to others, and not avoided "
+          "as if it had failed") {
+    gateway_fixture fixture;
+    int limited_runs = 0;
+    int other_runs = 0;
+    const scripted_server limited([&](const std::string&) {
+        ++limited_runs;
+        return limited_answer("0.5");
+    });
+    const scripted_server other([&](const std::string&) {
+        ++other_runs;
+        return scripted_answer{make_response(200, "", "ok")};
+    });
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_entries({"edge-1"});
+    fixture.add_servers({limited.endpoint(), other.endpoint()});
+    for (const auto& result : fixture.send_requests(30))
+        CHECK(result.response.status == 200);
+    // Until its first answer the server counts as any other.
+    CHECK(limited_runs >= 1);
+    CHECK(limited_runs <= 2);
+    CHECK(other_runs == 30 - limited_runs);
+    CHECK(limited.connections() == 1);
+}
+
+TEST_CASE("gateway - requests that no server's limit allows are refused at "
+          "once, and told to return one after the other") {
+    gateway_fixture fixture;
+    int runs = 0;
+    const scripted_server server([&](const std::string&) {
+        ++runs;
+        return limited_answer("2");
+    });
+    fixture.add_route(request_kind::idempotent, false, seconds(30));
+    fixture.add_entries({"edge-1"});
+    fixture.add_servers({server.endpoint()});
+    const auto results = fixture.send_requests(4);
+    CHECK(results.front().response.status == 200);
+    double last = 0;
+    for (std::size_t index = 1; index < results.size(); ++index) {
+        CHECK(results[index].response.status == 503);
+        CHECK(results[index].duration < milliseconds(100));
+        // A third of the time that the caller has left is the longest; the
+        // limit allows two requests a second.
+        const double wait = retry_after_s(results[index].response);
+        CHECK(wait <= 1.0);
+        CHECK(wait >= std::min(last + 0.2, 0.9));
+        last = wait;
+    }
+    CHECK(runs == 1);
+}
+
+TEST_CASE("gateway - a permit that no entry answers for delays a request by "
+          "milliseconds only") {
+    gateway_fixture fixture;
+    int runs = 0;
+    const scripted_server server([&](const std::string&) {
+        ++runs;
+        return limited_answer("5");
+    });
+    fixture.add_route(request_kind::idempotent, false);
+    fixture.add_entries({"edge-2", "edge-3"});
+    fixture.add_servers({server.endpoint()});
+    const auto results = fixture.send_requests(2);
+    CHECK(results[0].response.status == 200);
+    CHECK(results[1].response.status == 503);
+    CHECK(results[1].duration < milliseconds(300));
+    CHECK(runs == 1);
+    // Both entries that issue permits for the server were asked.
+    CHECK(fixture.permit_requests().size() == 2);
+}
+
+TEST_CASE("gateway - a request is sent once another entry has permitted it") {
+    gateway_fixture fixture;
+    const scripted_server server(
+        [](const std::string&) { return limited_answer("5"); });
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_entries({"edge-2"});
+    fixture.add_servers({server.endpoint()});
+    fixture.core.every("issuer", milliseconds(1), [&] {
+        for (const permit_request& asked : fixture.permit_requests())
+            fixture.tested_gateway.on_permit_reply(
+                {asked.server, asked.sequence, permit_verdict::granted, 0});
+    });
+    for (const auto& result : fixture.send_requests(2))
+        CHECK(result.response.status == 200);
+    CHECK(fixture.permit_requests().size() == 1);
+}
