Answer requests that have arrived when a server begins to drain

Draining closed every connection without a request in progress as far as the server had read: one whose request lay unread in the socket, one accepted a moment before, and one with half a request were closed, and the caller got no answer. A draining server now reads what has arrived, keeps a connection with part of a request until the rest or its deadline, and gives a new connection half a second for its first request.

--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -50,6 +50,10 @@
     /// are pending.
     void write(std::string_view bytes);
 
+    /// Reads what has arrived already, without waiting for the kernel to report
+    /// it; handlers are called as usual.
+    void read_available();
+
     /// Pauses or resumes reading, to apply back-pressure to the peer.
     void set_reading(bool enabled);
 
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -76,8 +76,10 @@
     /// connection is closed after its next response.
     void stop_listening();
 
-    /// Stops listening, closes idle connections at once and the others after
-    /// their response.
+    /// Stops listening, closes idle connections and the others after their
+    /// response. Requests that have arrived, in part or in whole, are handled,
+    /// and a new connection is given a moment for its first one: call it again
+    /// until there are no connections.
     void drain();
 
     // ---- Responses ---------------------------------------------------------
@@ -105,6 +107,8 @@
         stream_socket socket;
         std::unique_ptr<request_parser> parser;
         exchange_id exchange{};
+        instant accepted_at{};
+        bool is_used = false;    ///< A request has arrived.
         bool is_busy = false;    ///< A request is in progress.
         bool is_chunked = false; ///< Its response is chunked.
         bool keep_alive = true;
@@ -125,6 +129,7 @@
                 const std::string& reason, const std::string& target);
     void complete(std::uint64_t id);
     void drop(std::uint64_t id);
+    void drain(std::uint64_t id);
     void sweep();
     [[nodiscard]] connection_record* find(exchange_id exchange);
 
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -93,6 +93,11 @@
     });
 }
 
+void stream_socket::read_available() {
+    if (connected_ && !closing_)
+        read_all();
+}
+
 void stream_socket::set_reading(bool enabled) {
     reading_ = enabled;
     update_events();
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds sweep_interval{250};
 /// Time for a caller that is still sending to read the refusal.
 constexpr milliseconds refusal_linger{1000};
+/// A new connection is kept for this long while draining, since its first
+/// request may be on the way.
+constexpr milliseconds first_request_time{500};
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -82,11 +85,32 @@
 
 void web_server::drain() {
     stop_listening();
-    std::vector<std::uint64_t> idle;
+    std::vector<std::uint64_t> open;
+    open.reserve(connections_.size());
     for (const auto& [id, record] : connections_)
-        if (!record->is_busy && record->socket.input.empty())
-            idle.push_back(id);
-    for (const std::uint64_t id : idle)
+        open.push_back(id);
+    for (const std::uint64_t id : open)
+        drain(id);
+}
+
+/// Closes a connection unless a request is in progress, has arrived in part, or
+/// is still to be expected.
+void web_server::drain(std::uint64_t id) {
+    const auto is_idle = [&] {
+        const auto found = connections_.find(id);
+        return found != connections_.end() && !found->second->is_busy &&
+               !found->second->is_refused && !found->second->parser &&
+               found->second->socket.input.empty() &&
+               found->second->socket.pending_bytes() == 0;
+    };
+    if (!is_idle())
+        return;
+    connections_.at(id)->socket.read_available();
+    if (!is_idle())
+        return;
+    const connection_record& record = *connections_.at(id);
+    if (record.is_used ||
+        steady::now() - record.accepted_at >= first_request_time)
         drop(id);
 }
 
@@ -106,7 +130,8 @@
         }
         const std::uint64_t id = next_connection_++;
         auto record = std::make_unique<connection_record>(core_);
-        record->deadline = steady::now() + limits_.idle_timeout;
+        record->accepted_at = steady::now();
+        record->deadline = record->accepted_at + limits_.idle_timeout;
         record->socket.set_handlers(
             {nullptr, [this, id] { on_readable(id); },
              [this, id](stream_socket::end_kind) { on_ended(id); },
@@ -140,6 +165,7 @@
     std::string& input = record.socket.input;
     if (input.empty())
         return;
+    record.is_used = true;
     if (!record.parser) {
         record.parser = std::make_unique<request_parser>(
             limits_.max_header_bytes, limits_.max_body_bytes);
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -12,7 +12,9 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace ospreystage;
@@ -217,3 +219,55 @@
     });
     CHECK_FALSE(raw_connection(echo.local).is_open());
 }
+
+TEST_CASE("web server - requests that arrive as draining begins are answered") {
+    echo_server echo;
+    running_kernel running(echo.core);
+    raw_connection kept(echo.local);
+    kept.send(get_request);
+    kept.read_until("/a:");
+    raw_connection silent(echo.local);
+    raw_connection sending(echo.local);
+    sending.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(milliseconds(50));
+    std::unique_ptr<raw_connection> fresh;
+    // The kernel's thread is busy, so it has not read these requests yet.
+    running.ask([&] {
+        kept.send(get_request);
+        fresh = std::make_unique<raw_connection>(echo.local);
+        fresh->send(get_request);
+        std::this_thread::sleep_for(milliseconds(20));
+        echo.server.drain();
+        return true;
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    silent.send(get_request);
+    sending.send("dy");
+    CHECK(contains(kept.read_all(), "/a:"));
+    CHECK(contains(fresh->read_all(), "/a:"));
+    CHECK(contains(silent.read_all(), "/a:"));
+    CHECK(contains(sending.read_all(), "/b:body"));
+    CHECK(eventually(wait_timeout, [&] {
+        return running.ask([&] { return echo.server.connections(); }) == 0;
+    }));
+}
+
+TEST_CASE("web server - draining ends although a caller sends nothing") {
+    echo_server echo;
+    running_kernel running(echo.core);
+    raw_connection kept(echo.local);
+    kept.send(get_request);
+    kept.read_until("/a:");
+    const raw_connection silent(echo.local);
+    REQUIRE(eventually(wait_timeout, [&] {
+        return running.ask([&] { return echo.server.connections(); }) == 2;
+    }));
+    const auto drained = [&] {
+        return running.ask([&] {
+            echo.server.drain();
+            return echo.server.connections();
+        }) == 0;
+    };
+    CHECK(eventually(seconds(2), drained));
+    CHECK(kept.await_end(seconds(1)));
+}
