Exit only once callers have taken their answers

A stopping process exited when no request was in progress. An answer that was written but not yet taken by a slow caller was lost with the process: of 12,000,000 bytes the caller got 2,998,227. Entries of both kinds, and agents, now exit once no connection remains, at the latest at the end of the time to stop.

Test: platform entry - a stopping entry exits only once slow callers have received their answers; failed before, passed after.

--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -121,11 +121,9 @@
     }
     if (spent < min_drain_time || !idle)
         return;
-    // Stop listening first and stop the kernel at a later check, so that
-    // requests that arrive in between are still answered.
-    if (http_.web().is_listening())
-        http_.web().stop_listening();
-    else
+    // Connections remain while a request arrives or its answer leaves.
+    http_.web().drain();
+    if (http_.web().connections() == 0)
         core_.stop();
 }
 
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -4,6 +4,7 @@
 #include "tests/support/platform_entry.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/raw_connection.hpp"
+#include "tests/support/scripted_server.hpp"
 #include "tests/support/text_file.hpp"
 
 #include <catch2/catch.hpp>
@@ -26,6 +27,8 @@
 using testing::get_raw;
 using testing::platform_store;
 using testing::raw_connection;
+using testing::scripted_answer;
+using testing::scripted_server;
 
 namespace {
 
@@ -265,3 +268,34 @@
     CHECK(steady::now() - started < seconds(6));
     CHECK(get_raw(next.front(), "/nowhere").find(" 404 ") != std::string::npos);
 }
+
+TEST_CASE("platform entry - a stopping entry exits only once slow callers have "
+          "received their answers") {
+    const std::string body(12'000'000, 'b');
+    const scripted_server server([&](const std::string&) {
+        return scripted_answer{
+            fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                        body.size(), body)};
+    });
+    platform_store store;
+    store.put("op/config",
+              R"({"version":3,"services":[{"name":"desk"}],"routes":[{
+                  "name":"r","hostname":"a.example","path_prefix":"/x/",
+                  "service":"desk","kind":"safe","timeout_ms":5000,
+                  "target_latency_ms":500,"max_attempts":1}]})");
+    store.put("servers/i-1", fmt::format(R"({{"service":"desk","address":"{}",
+                              "zone":"hall-a","slots":4,"state":"ready"}})",
+                                         to_string(server.endpoint())));
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    raw_connection caller(entry.front(), 4096);
+    caller.send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Request-Id: r1\r\nX-Request-Deadline: 5000\r\n\r\n");
+    const std::string head = caller.read_until("\r\n\r\n");
+    REQUIRE(head.find(" 200 ") != std::string::npos);
+    entry.child().terminate();
+    // The entry drains its connections after the directory's time to live.
+    std::this_thread::sleep_for(milliseconds(3800));
+    CHECK(caller.read_all().size() == body.size());
+    CHECK(entry.wait() == 0);
+}
