Do not move streams whose caller reads slowly to another server

When a caller reads slowly the gateway stops reading from the server. It then took the server for silent: it cancelled the call after 0.7 to 1.2 s, ran the stream again at another server at the cost of a retry, and avoided the sound server for a while. A paused call no longer counts as idle; its deadline still ends it.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -106,6 +106,7 @@
         std::optional<call_id> call;
         std::string server;      ///< Server of the current or last call.
         instant last_received{}; ///< Time of the call's last data.
+        bool is_paused = false;  ///< Reading waits for the caller.
 
         /// Response of the last answered attempt; its body stays empty while
         /// events are forwarded.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -364,6 +364,7 @@
     record.server = chosen.server;
     record.tried.insert(chosen.server);
     record.last_received = now;
+    record.is_paused = false;
     ++record.sent_attempts;
     ++record.possible_runs;
     last_received_.try_emplace(chosen.server, now);
@@ -457,14 +458,19 @@
     if (event.id)
         record.last_event_id = event.id;
     const bool can_write_more = server_->write(exchange, event.text);
-    if (!can_write_more && record.call)
+    if (!can_write_more && record.call) {
+        record.is_paused = true;
         client_.set_reading(*record.call, false);
+    }
 }
 
 void gateway::on_drained(exchange_id exchange) {
-    const request_record* record = find(exchange);
-    if (record != nullptr && record->call)
-        client_.set_reading(*record->call, true);
+    request_record* record = find(exchange);
+    if (record == nullptr || !record->call)
+        return;
+    record->is_paused = false;
+    record->last_received = steady::now();
+    client_.set_reading(*record->call, true);
 }
 
 void gateway::on_call_ended(exchange_id exchange, call_end end) {
@@ -571,7 +577,8 @@
     const instant now = steady::now();
     std::vector<exchange_id> idle_exchanges;
     for (const auto& [id, record] : requests_) {
-        if (!record->call)
+        // The server cannot send while the caller does not read.
+        if (!record->call || record->is_paused)
             continue;
         const bool is_retryable =
             record->kind == request_kind::idempotent || record->is_resumable;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -1,4 +1,6 @@
 #include "platform/wire.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/running_kernel.hpp"
 #include "tests/support/scripted_server.hpp"
 
 #include <ospreystage/serving/gateway.hpp>
@@ -7,14 +9,18 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <variant>
 #include <vector>
 
 using namespace ospreystage;
+using testing::raw_connection;
+using testing::running_kernel;
 using testing::scripted_answer;
 using testing::scripted_server;
 
@@ -510,3 +516,29 @@
         CHECK(result.response.status == 200);
     CHECK(fixture.permit_requests().size() == 1);
 }
+
+TEST_CASE(
+    "gateway - a stream whose caller reads slowly is not moved to another "
+    "server") {
+    gateway_fixture fixture;
+    std::atomic<int> runs{0};
+    const auto answer_stream = [&](const std::string&) {
+        ++runs;
+        return scripted_answer{make_event_stream(1, 200'000, true), true};
+    };
+    const scripted_server first(answer_stream);
+    const scripted_server second(answer_stream);
+    fixture.add_route(request_kind::streaming, true, seconds(20));
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    running_kernel running(fixture.core);
+    raw_connection caller(fixture.front_address, 4096);
+    caller.send("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Request-Id: r1\r\nX-Request-Deadline: 20000\r\n"
+                "Content-Length: 0\r\n\r\n");
+    std::string received = caller.read_until("data: e1\n");
+    // Longer than the idle timeout of an attempt.
+    std::this_thread::sleep_for(milliseconds(2500));
+    received += caller.read_until("\r\n0\r\n\r\n");
+    CHECK(received.find("data: e200000\n") != std::string::npos);
+    CHECK(runs == 1);
+}
