Count the progress of a stream by its events, not by single bytes

A server that sent a byte or a comment now and then kept a stalled stream from ever counting as idle: it lasted until its deadline and was cut there, although another server could have resumed it. Only events, other than comments, count now; a slow stream that sends events is left alone as before.

Test: gateway - a stream that sends bytes now and then but no event is moved to another server; before, cut at its deadline after event 2 of 4, after, whole. gateway - a stream that is slow but sends events is not moved; passed before and after. `gateway*`, `event splitter*`: 24 cases, 169 assertions, all passed.

--- a/include/ospreystage/serving/event_splitter.hpp
+++ b/include/ospreystage/serving/event_splitter.hpp
@@ -15,6 +15,10 @@
     friend bool operator==(const stream_event&, const stream_event&) = default;
 };
 
+/// Returns true if the event consists of comments only, which servers send to
+/// keep a connection open.
+[[nodiscard]] bool is_comment(const stream_event& event);
+
 /// Splits a byte stream into complete events.
 class event_splitter {
   public:
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -104,9 +104,10 @@
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
         std::optional<call_id> call;
-        std::string server;      ///< Server of the current or last call.
-        instant last_received{}; ///< Time of the call's last data.
-        bool is_paused = false;  ///< Reading waits for the caller.
+        std::string server; ///< Server of the current or last call.
+        /// Time of the call's last data; of an event stream, of its last event.
+        instant last_received{};
+        bool is_paused = false; ///< Reading waits for the caller.
 
         /// Response of the last answered attempt; its body stays empty while
         /// events are forwarded.
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -45,6 +45,20 @@
 
 } // namespace
 
+bool is_comment(const stream_event& event) {
+    std::size_t line = 0;
+    while (line < event.text.size()) {
+        const char first = event.text[line];
+        if (first != ':' && first != '\r' && first != '\n')
+            return false;
+        const std::size_t newline = event.text.find('\n', line);
+        if (newline == std::string::npos)
+            break;
+        line = newline + 1;
+    }
+    return true;
+}
+
 std::vector<stream_event> event_splitter::feed(std::string_view data) {
     remainder_.append(data);
     std::vector<stream_event> events;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -425,13 +425,16 @@
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
-    record->last_received = steady::now();
-    last_received_[record->server] = record->last_received;
+    last_received_[record->server] = steady::now();
     if (!record->is_event_stream) {
+        record->last_received = steady::now();
         record->head.body.append(data);
         return;
     }
     for (const stream_event& event : record->events.feed(data)) {
+        // Single bytes and comments do not show that the request progresses.
+        if (!is_comment(event))
+            record->last_received = steady::now();
         forward(exchange, event);
         record = find(exchange);
         if (record == nullptr || !record->call)
--- a/tests/event_splitter.cpp
+++ b/tests/event_splitter.cpp
@@ -31,3 +31,10 @@
     REQUIRE(events.size() == 1);
     CHECK(events[0].id == 5U);
 }
+
+TEST_CASE("event splitter - comments are told from events") {
+    CHECK(is_comment({":\n\n", std::nullopt}));
+    CHECK(is_comment({": still here\r\n\r\n", std::nullopt}));
+    CHECK_FALSE(is_comment({": a\ndata: b\n\n", std::nullopt}));
+    CHECK_FALSE(is_comment({"id: 4\n\n", 4}));
+}
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -542,3 +542,43 @@
     CHECK(received.find("data: e200000\n") != std::string::npos);
     CHECK(runs == 1);
 }
+
+TEST_CASE("gateway - a stream that sends bytes now and then but no event is "
+          "moved to another server") {
+    gateway_fixture fixture;
+    std::atomic<int> runs{0};
+    const auto answer_stream = [&](const std::string& request) {
+        ++runs;
+        if (request.find("Last-Event-Id: 2\r\n") != std::string::npos)
+            return scripted_answer{make_event_stream(3, 4, true), true};
+        scripted_answer stalled{make_event_stream(1, 2, false)};
+        stalled.dripped_bytes = "1\r\n:\r\n";
+        return stalled;
+    };
+    const scripted_server first(answer_stream);
+    const scripted_server second(answer_stream);
+    fixture.add_route(request_kind::streaming, true);
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    const auto result = fixture.send_request();
+    CHECK(result.end == call_end::complete);
+    CHECK(result.response.body == event_text(1, 4));
+    CHECK(runs == 2);
+}
+
+TEST_CASE("gateway - a stream that is slow but sends events is not moved") {
+    gateway_fixture fixture;
+    std::atomic<int> runs{0};
+    const auto answer_stream = [&](const std::string&) {
+        ++runs;
+        scripted_answer slow{make_event_stream(1, 2, false)};
+        slow.dripped_bytes = "9\r\ndata: e\n\n\r\n";
+        return slow;
+    };
+    const scripted_server first(answer_stream);
+    const scripted_server second(answer_stream);
+    fixture.add_route(request_kind::streaming, true);
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    // The stream lasts until the deadline.
+    CHECK(fixture.send_request().end != call_end::complete);
+    CHECK(runs == 1);
+}
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -16,6 +16,7 @@
 
 constexpr int poll_ms = 20;
 constexpr std::chrono::milliseconds delayed_bytes_pause{60};
+constexpr std::chrono::milliseconds drip_interval{200};
 
 /// Returns true if `text` holds a complete request: the head, and the body of
 /// `Content-Length` bytes if that field is present.
@@ -94,6 +95,12 @@
         }
         if (answer.closes)
             break;
+        while (!answer.dripped_bytes.empty() && !stopping_) {
+            std::this_thread::sleep_for(drip_interval);
+            if (send(descriptor, answer.dripped_bytes.data(),
+                     answer.dripped_bytes.size(), MSG_NOSIGNAL) < 0)
+                break;
+        }
         if (!answer.delayed_bytes.empty()) {
             std::this_thread::sleep_for(delayed_bytes_pause);
             send(descriptor, answer.delayed_bytes.data(),
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -16,6 +16,9 @@
     bool closes = false;         ///< Closes in order after `bytes`.
     bool resets = false;         ///< Resets the connection after `bytes`.
     std::string delayed_bytes{}; ///< Sent 60 ms after `bytes`.
+    /// Sent again and again after `bytes`, every 200 ms, while the connection
+    /// lasts.
+    std::string dripped_bytes{};
 };
 
 /// Server on the loopback interface that responds with the bytes of a script.
