Keep the process when one task fails with an exception

An exception in a handler of the kernel's loop ended the process, and with it the requests and connections of everyone else. None that input can cause was found (`malformed input - …`), but libraries throw, and so do lookups that a fault makes miss. The loop now logs `task_failed` and goes on; a periodic task runs again.

Test: kernel - an unexpected error in one task, timer or handler does not end the process; before, the first one ended `run`, after, all others run.

--- a/src/core/kernel.cpp
+++ b/src/core/kernel.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/log.hpp>
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -6,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 
 namespace ospreystage {
 
@@ -14,6 +16,24 @@
 constexpr int max_wait_ms = 1000;
 constexpr std::size_t events_per_wait = 256;
 
+void log_failure(const std::string& work, const char* problem) {
+    log_event(log_level::error, "task_failed",
+              {{"task", work}, {"error", problem}});
+}
+
+/// Runs one piece of work. An exception ends that piece only: the process holds
+/// the requests and connections of many others.
+template <typename Work>
+void run_guarded(const std::string& name, const Work& work) {
+    try {
+        work();
+    } catch (const std::exception& problem) {
+        log_failure(name, problem.what());
+    } catch (...) {
+        log_failure(name, "exception of an unknown type");
+    }
+}
+
 } // namespace
 
 kernel::kernel()
@@ -94,7 +114,7 @@
 void kernel::every(const std::string& service, std::chrono::nanoseconds period,
                    task work) {
     after(service, period, [this, service, period, work = std::move(work)] {
-        work();
+        run_guarded(service, work);
         every(service, period, work);
     });
 }
@@ -160,7 +180,7 @@
             if (found == watched_.end())
                 continue;
             const std::shared_ptr<descriptor_handler> handler = found->second;
-            (*handler)(event.events);
+            run_guarded("descriptor", [&] { (*handler)(event.events); });
         }
         run_queue();
         run_timers();
@@ -179,7 +199,7 @@
 
 void kernel::execute(const std::string& service, const task& work) {
     const instant started = steady::now();
-    work();
+    run_guarded(service, work);
     const auto spent = steady::now() - started;
     const auto found = services_.find(service);
     if (found == services_.end())
@@ -216,7 +236,7 @@
     // A task may append further tasks, which run in the same iteration.
     for (std::size_t index = 0; index < turn_end_.size(); ++index) {
         const task work = std::move(turn_end_[index]);
-        work();
+        run_guarded("turn end", work);
     }
     turn_end_.clear();
 }
--- /dev/null
+++ b/tests/kernel.cpp
@@ -0,0 +1,38 @@
+#include <ospreystage/core/kernel.hpp>
+
+#include <catch2/catch.hpp>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+
+using namespace ospreystage;
+
+TEST_CASE("kernel - an unexpected error in one task, timer or handler does not "
+          "end the process") {
+    kernel core;
+    std::array<int, 2> pipe_ends{};
+    REQUIRE(pipe(pipe_ends.data()) == 0);
+    REQUIRE(write(pipe_ends[1], "x", 1) == 1);
+    int handled = 0;
+    core.watch(pipe_ends[0], EPOLLIN, [&](std::uint32_t) {
+        ++handled;
+        core.close(pipe_ends[0]);
+        throw std::runtime_error("handler");
+    });
+    core.post("test", [] { throw std::out_of_range("task"); });
+    core.after("test", milliseconds(1), [] { throw 7; });
+    core.at_turn_end([] { throw std::runtime_error("end of turn"); });
+    int rounds = 0;
+    core.every("test", milliseconds(2), [&] {
+        if (++rounds == 5)
+            core.stop();
+        throw std::runtime_error("periodic task");
+    });
+    core.after("test", seconds(5), [&] { core.stop(); });
+    core.run();
+    CHECK(handled == 1);
+    CHECK(rounds == 5);
+    close(pipe_ends[1]);
+}
