--- /dev/null
+++ b/tests/engine_client.cpp
@@ -0,0 +1,60 @@
+#include "platform/engine_client.hpp"
+
+#include "tests/support/scripted_server.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+
+using namespace ospreystage;
+using platform::engine_client;
+using testing::scripted_answer;
+using testing::scripted_server;
+
+namespace {
+
+/// Returns an answer that echoes the id of its request, as engines do.
+std::string answer_to(const std::string& request, int status,
+                      const std::string& body) {
+    const std::string name = "X-Request-Id: ";
+    const std::size_t found = request.find(name);
+    const std::string echo =
+        found == std::string::npos
+            ? ""
+            : request.substr(found, request.find("\r\n", found) + 2 - found);
+    return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}",
+                       status, echo, body.size(), body);
+}
+
+} // namespace
+
+TEST_CASE("engine client - a second copy of an answer is not taken for the "
+          "answer to an order") {
+    const scripted_server engine([](const std::string& request) {
+        if (request.find("/v1/report") == std::string::npos) {
+            // Busy: the order is refused, after the copy has arrived.
+            return scripted_answer{"", false, false,
+                                   answer_to(request, 409, "{}")};
+        }
+        const std::string report =
+            answer_to(request, 200, R"({"busy":true,"sequence":1})");
+        return scripted_answer{report, false, false, report};
+    });
+    kernel core;
+    web_client client(core);
+    engine_client tested(client, engine.endpoint());
+    std::optional<bool> is_accepted;
+    tested.read_report(1, [&](const auto& report) {
+        CHECK(report);
+        tested.order("m", {2, 1}, [&](bool accepted) {
+            is_accepted = accepted;
+            core.stop();
+        });
+    });
+    core.after("test", seconds(3), [&] { core.stop(); });
+    core.run();
+    REQUIRE(is_accepted.has_value());
+    CHECK_FALSE(*is_accepted);
+}
