Test that a limit holds while entries are killed, replaced and frozen

Four entry processes, each of which is killed, started again and frozen for 1.2 s in turn, the one that issues permits among them; the server names 2 requests a second.

--- a/tests/system_server_limits.cpp
+++ b/tests/system_server_limits.cpp
@@ -147,3 +147,36 @@
           per_second * static_cast<double>(measured.count()) * 2 / 3);
     CHECK(callers.failed() == 0);
 }
+
+TEST_CASE(
+    "server limits - a limit holds while entries are killed, replaced and "
+    "frozen") {
+    constexpr double per_second = 2;
+    std::vector<std::unique_ptr<limited_server>> servers;
+    servers.push_back(std::make_unique<limited_server>(per_second));
+    servers.push_back(std::make_unique<limited_server>(0));
+    platform_store store;
+    put_site(store, servers);
+    entry_group entries(store.endpoint(), 4);
+    REQUIRE(entries.await_ready(timeout));
+    steady_callers callers(entries);
+    std::this_thread::sleep_for(settling_time + seconds(1));
+    // One of them issues the permits, and another one stands in for it.
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        entries.process(index).kill();
+        std::this_thread::sleep_for(milliseconds(700));
+        entries.restart(index);
+        const std::size_t next = (index + 1) % entries.size();
+        entries.process(next).freeze();
+        std::this_thread::sleep_for(milliseconds(1200));
+        entries.process(next).thaw();
+        std::this_thread::sleep_for(milliseconds(600));
+    }
+    std::this_thread::sleep_for(seconds(2));
+    callers.stop();
+    const std::vector<instant> arrivals = servers[0]->arrivals();
+    REQUIRE(!arrivals.empty());
+    const limit_window counted(arrivals, arrivals.front() + settling_time);
+    CHECK(counted.max_arrivals() <= limit_window::allowed(per_second));
+    CHECK(counted.arrivals() > 0);
+}
