--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -423,7 +423,7 @@
 
 // ---- Datagrams between entries: limits of backend servers ------------------
 
-/// Tells what an answer of a backend server said of its limit.
+/// Reports what an answer of a backend server stated about its limit.
 struct limit_report {
     std::string server;
     bool is_named = false; ///< False: the answer named no limit.
--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -31,19 +31,19 @@
     std::optional<std::uint64_t> last_event_id; ///< Resumes a stream after it.
 };
 
-/// The answer names no limit: its server is not in need.
+/// The answer names no limit.
 struct no_limit_named {};
 /// The server accepts this many requests a second from all entries together.
 struct limit_named {
     double per_second = 0;
 };
-/// The answer tells nothing of the server's limit: the value cannot be read, or
-/// another server may have answered.
-struct limit_not_told {};
+/// The server's limit does not follow from the answer: the value is unreadable,
+/// or another server may have answered.
+struct limit_unknown {};
 
-/// What an answer tells of its server's limit.
+/// What an answer states about its server's limit.
 using limit_statement =
-    std::variant<no_limit_named, limit_named, limit_not_told>;
+    std::variant<no_limit_named, limit_named, limit_unknown>;
 
 /// Maps the header fields of callers and backend servers to the types above.
 struct caller_protocol {
@@ -53,7 +53,7 @@
         attempt_fields;
     /// Returns true if the response states that the request was not run.
     std::function<bool(const http_response&)> is_not_run;
-    /// Returns what the response tells of the server's limit.
+    /// Returns what the response states about the server's limit.
     std::function<limit_statement(const http_response&)> limit_of;
     /// Header field with the request's id, which servers echo in responses.
     std::string id_field;
--- a/include/ospreystage/serving/limit_exchange.hpp
+++ b/include/ospreystage/serving/limit_exchange.hpp
@@ -35,13 +35,13 @@
 using permit_decision =
     std::variant<permit_granted, permit_denied, permit_pending>;
 
-/// Keeps the entries together within the limits that backend servers name.
+/// Keeps all entries together within the limits that backend servers name.
 ///
-/// A server in need names in its answers how many requests a second it takes
-/// from all entries. Each entry sees a part of the requests only, so one of
-/// them, chosen by `entry_duties`, issues a permit for each request to such a
-/// server; a second one stands in while it does not answer. An entry without a
-/// permit uses other servers.
+/// An overloaded server names in its answers how many requests a second it
+/// accepts from all entries. Each entry sees a part of the requests only, so
+/// one of them, chosen by `entry_duties`, issues a permit for each request to
+/// such a server; a second one stands in while it does not answer. An entry
+/// without a permit uses other servers.
 class limit_exchange {
   public:
     struct options {
@@ -102,8 +102,8 @@
 
     // ---- Events ------------------------------------------------------------
 
-    /// Records what an answer of a server said, and tells other entries if they
-    /// need to know.
+    /// Records what an answer of a server stated, and reports it to the entries
+    /// that need it.
     void on_answer(const std::string& server, const limit_statement& statement,
                    instant now);
     void on_report(const limit_report& report, instant now);
@@ -114,8 +114,8 @@
 
     /// Drops what is known of servers that have left or have started anew.
     void on_servers_changed();
-    /// Tells entries that are new on the list of the limits for which this
-    /// entry is responsible.
+    /// Reports the limits for which this entry is responsible to entries that
+    /// are new on the list.
     void on_entries_changed();
 
   private:
--- a/include/ospreystage/serving/permit_issuer.hpp
+++ b/include/ospreystage/serving/permit_issuer.hpp
@@ -63,7 +63,7 @@
                                   issuer_duty duty, bool has_recent_view,
                                   instant now);
 
-    /// Records what an answer of a server said.
+    /// Records what an answer of a server stated.
     void on_statement(const std::string& server,
                       const limit_statement& statement, instant now);
 
--- a/src/serving/limit_exchange.cpp
+++ b/src/serving/limit_exchange.cpp
@@ -201,7 +201,7 @@
 void limit_exchange::on_answer(const std::string& server,
                                const limit_statement& statement, instant now) {
     const auto* named = std::get_if<limit_named>(&statement);
-    if (std::holds_alternative<limit_not_told>(statement) ||
+    if (std::holds_alternative<limit_unknown>(statement) ||
         (named == nullptr && !known_.contains(server)))
         return;
     issuer_.on_statement(server, statement, now);
--- a/src/serving/permit_issuer.cpp
+++ b/src/serving/permit_issuer.cpp
@@ -79,7 +79,7 @@
                                              options_.end_confirmation)
                                         record.per_second.reset();
                                 },
-                                [](const limit_not_told&) {}},
+                                [](const limit_unknown&) {}},
                statement);
 }
 
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -273,10 +273,10 @@
     CHECK(std::get<limit_named>(statement("0.25")).per_second == 0.25);
     CHECK(std::get<limit_named>(statement("0")).per_second == 0);
     for (const char* value : {"", "soon", "-1", "nan", "inf", "1,5"})
-        CHECK(std::holds_alternative<limit_not_told>(statement(value)));
+        CHECK(std::holds_alternative<limit_unknown>(statement(value)));
     response.status = 503;
     CHECK(std::get<limit_named>(statement("3")).per_second == 3);
     // The answer of a server that took over the address of another one.
     response.status = 421;
-    CHECK(std::holds_alternative<limit_not_told>(statement("3")));
+    CHECK(std::holds_alternative<limit_unknown>(statement("3")));
 }
--- a/tests/support/limit_site.cpp
+++ b/tests/support/limit_site.cpp
@@ -15,8 +15,8 @@
 constexpr const char* server_id = "i-1";
 /// Time after a limit is first named until it binds.
 constexpr seconds settling_time{3};
-/// Entries count as told this long after an answer that names the limit.
-constexpr milliseconds told_after{500};
+/// Entries count as informed this long after an answer that names the limit.
+constexpr milliseconds informed_after{500};
 constexpr microseconds min_transit{500};
 constexpr microseconds max_transit{3000};
 constexpr milliseconds max_service_time{300};
@@ -62,7 +62,7 @@
     bool is_running = true;
     bool is_cut = false;
     instant cut_since{};
-    std::optional<instant> told_at; ///< First answer that named the limit.
+    std::optional<instant> informed_at; ///< First answer that named the limit.
     // The other strategies.
     double tokens = 0;
     instant tokens_at{};
@@ -211,7 +211,7 @@
 }
 
 bool limit_site::may_send_by_part(entry_state& entry, double part) {
-    if (!entry.told_at)
+    if (!entry.informed_at)
         return true;
     const std::chrono::duration<double> elapsed = now_ - entry.tokens_at;
     entry.tokens_at = now_;
@@ -252,7 +252,8 @@
     after(transit(), [this, index, life = entries_[index]->life] {
         const entry_state& entry = *entries_[index];
         arrivals_.push_back(
-            {now_, entry.told_at && now_ - *entry.told_at >= told_after});
+            {now_,
+             entry.informed_at && now_ - *entry.informed_at >= informed_after});
         after(part_of(max_service_time),
               [this, index, life] { on_answer(index, life); });
     });
@@ -270,8 +271,8 @@
     }
     if (!first_named_)
         first_named_ = now_;
-    if (!entry.told_at) {
-        entry.told_at = now_;
+    if (!entry.informed_at) {
+        entry.informed_at = now_;
         entry.tokens_at = now_;
     }
     entry.exchange.on_answer(server_id, limit_named{options_.per_second}, now_);
@@ -346,7 +347,7 @@
     if (!first_named_)
         return counted;
     const instant binding = *first_named_ + settling_time;
-    std::vector<instant> told;
+    std::vector<instant> informed;
     std::size_t arrived = 0;
     for (const arrival& each : arrivals_) {
         if (each.at >= named_until) {
@@ -355,10 +356,10 @@
         }
         if (each.at >= binding)
             ++arrived;
-        if (each.is_told)
-            told.push_back(each.at);
+        if (each.is_informed)
+            informed.push_back(each.at);
     }
-    const limit_window window(told, binding);
+    const limit_window window(informed, binding);
     counted.max_arrivals = window.max_arrivals();
     counted.arrivals = arrived;
     const std::chrono::duration<double> measured = named_until - binding;
--- a/tests/support/limit_site.hpp
+++ b/tests/support/limit_site.hpp
@@ -20,7 +20,7 @@
 /// Each entry keeps to an equal part of the limit.
 struct equal_parts {};
 /// Each entry keeps to a part by its share of the requests, as all entries
-/// last told each other.
+/// last informed each other.
 struct parts_by_demand {};
 /// The entries ask for permits by `limit_exchange`.
 struct permits {};
@@ -74,7 +74,7 @@
     struct entry_state;
     struct arrival {
         instant at{};
-        bool is_told = false;
+        bool is_informed = false;
     };
     struct event {
         instant at{};
