Refuse a request at once if the only issuer of a limit does not answer

With one other entry on the list there is no stand-in. The reply timeout then neither closed the server nor changed whom to ask, so a request asked every 50 ms until its deadline.

--- a/include/ospreystage/serving/limit_exchange.hpp
+++ b/include/ospreystage/serving/limit_exchange.hpp
@@ -127,7 +127,7 @@
     };
     struct pending_request {
         std::string server;
-        bool is_at_stand_in = false;
+        bool may_ask_stand_in = false; ///< If there is no reply.
     };
 
     [[nodiscard]] std::vector<const site_entry*>
--- a/src/serving/limit_exchange.cpp
+++ b/src/serving/limit_exchange.cpp
@@ -71,16 +71,17 @@
         return permit_granted{};
     limit_record& record = found->second;
     const auto order = issuers(server);
-    const bool is_at_stand_in = now < record.stand_in_until && order.size() > 1;
     if (order.empty()) {
         close(record, no_issuer_wait, now);
         return permit_denied{no_issuer_wait};
     }
+    const bool has_stand_in = order.size() > 1;
+    const bool is_at_stand_in = has_stand_in && now < record.stand_in_until;
     const site_entry* asked = order[is_at_stand_in ? 1 : 0];
     if (asked->name == options_.self)
         return apply(server, issue(server, record.per_second, now), now);
     const std::uint64_t sequence = next_sequence_++;
-    pending_[sequence] = {server, is_at_stand_in};
+    pending_[sequence] = {server, has_stand_in && !is_at_stand_in};
     send_({{asked}, permit_request{server, sequence, record.per_second}});
     return permit_pending{sequence, options_.reply_timeout};
 }
@@ -148,10 +149,10 @@
     const auto known = known_.find(given_up.server);
     if (known == known_.end())
         return;
-    if (given_up.is_at_stand_in)
-        close(known->second, no_issuer_wait, now);
-    else
+    if (given_up.may_ask_stand_in)
         known->second.stand_in_until = now + options_.silence_time;
+    else
+        close(known->second, no_issuer_wait, now);
 }
 
 milliseconds
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -500,6 +500,19 @@
     CHECK(fixture.permit_requests().size() == 2);
 }
 
+TEST_CASE("gateway - a request is refused at once although the only entry that "
+          "issues permits does not answer") {
+    gateway_fixture fixture;
+    const scripted_server server(
+        [](const std::string&) { return limited_answer("5"); });
+    fixture.add_route(request_kind::idempotent, false);
+    fixture.add_entries({"edge-2"});
+    fixture.add_servers({server.endpoint()});
+    const auto results = fixture.send_requests(2);
+    CHECK(results[1].response.status == 503);
+    CHECK(results[1].duration < milliseconds(300));
+}
+
 TEST_CASE("gateway - a request is sent once another entry has permitted it") {
     gateway_fixture fixture;
     const scripted_server server(
