--- /dev/null
+++ b/tests/support/gateway_fixture.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <ospreystage/serving/gateway.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace ospreystage::testing {
+
+/// A caller, one entry's gateway and the backend servers of a test, on one
+/// kernel.
+class gateway_fixture {
+  public:
+    /// How one of the caller's requests ended.
+    struct outcome {
+        call_end end = call_end::complete;
+        http_response response;
+        milliseconds duration{};
+    };
+
+    gateway_fixture();
+
+    void add_route(request_kind kind, bool is_resumable,
+                   milliseconds timeout = milliseconds(3000));
+    void add_servers(const std::vector<address>& endpoints);
+
+    /// Lists entries of one region; this one is called edge-1.
+    void add_entries(const std::vector<std::string>& names);
+
+    outcome send_request(const std::string& method = "POST");
+
+    /// Sends requests one after the other; may be called once.
+    std::vector<outcome> send_requests(std::size_t count,
+                                       const std::string& method = "POST");
+
+    /// Returns the requests for permits sent so far.
+    [[nodiscard]] std::vector<permit_request> permit_requests() const;
+
+    std::vector<message> datagrams; ///< To other entries.
+    kernel core;
+    metrics gateway_metrics;
+    route_table routes;
+    backend_registry servers;
+    backend_load load;
+    entry_duties duties;
+    limit_exchange limits;
+    web_client client;
+    gateway tested_gateway;
+    web_server front_server;
+    address front_address;
+};
+
+/// Returns a response with `Content-Length`; `fields` are whole header lines.
+std::string make_response(int status, const std::string& fields,
+                          const std::string& body);
+
+/// Returns the events `first` to `last`, as a server sends them.
+std::string event_text(int first, int last);
+
+/// Returns a chunked stream of the events `first` to `last`, with the last
+/// chunk if it `is_complete`.
+std::string make_event_stream(int first, int last, bool is_complete);
+
+} // namespace ospreystage::testing
