Log and count how answers of servers are framed and how they end

An answer that is framed by its connection alone, is cut, or ends with unfinished bytes now gets a line `answer_ended`, and ospreystage_answers_total counts answers by framing and end. A reset within an answer ends a call as `reset`, apart from a close. An attempt without a head no longer shows the head of the one before. No decision changes.

--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -26,6 +26,16 @@
     bool keep_alive = true; ///< The peer permits reuse of the connection.
 };
 
+/// How the end of a message's body is marked.
+enum class http_framing : std::uint8_t {
+    length,     ///< By its size, or the message has no body.
+    chunked,    ///< By the last chunk.
+    connection, ///< By the end of the connection.
+};
+
+/// Returns the name of an `http_framing` for logs and metrics.
+[[nodiscard]] const char* to_string(http_framing framing) noexcept;
+
 /// HTTP response; `body` is empty if the body is streamed.
 struct http_response {
     std::uint16_t status = 200;
@@ -33,6 +43,7 @@
     http_fields fields;
     std::string body;
     bool keep_alive = true; ///< The peer permits reuse of the connection.
+    http_framing framing = http_framing::length; ///< Of a received response.
 };
 
 /// Returns true if two field names are equal, ignoring ASCII case.
@@ -72,14 +83,9 @@
 [[nodiscard]] std::string encode_request(const http_request& request,
                                          const std::string& host);
 
-/// Framing of the body of an encoded response.
-enum class http_framing {
-    length,  ///< `Content-Length`, the size of `body`.
-    chunked, ///< Chunked transfer coding, see `encode_chunk`.
-};
-
-/// Encodes the head of a response, and the body with `http_framing::length`.
-/// Adds `Connection: close` unless `keep_alive`.
+/// Encodes the head of a response, and the body with `http_framing::length`;
+/// for `http_framing::chunked` see `encode_chunk`. Adds `Connection: close`
+/// unless `keep_alive`.
 [[nodiscard]] std::string encode_response(const http_response& response,
                                           http_framing framing,
                                           bool keep_alive);
--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -27,7 +27,8 @@
     complete,      ///< The response is complete.
     not_connected, ///< Nothing was sent: the server cannot have acted.
     no_answer,     ///< The connection ended before the response head.
-    truncated,     ///< The connection ended within the response.
+    truncated,     ///< The connection was closed within the response.
+    reset,         ///< The connection was reset within the response.
     malformed,     ///< The server did not send a valid response.
     timeout,       ///< `timeout` or `idle_timeout` of `call_options` passed.
 };
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -136,6 +136,7 @@
     void on_head(exchange_id exchange, const http_response& head);
     void on_body(exchange_id exchange, std::string_view data);
     void on_call_ended(exchange_id exchange, call_end end);
+    void note_answer_end(const request_record& record, call_end end);
     void on_stream_ended(exchange_id exchange, call_end end);
     void forward(exchange_id exchange, const stream_event& event);
     void on_attempt_failed(exchange_id exchange, const char* reason,
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -34,6 +34,18 @@
 
 } // namespace
 
+const char* to_string(http_framing framing) noexcept {
+    switch (framing) {
+    case http_framing::length:
+        return "length";
+    case http_framing::chunked:
+        return "chunked";
+    case http_framing::connection:
+        return "connection";
+    }
+    return "unnamed";
+}
+
 bool is_same_field(std::string_view left, std::string_view right) noexcept {
     return absl::EqualsIgnoreCase(to_absl(left), to_absl(right));
 }
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -137,7 +137,13 @@
         if (on_body)
             on_body({body.data(), body.size()});
     }
-    void on_head_complete() override { response.keep_alive = keep_alive(); }
+    void on_head_complete() override {
+        response.keep_alive = keep_alive();
+        if (chunked())
+            response.framing = http_framing::chunked;
+        else if (need_eof())
+            response.framing = http_framing::connection;
+    }
 
     void on_request_impl(beast_http::verb, text, text, int,
                          error_code&) override {}
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -51,6 +51,8 @@
         return "no_answer";
     case call_end::truncated:
         return "cut";
+    case call_end::reset:
+        return "reset";
     case call_end::malformed:
         return "malformed";
     case call_end::timeout:
@@ -342,12 +344,13 @@
     }
     const bool has_head =
         !record.is_discarding && record.parser->is_head_complete();
-    const bool is_complete = kind == stream_socket::end_kind::closed &&
-                             has_head && record.parser->finish();
-    if (is_complete)
-        finish(id, call_end::complete);
+    if (!has_head)
+        finish(id, call_end::no_answer);
+    else if (kind == stream_socket::end_kind::reset)
+        finish(id, call_end::reset);
     else
-        finish(id, has_head ? call_end::truncated : call_end::no_answer);
+        finish(id, record.parser->finish() ? call_end::complete
+                                           : call_end::truncated);
 }
 
 void web_client::finish(std::uint64_t id, call_end end) {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -364,6 +364,8 @@
     record.server = chosen.server;
     record.tried.insert(chosen.server);
     record.last_received = now;
+    record.head = {};
+    record.is_event_stream = false;
     record.is_paused = false;
     ++record.sent_attempts;
     ++record.possible_runs;
@@ -486,6 +488,7 @@
         on_attempt_failed(exchange, "server not reached", false);
         return;
     }
+    note_answer_end(*record, end);
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -530,6 +533,27 @@
     respond(exchange, response, is_server_error ? "server failed" : "answered");
 }
 
+/// Counts how answers are framed and end, and logs the ends that leave open
+/// whether the answer is whole.
+void gateway::note_answer_end(const request_record& record, call_end end) {
+    const char* framing = to_string(record.head.framing);
+    metrics_.count(
+        fmt::format("ospreystage_answers_total{{framing=\"{}\",end=\"{}\"}}",
+                    framing, to_string(end)));
+    const std::size_t unfinished_bytes = record.events.remainder().size();
+    if (end == call_end::complete && unfinished_bytes == 0 &&
+        record.head.framing != http_framing::connection)
+        return;
+    log_event(log_level::info, "answer_ended",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"framing", framing},
+               {"end", to_string(end)},
+               {"status", record.head.status},
+               {"event_stream", record.is_event_stream},
+               {"unfinished_bytes", unfinished_bytes}});
+}
+
 void gateway::on_stream_ended(exchange_id exchange, call_end end) {
     request_record& record = *find(exchange);
     if (end == call_end::complete) {
