Do not take the end of a connection for the end of a stream

Cause: the entry asked the framing alone whether a stream was whole. A stream with neither a length nor chunks ends with its connection, so the close by a crash counted as the end; the part of the event that had arrived was passed on as if it were an event, without an id, and the last chunk followed. The class: how an answer ended was taken from one layer where another one knows better.

A stream is now whole only if its framing is and it does not end inside an event, in every framing; one that is framed by its connection alone must also have sent an event. Otherwise the attempt has failed: it is seen by the handling of failed servers, resumes after the last whole event where the route allows it, and is cut where not. The cost: a stream that honestly ends without its last blank line, or sends nothing and closes, is resumed or cut.

--- a/include/ospreystage/serving/event_splitter.hpp
+++ b/include/ospreystage/serving/event_splitter.hpp
@@ -30,6 +30,10 @@
         return remainder_;
     }
 
+    /// Returns true if those bytes are part of an event, or of a line: a stream
+    /// that ends here was broken off. Blank lines and comments are not.
+    [[nodiscard]] bool is_inside_event() const noexcept;
+
     /// Drops the bytes after the last complete event.
     void reset() noexcept { remainder_.clear(); }
 
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -113,6 +113,7 @@
         /// events are forwarded.
         http_response head;
         bool is_event_stream = false;
+        bool has_event = false; ///< The current attempt has sent an event.
         bool has_response_begun = false; ///< Head sent to the caller.
         event_splitter events;
         std::optional<std::uint64_t> last_event_id;
@@ -137,6 +138,8 @@
     void on_body(exchange_id exchange, std::string_view data);
     void on_call_ended(exchange_id exchange, call_end end);
     void note_answer_end(const request_record& record, call_end end);
+    [[nodiscard]] static const char*
+    stream_defect(const request_record& record);
     void on_stream_ended(exchange_id exchange, call_end end);
     void forward(exchange_id exchange, const stream_event& event);
     void on_attempt_failed(exchange_id exchange, const char* reason,
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -59,6 +59,22 @@
     return true;
 }
 
+bool event_splitter::is_inside_event() const noexcept {
+    std::string_view rest = remainder_;
+    while (!rest.empty()) {
+        const std::size_t newline = rest.find('\n');
+        const bool is_whole_line = newline != std::string_view::npos;
+        std::string_view line = rest.substr(0, newline);
+        rest.remove_prefix(is_whole_line ? newline + 1 : rest.size());
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const bool is_ignored = line.empty() || line.front() == ':';
+        if (!is_ignored || (!is_whole_line && !line.empty()))
+            return true;
+    }
+    return false;
+}
+
 std::vector<stream_event> event_splitter::feed(std::string_view data) {
     remainder_.append(data);
     std::vector<stream_event> events;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -366,6 +366,7 @@
     record.last_received = now;
     record.head = {};
     record.is_event_stream = false;
+    record.has_event = false;
     record.is_paused = false;
     ++record.sent_attempts;
     ++record.possible_runs;
@@ -435,8 +436,10 @@
     }
     for (const stream_event& event : record->events.feed(data)) {
         // Single bytes and comments do not show that the request progresses.
-        if (!is_comment(event))
+        if (!is_comment(event)) {
             record->last_received = steady::now();
+            record->has_event = true;
+        }
         forward(exchange, event);
         record = find(exchange);
         if (record == nullptr || !record->call)
@@ -554,9 +557,22 @@
                {"unfinished_bytes", unfinished_bytes}});
 }
 
+/// Returns why a stream whose framing is complete was broken off, or null if it
+/// is whole. The end of a connection alone does not show that a stream is
+/// whole.
+const char* gateway::stream_defect(const request_record& record) {
+    if (record.events.is_inside_event())
+        return "stream ended inside an event";
+    if (record.head.framing == http_framing::connection && !record.has_event)
+        return "stream ended before its first event";
+    return nullptr;
+}
+
 void gateway::on_stream_ended(exchange_id exchange, call_end end) {
     request_record& record = *find(exchange);
-    if (end == call_end::complete) {
+    const char* defect =
+        end == call_end::complete ? stream_defect(record) : to_string(end);
+    if (defect == nullptr) {
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
         if (!remainder.empty())
@@ -571,7 +587,7 @@
         return;
     }
     end_call(record, attempt_result::failed);
-    on_attempt_failed(exchange, to_string(end), true);
+    on_attempt_failed(exchange, defect, true);
 }
 
 /// Retries the request if that is allowed, or responds with the outcome.
--- a/tests/broken_answers.cpp
+++ b/tests/broken_answers.cpp
@@ -1,14 +1,21 @@
 #include "tests/support/gateway_fixture.hpp"
+#include "tests/support/raw_connection.hpp"
+#include "tests/support/running_kernel.hpp"
 #include "tests/support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <string>
+#include <vector>
 
 using namespace ospreystage;
 using testing::event_text;
 using testing::gateway_fixture;
 using testing::make_event_stream;
+using testing::make_response;
+using testing::raw_connection;
+using testing::running_kernel;
 using testing::scripted_answer;
 using testing::scripted_server;
 
@@ -71,3 +78,90 @@
     CHECK(result.caller.response.body == event_text(1, 3));
     CHECK(result.runs == 1);
 }
+
+TEST_CASE("broken answers - a stream whose framing is whole but whose last "
+          "event is not is resumed") {
+    const std::string events = event_text(1, 3) + unfinished_event;
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    const std::string chunked =
+        make_event_stream(1, 3, false) +
+        fmt::format("{:x}\r\n{}\r\n0\r\n\r\n",
+                    std::string(unfinished_event).size(), unfinished_event);
+    for (const std::string& answer :
+         {make_response(200, type, events), chunked}) {
+        const auto result = run_broken_stream({answer}, true);
+        CHECK(result.caller.end == call_end::complete);
+        CHECK(result.caller.response.body == event_text(1, 6));
+        CHECK(result.runs == 2);
+    }
+}
+
+TEST_CASE("broken answers - an event that lacks only its blank line or a part "
+          "of it is not passed on") {
+    const std::vector<std::string> unfinished{"i",
+                                              "id: 4",
+                                              "id: 4\n",
+                                              "id: 4\ndata: e4",
+                                              "id: 4\ndata: e4\n",
+                                              "id: 4\r\ndata: e4\r\n",
+                                              "id: 4\r\ndata: e4\r\n\r",
+                                              "\nid: 4\ndata: e4\n",
+                                              ": a comment\nid: 4\n",
+                                              ": a comment that is cut"};
+    for (const std::string& rest : unfinished) {
+        CAPTURE(rest);
+        const auto result = run_broken_stream(
+            {unframed_stream(event_text(1, 3) + rest), true}, true);
+        CHECK(result.caller.end == call_end::complete);
+        CHECK(result.caller.response.body == event_text(1, 6));
+    }
+}
+
+TEST_CASE("broken answers - a stream without length or chunks that is closed "
+          "before its first event is not an empty stream") {
+    const scripted_answer head_alone{unframed_stream(""), true};
+    const auto resumed = run_broken_stream(head_alone, true);
+    CHECK(resumed.caller.response.body == event_text(4, 6));
+    CHECK(resumed.runs == 2);
+    const auto failed = run_broken_stream(head_alone, false);
+    CHECK(failed.caller.response.status == 502);
+    CHECK(failed.runs == 1);
+}
+
+TEST_CASE("broken answers - a stream that is reset between two events is "
+          "broken in each framing") {
+    for (const std::string& answer :
+         {unframed_stream(event_text(1, 3)), make_event_stream(1, 3, false)}) {
+        const auto result = run_broken_stream({answer, false, true}, false);
+        CHECK(result.caller.end == call_end::truncated);
+        CHECK(result.runs == 1);
+    }
+}
+
+TEST_CASE("broken answers - whole streams without length or chunks are passed "
+          "on once") {
+    for (const std::string rest : {"", "\n", "\r\n", ": bye\n"}) {
+        CAPTURE(rest);
+        const auto result = run_broken_stream(
+            {unframed_stream(event_text(1, 3) + rest), true}, true);
+        CHECK(result.caller.end == call_end::complete);
+        CHECK(result.caller.response.body == event_text(1, 3) + rest);
+        CHECK(result.runs == 1);
+    }
+}
+
+TEST_CASE("broken answers - a plain body without length is whole if it was "
+          "closed and not if it was reset") {
+    const std::string body = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    for (const bool is_reset : {false, true}) {
+        gateway_fixture fixture;
+        const scripted_server server([&](const std::string&) {
+            return scripted_answer{body, !is_reset, is_reset};
+        });
+        fixture.add_route(request_kind::non_idempotent, false);
+        fixture.add_servers({server.endpoint()});
+        const auto result = fixture.send_request();
+        CHECK(result.response.status == (is_reset ? 502 : 200));
+        CHECK((result.response.body == "whole") == !is_reset);
+    }
+}
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -74,6 +74,7 @@
     std::array<char, 16 * 1024> buffer{};
     const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
     ended_ = count <= 0;
+    reset_ = count < 0;
     if (!ended_)
         input_.append(buffer.data(), static_cast<std::size_t>(count));
     return !ended_;
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -38,6 +38,8 @@
 
     /// Returns true once the peer has ended the connection.
     [[nodiscard]] bool has_ended() const noexcept { return ended_; }
+    /// Returns true if the peer has ended the connection by a reset.
+    [[nodiscard]] bool was_reset() const noexcept { return reset_; }
 
   private:
     /// Reads available bytes; returns false at the end of the connection or
@@ -47,6 +49,7 @@
     int descriptor_ = -1;
     bool connected_ = false;
     bool ended_ = false;
+    bool reset_ = false;
     std::string input_;
 };
 
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -17,6 +18,7 @@
 constexpr int poll_ms = 20;
 constexpr std::chrono::milliseconds delayed_bytes_pause{60};
 constexpr std::chrono::milliseconds drip_interval{200};
+constexpr std::chrono::milliseconds endless_interval{5};
 
 /// Returns true if `text` holds a complete request: the head, and the body of
 /// `Content-Length` bytes if that field is present.
@@ -101,6 +103,8 @@
                      answer.dripped_bytes.size(), MSG_NOSIGNAL) < 0)
                 break;
         }
+        if (!answer.endless_bytes.empty())
+            send_endlessly(descriptor, answer.endless_bytes);
         if (!answer.delayed_bytes.empty()) {
             std::this_thread::sleep_for(delayed_bytes_pause);
             send(descriptor, answer.delayed_bytes.data(),
@@ -110,4 +114,21 @@
     close(descriptor);
 }
 
+void scripted_server::send_endlessly(int descriptor, const std::string& bytes) {
+    std::size_t sent = 0;
+    while (!stopping_) {
+        const ssize_t count =
+            send(descriptor, bytes.data() + sent, bytes.size() - sent,
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0 && errno != EAGAIN)
+            return;
+        if (count > 0)
+            sent += static_cast<std::size_t>(count);
+        if (sent == bytes.size())
+            sent = 0;
+        if (sent == 0 || count < 0)
+            std::this_thread::sleep_for(endless_interval);
+    }
+}
+
 } // namespace ospreystage::testing
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -19,6 +19,9 @@
     /// Sent again and again after `bytes`, every 200 ms, while the connection
     /// lasts.
     std::string dripped_bytes{};
+    /// Sent again and again after `bytes`, every 5 ms, while the connection
+    /// lasts.
+    std::string endless_bytes{};
 };
 
 /// Server on the loopback interface that responds with the bytes of a script.
@@ -41,6 +44,7 @@
   private:
     void serve();
     void serve_connection(int descriptor);
+    void send_endlessly(int descriptor, const std::string& bytes);
 
     script answers_;
     int listener_ = -1;
