Do not take a reset for an orderly close after a failed send

A send that fails consumes the socket's error, and the read after it reports the end of the input. A response without length or chunks that was reset while the request was still being sent then counted as complete. The socket now remembers that a send has failed.

Test: web client - a response without length is incomplete if a failed send has reported the reset; before, complete, after, reset.

--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -215,7 +215,8 @@
         if (count < 0 && (would_block() || errno == EINTR))
             break;
         is_ended = true;
-        kind = count == 0 ? end_kind::closed : end_kind::reset;
+        kind = count == 0 && !is_send_failed_ ? end_kind::closed
+                                              : end_kind::reset;
         break;
     }
     if (has_input && handlers_.readable)
@@ -241,8 +242,9 @@
     const std::weak_ptr<int> alive = alive_;
     const bool had_output = pending_bytes() > 0;
     if (!send_pending()) {
-        // Input that the peer sent before is still read; reading then reports
-        // the end of the connection.
+        // Input that the peer sent before is still read. The failed send has
+        // consumed the socket's error, so reading then reports an orderly end.
+        is_send_failed_ = true;
         output_.clear();
         written_ = 0;
         if (closing_)
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -6,11 +6,13 @@
 #include <ospreystage/network/socket_address.hpp>
 
 #include <catch2/catch.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace ospreystage;
@@ -117,6 +119,45 @@
     CHECK(result.end != call_end::complete);
 }
 
+TEST_CASE("web client - a response without length is incomplete if a failed "
+          "send has reported the reset") {
+    error failure;
+    const std::uint16_t port = support::free_ports(1).front();
+    const auto listener = value_or_error(
+        [&] {
+            return open_listener({"127.0.0.1", port}, 1, "test");
+        },
+        failure);
+    REQUIRE(listener);
+    // Answers before it has read the request, and resets the connection.
+    std::thread server([&] {
+        pollfd waiting{*listener, POLLIN, 0};
+        poll(&waiting, 1, 5000);
+        const int accepted = accept(*listener, nullptr, nullptr);
+        std::this_thread::sleep_for(milliseconds(50));
+        const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+        send(accepted, part.data(), part.size(), MSG_NOSIGNAL);
+        const linger now{1, 0};
+        setsockopt(accepted, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        close(accepted);
+    });
+    kernel core;
+    web_client client(core);
+    http_request request = make_request("one");
+    request.method = "POST";
+    request.body.assign(20'000'000, 'x');
+    outcome result;
+    client.fetch({"127.0.0.1", port}, request, {},
+                 [&result](call_end end, http_response response) {
+                     result = {true, end, std::move(response)};
+                 });
+    run_until(core, [&] { return result.has_ended; });
+    server.join();
+    close(*listener);
+    REQUIRE(result.has_ended);
+    CHECK(result.end != call_end::complete);
+}
+
 TEST_CASE("web client - a response that ends early is truncated") {
     const outcome result =
         fetch_once({"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart", true});
