Do not resume a stream whose events have no ids

A resumed stream goes on after the last event by its id. Without one, the second server began anew and the caller got the first events twice. Such a stream is now cut once an event without an id was passed on. Found by reading.

Test: broken answers - a stream whose events have no ids is not resumed which would repeat them; 2 of 6 assertions failed before, none after.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -117,6 +117,8 @@
         bool has_response_begun = false; ///< Head sent to the caller.
         event_splitter events;
         std::optional<std::uint64_t> last_event_id;
+        /// The caller has received an event without an id.
+        bool has_unnumbered_event = false;
     };
 
     [[nodiscard]] request_record* find(exchange_id exchange);
@@ -142,6 +144,7 @@
     stream_defect(const request_record& record);
     void on_stream_ended(exchange_id exchange, call_end end);
     void forward(exchange_id exchange, const stream_event& event);
+    [[nodiscard]] static bool may_run_again(const request_record& record);
     void on_attempt_failed(exchange_id exchange, const char* reason,
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -465,6 +465,8 @@
     }
     if (event.id)
         record.last_event_id = event.id;
+    else if (!is_comment(event))
+        record.has_unnumbered_event = true;
     const bool can_write_more = server_->write(exchange, event.text);
     if (!can_write_more && record.call) {
         record.is_paused = true;
@@ -590,13 +592,18 @@
     on_attempt_failed(exchange, defect, true);
 }
 
+/// Returns true if another server may run a request that may have run. A
+/// stream goes on after its last event, which must have an id.
+bool gateway::may_run_again(const request_record& record) {
+    return record.kind == request_kind::idempotent ||
+           (record.is_resumable && !record.has_unnumbered_event);
+}
+
 /// Retries the request if that is allowed, or responds with the outcome.
 void gateway::on_attempt_failed(exchange_id exchange, const char* reason,
                                 bool may_have_run) {
     request_record& record = *find(exchange);
-    const bool is_retryable = !may_have_run ||
-                              record.kind == request_kind::idempotent ||
-                              record.is_resumable;
+    const bool is_retryable = !may_have_run || may_run_again(record);
     const bool has_time = left_until(record.deadline) > milliseconds(50);
     log_event(log_level::warn, "attempt_failed",
               {{"request", record.caller.id},
@@ -623,9 +630,8 @@
         // The server cannot send while the caller does not read.
         if (!record->call || record->is_paused)
             continue;
-        const bool is_retryable =
-            record->kind == request_kind::idempotent || record->is_resumable;
-        if (!is_retryable || record->possible_runs >= record->max_attempts)
+        if (!may_run_again(*record) ||
+            record->possible_runs >= record->max_attempts)
             continue;
         const auto expected_gap = record->has_response_begun
                                       ? record->target_gap
--- a/tests/broken_answers.cpp
+++ b/tests/broken_answers.cpp
@@ -138,6 +138,15 @@
     }
 }
 
+TEST_CASE("broken answers - a stream whose events have no ids is not resumed "
+          "which would repeat them") {
+    const auto result = run_broken_stream(
+        {unframed_stream("data: a\n\ndata: b\n\ndata: c"), true}, true);
+    CHECK(result.caller.end == call_end::truncated);
+    CHECK(result.caller.response.body == "data: a\n\ndata: b\n\n");
+    CHECK(result.runs == 1);
+}
+
 TEST_CASE("broken answers - whole streams without length or chunks are passed "
           "on once") {
     for (const std::string rest : {"", "\n", "\r\n", ": bye\n"}) {
