Send streams to HTTP/1.0 callers without chunks, and cut them by a reset

Such callers cannot read chunks, and an orderly close marks the end of a response without them: a cut stream would have looked whole. It now ends with the connection, closed if it is whole and reset if it is not. Found by reading.

--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -23,7 +23,8 @@
     std::string target = "/";
     http_fields fields;
     std::string body;
-    bool keep_alive = true; ///< The peer permits reuse of the connection.
+    bool keep_alive = true;     ///< The peer permits reuse of the connection.
+    bool accepts_chunks = true; ///< The peer reads chunked bodies (HTTP/1.1).
 };
 
 /// How the end of a message's body is marked.
--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -108,7 +108,7 @@
     bool reading_ = true;
     bool closing_ = false;
     bool is_flush_scheduled_ = false; ///< At the end of the turn.
-    bool is_send_failed_ = false; ///< The connection was reset.
+    bool is_send_failed_ = false;     ///< The connection was reset.
     bool shutdown_after_output_ = false;
 };
 
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -87,7 +87,8 @@
     /// Sends a complete response.
     void respond(exchange_id exchange, const http_response& response);
 
-    /// Sends the head of a response whose body follows in chunks.
+    /// Sends the head of a response whose body follows in parts: in chunks, or
+    /// up to the end of the connection if the caller cannot read chunks.
     void begin(exchange_id exchange, const http_response& head);
 
     /// Sends a chunk of the body. Returns false if more than 64 KiB of output
@@ -97,8 +98,8 @@
     /// Completes a response that `begin` started.
     void finish(exchange_id exchange);
 
-    /// Closes the connection before the last chunk, so that the caller detects
-    /// a truncated response.
+    /// Closes the connection before the last chunk, or resets it if there are
+    /// no chunks, so that the caller detects a truncated response.
     void abort(exchange_id exchange);
 
   private:
@@ -108,9 +109,10 @@
         std::unique_ptr<request_parser> parser;
         exchange_id exchange{};
         instant accepted_at{};
-        bool is_used = false;    ///< A request has arrived.
-        bool is_busy = false;    ///< A request is in progress.
-        bool is_chunked = false; ///< Its response is chunked.
+        bool is_used = false; ///< A request has arrived.
+        bool is_busy = false; ///< A request is in progress.
+        /// Of its response, if that is sent in parts.
+        http_framing framing = http_framing::chunked;
         bool keep_alive = true;
         /// `Expect` was looked up, once per request.
         bool is_expect_checked = false;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -122,10 +122,10 @@
     append_fields(out, response.fields);
     if (!keep_alive)
         out += "Connection: close\r\n";
-    if (framing == http_framing::chunked) {
-        out += "Transfer-Encoding: chunked\r\n\r\n";
-        return out;
-    }
+    if (framing == http_framing::chunked)
+        return out + "Transfer-Encoding: chunked\r\n\r\n";
+    if (framing == http_framing::connection)
+        return out + "\r\n";
     out += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
     out += response.body;
     return out;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -16,6 +16,9 @@
 /// of a request.
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
 
+/// HTTP/1.1 in the form that the parser reports.
+constexpr int http_1_1 = 11;
+
 std::string to_text(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -94,10 +97,11 @@
     void append_body(text body) override { request.body.append(body); }
     void on_head_complete() override { request.keep_alive = keep_alive(); }
 
-    void on_request_impl(beast_http::verb, text method, text target, int,
-                         error_code&) override {
+    void on_request_impl(beast_http::verb, text method, text target,
+                         int version, error_code&) override {
         request.method = to_text(method);
         request.target = to_text(target);
+        request.accepts_chunks = version >= http_1_1;
     }
     void on_response_impl(int, text, int, error_code&) override {}
 };
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -215,8 +215,8 @@
         if (count < 0 && (would_block() || errno == EINTR))
             break;
         is_ended = true;
-        kind = count == 0 && !is_send_failed_ ? end_kind::closed
-                                              : end_kind::reset;
+        kind =
+            count == 0 && !is_send_failed_ ? end_kind::closed : end_kind::reset;
         break;
     }
     if (has_input && handlers_.readable)
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -192,7 +192,8 @@
     record.parser.reset();
     record.is_expect_checked = false;
     record.is_busy = true;
-    record.is_chunked = false;
+    record.framing = request.accepts_chunks ? http_framing::chunked
+                                            : http_framing::connection;
     record.keep_alive = request.keep_alive && !is_draining_;
     record.exchange = exchange_id{next_exchange_++};
     exchanges_.emplace(static_cast<std::uint64_t>(record.exchange), id);
@@ -298,17 +299,20 @@
     connection_record* record = find(exchange);
     if (record == nullptr)
         return;
-    record->is_chunked = true;
-    record->keep_alive = record->keep_alive && !is_draining_;
+    record->keep_alive = record->keep_alive && !is_draining_ &&
+                         record->framing != http_framing::connection;
     record->socket.write(
-        encode_response(head, http_framing::chunked, record->keep_alive));
+        encode_response(head, record->framing, record->keep_alive));
 }
 
 bool web_server::write(exchange_id exchange, std::string_view data) {
     connection_record* record = find(exchange);
     if (record == nullptr || data.empty())
         return true;
-    record->socket.write(encode_chunk(data));
+    if (record->framing == http_framing::chunked)
+        record->socket.write(encode_chunk(data));
+    else
+        record->socket.write(data);
     record->awaits_drain = record->socket.pending_bytes() > max_unread_bytes;
     return !record->awaits_drain;
 }
@@ -317,14 +321,20 @@
     connection_record* record = find(exchange);
     if (record == nullptr)
         return;
-    record->socket.write(last_chunk);
+    if (record->framing == http_framing::chunked)
+        record->socket.write(last_chunk);
     complete(exchanges_.at(static_cast<std::uint64_t>(exchange)));
 }
 
 void web_server::abort(exchange_id exchange) {
     const auto found = exchanges_.find(static_cast<std::uint64_t>(exchange));
-    if (found != exchanges_.end())
-        drop(found->second);
+    if (found == exchanges_.end())
+        return;
+    connection_record& record = *connections_.at(found->second);
+    // An orderly close would mark the end of such a response.
+    if (record.framing == http_framing::connection)
+        record.socket.abort();
+    drop(found->second);
 }
 
 void web_server::complete(std::uint64_t id) {
--- a/tests/broken_answers.cpp
+++ b/tests/broken_answers.cpp
@@ -174,3 +174,35 @@
         CHECK((result.response.body == "whole") == !is_reset);
     }
 }
+
+namespace {
+
+/// Sends a request for a stream over HTTP/1.0 and reads until the end.
+std::string read_old_stream(gateway_fixture& fixture, raw_connection& caller) {
+    running_kernel running(fixture.core);
+    caller.send("POST /x/1 HTTP/1.0\r\nHost: a.example\r\n"
+                "X-Request-Id: r1\r\nX-Request-Deadline: 3000\r\n"
+                "Content-Length: 0\r\n\r\n");
+    return caller.read_all();
+}
+
+} // namespace
+
+TEST_CASE("broken answers - a caller that cannot read chunks sees by a reset "
+          "that its stream was cut") {
+    for (const bool is_whole : {true, false}) {
+        gateway_fixture fixture;
+        const scripted_server server([&](const std::string&) {
+            return scripted_answer{make_event_stream(1, 3, is_whole), true};
+        });
+        fixture.add_route(request_kind::streaming, false);
+        fixture.add_servers({server.endpoint()});
+        raw_connection caller(fixture.front_address);
+        const std::string answer = read_old_stream(fixture, caller);
+        CHECK(answer.find("Transfer-Encoding") == std::string::npos);
+        CHECK(caller.has_ended());
+        CHECK(caller.was_reset() == !is_whole);
+        if (is_whole)
+            CHECK(answer.ends_with("\r\n\r\n" + event_text(1, 3)));
+    }
+}
