Bound an event that does not end

The part of an event that had arrived was kept, and searched again at each read, until the deadline of the request. An event of the users' engines holds 5 tokens; a stream has no bound on its length. Agents bound the events of their engines alike.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -30,6 +30,7 @@
     truncated,     ///< The connection was closed within the response.
     reset,         ///< The connection was reset within the response.
     malformed,     ///< The server did not send a valid response.
+    too_large,     ///< The response exceeds a bound.
     timeout,       ///< `timeout` or `idle_timeout` of `call_options` passed.
 };
 
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -138,6 +138,7 @@
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
     void on_body(exchange_id exchange, std::string_view data);
+    void on_answer_too_large(exchange_id exchange, const char* reason);
     void on_call_ended(exchange_id exchange, call_end end);
     void note_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -53,6 +53,8 @@
         return "cut";
     case call_end::reset:
         return "reset";
+    case call_end::too_large:
+        return "too_large";
     case call_end::malformed:
         return "malformed";
     case call_end::timeout:
--- a/src/requests/back_end.cpp
+++ b/src/requests/back_end.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/string_view.h>
+#include <fmt/format.h>
 #include <netdb.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
@@ -152,6 +153,10 @@
         else
             receiver_(attempt, back_end_part{event.text});
     }
+    const auto found = running_.find(attempt);
+    if (found != running_.end() && found->second.splitter.is_too_large())
+        fail(attempt, {true, fmt::format("event larger than {} bytes",
+                                         max_event_bytes)});
 }
 
 void back_end::on_ended(const attempt_id& attempt, call_end end) {
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -10,22 +10,6 @@
 
 namespace {
 
-/// Returns the position after the event that starts at `from`, or `npos`
-/// if no blank line ends it.
-std::size_t end_of_event(const std::string& text, std::size_t from) {
-    std::size_t line = from;
-    while (true) {
-        const std::size_t newline = text.find('\n', line);
-        if (newline == std::string::npos)
-            return std::string::npos;
-        const bool is_blank =
-            newline == line || (newline == line + 1 && text[line] == '\r');
-        if (is_blank && line > from)
-            return newline + 1;
-        line = newline + 1;
-    }
-}
-
 std::optional<std::uint64_t> id_of(std::string_view event) {
     std::size_t line = 0;
     while (line < event.size()) {
@@ -79,17 +63,38 @@
     remainder_.append(data);
     std::vector<stream_event> events;
     std::size_t start = 0;
-    while (true) {
-        const std::size_t end = end_of_event(remainder_, start);
-        if (end == std::string::npos)
+    while (!is_too_large_) {
+        const std::size_t newline = remainder_.find('\n', searched_);
+        if (newline == std::string::npos) {
+            searched_ = remainder_.size();
             break;
-        stream_event event{remainder_.substr(start, end - start), std::nullopt};
+        }
+        const bool is_blank = newline == line_ || (newline == line_ + 1 &&
+                                                   remainder_[line_] == '\r');
+        const bool ends_event = is_blank && line_ > start;
+        line_ = searched_ = newline + 1;
+        if (!ends_event)
+            continue;
+        is_too_large_ = line_ - start > max_event_bytes;
+        if (is_too_large_)
+            break;
+        stream_event event{remainder_.substr(start, line_ - start),
+                           std::nullopt};
         event.id = id_of(event.text);
         events.push_back(std::move(event));
-        start = end;
+        start = line_;
     }
     remainder_.erase(0, start);
+    line_ -= start;
+    searched_ -= start;
+    is_too_large_ = is_too_large_ || remainder_.size() > max_event_bytes;
     return events;
 }
 
+void event_splitter::reset() noexcept {
+    remainder_.clear();
+    line_ = searched_ = 0;
+    is_too_large_ = false;
+}
+
 } // namespace ospreystage
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -445,6 +445,18 @@
         if (record == nullptr || !record->call)
             return;
     }
+    if (record->events.is_too_large())
+        on_answer_too_large(exchange, "event too large");
+}
+
+/// Closes the connection of an answer that exceeds a bound.
+void gateway::on_answer_too_large(exchange_id exchange, const char* reason) {
+    request_record& record = *find(exchange);
+    client_.cancel(*record.call);
+    note_answer_end(record, call_end::too_large);
+    end_call(record, attempt_result::failed);
+    record.head.body.clear();
+    on_attempt_failed(exchange, reason, true);
 }
 
 void gateway::forward(exchange_id exchange, const stream_event& event) {
