Bound chunk headers and trailer fields that do not end

The parser bounds the head of a message, but not the line of a chunk and the trailer. Both are kept until they are complete, so they grew until the deadline of the call, or of the request.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <fmt/format.h>
 
 #include <utility>
 
@@ -59,8 +60,11 @@
     void on_finish_impl(error_code&) override {}
 };
 
+/// `max_line_bytes` bounds what has to be kept until it can be parsed: a chunk
+/// header or the trailer fields, which the parser itself does not bound.
 template <typename Parser>
-parse_progress feed_parser(Parser& parser, std::string_view input) {
+parse_progress feed_parser(Parser& parser, std::string_view input,
+                           std::size_t max_line_bytes) {
     parse_progress progress;
     while (progress.consumed < input.size() && !parser.is_done()) {
         error_code problem;
@@ -83,6 +87,12 @@
             break;
     }
     progress.is_complete = parser.is_done();
+    if (!progress.is_complete &&
+        input.size() - progress.consumed > max_line_bytes) {
+        progress.failure = fmt::format(
+            "chunk header or trailer larger than {} bytes", max_line_bytes);
+        progress.failure_status = 431;
+    }
     return progress;
 }
 
@@ -92,6 +102,7 @@
 
 struct request_parser::state final : parser_base<true> {
     http_request request;
+    std::size_t max_header_bytes = 0;
 
     http_fields& fields() override { return request.fields; }
     void append_body(text body) override { request.body.append(body); }
@@ -110,6 +121,7 @@
                                std::size_t max_body_bytes)
     : state_(std::make_unique<state>()) {
     state_->eager(true);
+    state_->max_header_bytes = max_header_bytes;
     state_->header_limit(static_cast<std::uint32_t>(max_header_bytes));
     state_->body_limit(max_body_bytes);
 }
@@ -119,7 +131,7 @@
 request_parser& request_parser::operator=(request_parser&&) noexcept = default;
 
 parse_progress request_parser::feed(std::string_view input) {
-    return feed_parser(*state_, input);
+    return feed_parser(*state_, input, state_->max_header_bytes);
 }
 
 bool request_parser::is_head_complete() const noexcept {
@@ -172,7 +184,7 @@
 response_parser::operator=(response_parser&&) noexcept = default;
 
 parse_progress response_parser::feed(std::string_view input) {
-    return feed_parser(*state_, input);
+    return feed_parser(*state_, input, max_response_header_bytes);
 }
 
 bool response_parser::finish() {
--- a/tests/endless_answers.cpp
+++ b/tests/endless_answers.cpp
@@ -26,6 +26,9 @@
 
 namespace {
 
+/// Bounds end a call long before this time, which is that of the calls.
+constexpr seconds call_timeout{4};
+
 scripted_answer endless(std::string begin, std::string repeated) {
     scripted_answer answer;
     answer.bytes = std::move(begin);
@@ -33,10 +36,79 @@
     return answer;
 }
 
+std::string repeat(const std::string& text, std::size_t bytes) {
+    std::string out;
+    while (out.size() < bytes)
+        out += text;
+    return out;
+}
+
+struct fetch_result {
+    call_end end = call_end::complete;
+    milliseconds duration{};
+    std::size_t body_bytes = 0;
+};
+
+/// Fetches an answer that does not end.
+fetch_result fetch_endless(const scripted_answer& answer) {
+    const scripted_server server([&](const std::string&) { return answer; });
+    kernel core;
+    web_client client(core);
+    http_request request;
+    request.fields = {{"X-Request-Id", "one"}};
+    call_options options;
+    options.echoed_field = "X-Request-Id";
+    options.timeout = call_timeout;
+    std::optional<fetch_result> result;
+    const instant started = steady::now();
+    client.fetch(server.endpoint(), request, options,
+                 [&](call_end end, const http_response& response) {
+                     result = {end,
+                               std::chrono::duration_cast<milliseconds>(
+                                   steady::now() - started),
+                               response.body.size()};
+                     core.stop();
+                 });
+    core.after("test", 2 * call_timeout, [&core] { core.stop(); });
+    core.run();
+    REQUIRE(result.has_value());
+    return *result;
+}
+
+/// Ended by a bound, not by the time limit of the call.
+bool ended_by_bound(const fetch_result& result) {
+    return result.end != call_end::complete &&
+           result.end != call_end::timeout &&
+           result.duration < call_timeout / 2;
+}
+
 const std::string filler(16 * 1024, 'a');
 
 } // namespace
 
+TEST_CASE("endless answers - a head without end ends the call") {
+    CHECK(
+        ended_by_bound(fetch_endless(endless("HTTP/1.1 200 OK\r\n", filler))));
+    CHECK(ended_by_bound(fetch_endless(endless(
+        "HTTP/1.1 200 OK\r\n", repeat("X-Field: value\r\n", 16 * 1024)))));
+    CHECK(ended_by_bound(fetch_endless(endless("", filler))));
+}
+
+TEST_CASE("endless answers - a chunk header without end ends the call") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(ended_by_bound(fetch_endless(endless(head + "5;x=", filler))));
+    CHECK(ended_by_bound(
+        fetch_endless(endless(head, std::string(16 * 1024, '0')))));
+}
+
+TEST_CASE("endless answers - trailer fields without end end the call") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    CHECK(ended_by_bound(
+        fetch_endless(endless(head, repeat("X-Field: value\r\n", 16 * 1024)))));
+}
+
 TEST_CASE("endless answers - an event without end moves the stream to another "
           "server") {
     std::atomic<int> runs{0};
