--- a/include/ospreystage/weights/manifest.hpp
+++ b/include/ospreystage/weights/manifest.hpp
@@ -21,9 +21,11 @@
     [[nodiscard]] std::uint32_t chunk_size(std::uint32_t index) const noexcept;
 };
 
+/// Maximum size of an encoded manifest, in bytes.
+inline constexpr std::size_t max_manifest_bytes = 4 * 1024 * 1024;
+
 /// Maximum chunk size in bytes; a frame with one chunk stays below the frame
 /// size limit.
-inline constexpr std::size_t max_manifest_bytes = 4 * 1024 * 1024;
 inline constexpr std::uint32_t max_chunk_bytes = 4 * 1024 * 1024;
 
 /// Encodes the manifest in its canonical JSON form.
--- a/tests/endless_answers.cpp
+++ b/tests/endless_answers.cpp
@@ -177,8 +177,31 @@
     return outcome;
 }
 
+scripted_answer store_page(const std::string& body) {
+    return {make_response(200, "", body)};
+}
+
 } // namespace
 
+TEST_CASE("endless answers - a listing of the store whose pages do not end "
+          "fails") {
+    const auto same_page = read_listing([](const std::string&) {
+        return store_page(R"({"items":[{"key":"servers/a","value":""}],)"
+                          R"("has_more":true,"store_revision":4})");
+    });
+    REQUIRE(same_page);
+    CHECK(same_page->failure);
+    const auto empty_page = read_listing([](const std::string& request) {
+        return store_page(
+            request.find("after=") == std::string::npos
+                ? R"({"items":[{"key":"servers/a","value":""}],"has_more":true,
+                     "store_revision":4})"
+                : R"({"items":[],"has_more":true,"store_revision":4})");
+    });
+    REQUIRE(empty_page);
+    CHECK(empty_page->failure);
+}
+
 TEST_CASE("endless answers - a page of the store without end fails") {
     const auto result = read_listing([](const std::string&) {
         return endless("HTTP/1.1 200 OK\r\n\r\n{\"items\":[",
@@ -187,3 +210,13 @@
     REQUIRE(result);
     CHECK(result->failure);
 }
+
+TEST_CASE("broken answers - a page of the store that does not say whether more "
+          "follow is not the whole list") {
+    const auto result = read_listing([](const std::string&) {
+        return store_page(R"({"items":[{"key":"servers/a","value":""}],)"
+                          R"("store_revision":4})");
+    });
+    REQUIRE(result);
+    CHECK(result->failure);
+}
