Refuse a manifest of which a digest cannot be read

Values that are no strings were left out, so a spoilt manifest passed for one of fewer chunks. Found by reading.

--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -208,6 +208,11 @@
         return decode_manifest(
             R"({"version":2,"chunk_bytes":8,"digests":["zz"]})");
     }));
+    // A list of which a part cannot be read is not a shorter list.
+    CHECK_FALSE(decoded([&] {
+        return decode_manifest(R"({"version":2,"chunk_bytes":8,"digests":[")" +
+                               sha256("a") + R"(",5]})");
+    }));
     CHECK_FALSE(decoded(
         [] { return decode_manifest(R"({"version":2,"chunk_bytes":8})"); }));
 }
