Pass large plain answers on as they arrive

A plain answer was kept whole until its end, whatever its size. One that does not end grew in the entry's memory until the deadline. Answers up to 64 KiB are still passed on only once they are whole, so that a failed attempt can be repeated; a larger one is passed on as it arrives, with the server's `Content-Length` or in chunks, at the pace at which its caller reads, and is cut if it breaks off. A refusal of the server whose body does not end is a refusal by its head.

The cost: a large idempotent answer that breaks off midway is cut instead of repeated, and a caller that reads slowly has until its deadline, not longer.

--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,8 @@
     std::string body;
     bool keep_alive = true; ///< The peer permits reuse of the connection.
     http_framing framing = http_framing::length; ///< Of a received response.
+    /// `Content-Length` of a received response.
+    std::optional<std::uint64_t> content_length;
 };
 
 /// Returns true if two field names are equal, ignoring ASCII case.
@@ -84,13 +87,17 @@
 [[nodiscard]] std::string encode_request(const http_request& request,
                                          const std::string& host);
 
-/// Encodes the head of a response, and the body with `http_framing::length`;
-/// for `http_framing::chunked` see `encode_chunk`. Adds `Connection: close`
-/// unless `keep_alive`.
+/// Encodes a response with its whole body, framed by `Content-Length`. Adds
+/// `Connection: close` unless `keep_alive`.
 [[nodiscard]] std::string encode_response(const http_response& response,
-                                          http_framing framing,
                                           bool keep_alive);
 
+/// Encodes the head of a response whose body follows: of `body_bytes` bytes
+/// with `http_framing::length`, see `encode_chunk` for `http_framing::chunked`.
+[[nodiscard]] std::string encode_head(const http_response& response,
+                                      http_framing framing, bool keep_alive,
+                                      std::uint64_t body_bytes = 0);
+
 /// Encodes one chunk of a chunked body. `data` must not be empty: an empty
 /// chunk would end the body.
 [[nodiscard]] std::string encode_chunk(std::string_view data);
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -87,15 +88,18 @@
     /// Sends a complete response.
     void respond(exchange_id exchange, const http_response& response);
 
-    /// Sends the head of a response whose body follows in parts: in chunks, or
-    /// up to the end of the connection if the caller cannot read chunks.
-    void begin(exchange_id exchange, const http_response& head);
+    /// Sends the head of a response whose body follows in parts: `body_bytes`
+    /// bytes if that is known, otherwise chunks, or bytes up to the end of the
+    /// connection if the caller cannot read chunks.
+    void begin(exchange_id exchange, const http_response& head,
+               std::optional<std::uint64_t> body_bytes = std::nullopt);
 
-    /// Sends a chunk of the body. Returns false if more than 64 KiB of output
+    /// Sends a part of the body. Returns false if more than 64 KiB of output
     /// are pending; `drained` is called once they are sent.
     bool write(exchange_id exchange, std::string_view data);
 
-    /// Completes a response that `begin` started.
+    /// Completes a response that `begin` started; aborts it if fewer bytes were
+    /// written than `begin` announced.
     void finish(exchange_id exchange);
 
     /// Closes the connection before the last chunk, or resets it if there are
@@ -113,6 +117,7 @@
         bool is_busy = false; ///< A request is in progress.
         /// Of its response, if that is sent in parts.
         http_framing framing = http_framing::chunked;
+        std::uint64_t unsent_bytes = 0; ///< Of `http_framing::length`.
         bool keep_alive = true;
         /// `Expect` was looked up, once per request.
         bool is_expect_checked = false;
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -109,12 +109,13 @@
         instant last_received{};
         bool is_paused = false; ///< Reading waits for the caller.
 
-        /// Response of the last answered attempt; its body stays empty while
-        /// events are forwarded.
+        /// Response of the current attempt; its body stays empty while it is
+        /// forwarded.
         http_response head;
         bool is_event_stream = false;
         bool has_event = false; ///< The current attempt has sent an event.
         bool has_response_begun = false; ///< Head sent to the caller.
+        bool is_body_forwarded = false;  ///< A plain body, as it arrives.
         event_splitter events;
         std::optional<std::uint64_t> last_event_id;
         /// The caller has received an event without an id.
@@ -138,6 +139,9 @@
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
     void on_body(exchange_id exchange, std::string_view data);
+    void on_plain_body(exchange_id exchange, std::string_view data);
+    void begin_response(exchange_id exchange);
+    void write(exchange_id exchange, std::string_view data);
     void on_answer_too_large(exchange_id exchange, const char* reason);
     void on_call_ended(exchange_id exchange, call_end end);
     void note_answer_end(const request_record& record, call_end end);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -113,8 +113,14 @@
     return out;
 }
 
-std::string encode_response(const http_response& response, http_framing framing,
-                            bool keep_alive) {
+std::string encode_response(const http_response& response, bool keep_alive) {
+    return encode_head(response, http_framing::length, keep_alive,
+                       response.body.size()) +
+           response.body;
+}
+
+std::string encode_head(const http_response& response, http_framing framing,
+                        bool keep_alive, std::uint64_t body_bytes) {
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", response.status,
                                   response.reason.empty()
                                       ? reason_phrase(response.status)
@@ -123,12 +129,10 @@
     if (!keep_alive)
         out += "Connection: close\r\n";
     if (framing == http_framing::chunked)
-        return out + "Transfer-Encoding: chunked\r\n\r\n";
-    if (framing == http_framing::connection)
-        return out + "\r\n";
-    out += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
-    out += response.body;
-    return out;
+        out += "Transfer-Encoding: chunked\r\n";
+    if (framing == http_framing::length)
+        out += fmt::format("Content-Length: {}\r\n", body_bytes);
+    return out + "\r\n";
 }
 
 std::string encode_chunk(std::string_view data) {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -159,6 +159,8 @@
             response.framing = http_framing::chunked;
         else if (need_eof())
             response.framing = http_framing::connection;
+        else if (const auto length = content_length())
+            response.content_length = *length;
     }
 
     void on_request_impl(beast_http::verb, text, text, int,
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -243,9 +243,8 @@
     const call_record& call =
         *calls_.at(static_cast<std::uint64_t>(*record.call));
     record.parser = std::make_unique<response_parser>(
-        call.is_head_request, [this, id](std::string_view data) {
-            on_body(id, data);
-        });
+        call.is_head_request,
+        [this, id](std::string_view data) { on_body(id, data); });
 }
 
 void web_client::on_body(std::uint64_t id, std::string_view data) {
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -214,7 +215,7 @@
         response.body = reason + "\n";
     }
     response.status = status;
-    record.socket.write(encode_response(response, http_framing::length, false));
+    record.socket.write(encode_response(response, false));
     // The connection is closed later: closing it with unread input sends a
     // reset, which may discard the response before the caller has read it.
     record.socket.shutdown_output();
@@ -290,19 +291,22 @@
     const std::uint64_t id =
         exchanges_.at(static_cast<std::uint64_t>(exchange));
     record->keep_alive = record->keep_alive && !is_draining_;
-    record->socket.write(
-        encode_response(response, http_framing::length, record->keep_alive));
+    record->socket.write(encode_response(response, record->keep_alive));
     complete(id);
 }
 
-void web_server::begin(exchange_id exchange, const http_response& head) {
+void web_server::begin(exchange_id exchange, const http_response& head,
+                       std::optional<std::uint64_t> body_bytes) {
     connection_record* record = find(exchange);
     if (record == nullptr)
         return;
+    if (body_bytes)
+        record->framing = http_framing::length;
+    record->unsent_bytes = body_bytes.value_or(0);
     record->keep_alive = record->keep_alive && !is_draining_ &&
                          record->framing != http_framing::connection;
-    record->socket.write(
-        encode_response(head, record->framing, record->keep_alive));
+    record->socket.write(encode_head(head, record->framing, record->keep_alive,
+                                     record->unsent_bytes));
 }
 
 bool web_server::write(exchange_id exchange, std::string_view data) {
@@ -313,6 +317,9 @@
         record->socket.write(encode_chunk(data));
     else
         record->socket.write(data);
+    if (record->framing == http_framing::length)
+        record->unsent_bytes -=
+            std::min<std::uint64_t>(record->unsent_bytes, data.size());
     record->awaits_drain = record->socket.pending_bytes() > max_unread_bytes;
     return !record->awaits_drain;
 }
@@ -321,6 +328,10 @@
     connection_record* record = find(exchange);
     if (record == nullptr)
         return;
+    if (record->framing == http_framing::length && record->unsent_bytes > 0) {
+        abort(exchange);
+        return;
+    }
     if (record->framing == http_framing::chunked)
         record->socket.write(last_chunk);
     complete(exchanges_.at(static_cast<std::uint64_t>(exchange)));
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -45,6 +45,9 @@
 /// Idle timeout of an attempt in units of the expected gap: the target latency
 /// before the first event, the target gap after it.
 constexpr int idle_timeout_gaps = 3;
+/// Largest plain answer that is passed on only once it is whole; a larger one
+/// is passed on as it arrives. It bounds the memory that one answer takes.
+constexpr std::size_t max_buffered_bytes = 64 * 1024;
 /// Attempts per request, including those that servers refuse.
 constexpr std::uint32_t max_sent_attempts = 4;
 /// Priorities of attempts, 0 being the highest: fresh requests by their own
@@ -430,8 +433,7 @@
         return;
     last_received_[record->server] = steady::now();
     if (!record->is_event_stream) {
-        record->last_received = steady::now();
-        record->head.body.append(data);
+        on_plain_body(exchange, data);
         return;
     }
     for (const stream_event& event : record->events.feed(data)) {
@@ -449,6 +451,52 @@
         on_answer_too_large(exchange, "event too large");
 }
 
+void gateway::on_plain_body(exchange_id exchange, std::string_view data) {
+    request_record& record = *find(exchange);
+    record.last_received = steady::now();
+    if (record.is_body_forwarded) {
+        write(exchange, data);
+        return;
+    }
+    std::string& body = record.head.body;
+    body.append(data);
+    if (body.size() <= max_buffered_bytes)
+        return;
+    if (protocol_.is_not_run(record.head)) {
+        // The head says all that matters; the body is not passed on.
+        client_.cancel(*record.call);
+        on_call_ended(exchange, call_end::too_large);
+    } else if (record.has_response_begun) {
+        on_answer_too_large(exchange, "stream not resumed");
+    } else {
+        record.is_body_forwarded = true;
+        const std::string first = std::exchange(body, "");
+        begin_response(exchange);
+        write(exchange, first);
+    }
+}
+
+/// Sends the head of the current answer to the caller, once.
+void gateway::begin_response(exchange_id exchange) {
+    request_record& record = *find(exchange);
+    if (std::exchange(record.has_response_begun, true))
+        return;
+    http_response head = record.head;
+    erase_hop_fields(head.fields);
+    server_->begin(exchange, head,
+                   record.is_event_stream ? std::nullopt
+                                          : record.head.content_length);
+}
+
+/// Passes a part of the body on; stops reading while the caller does not.
+void gateway::write(exchange_id exchange, std::string_view data) {
+    request_record& record = *find(exchange);
+    if (!server_->write(exchange, data) && record.call) {
+        record.is_paused = true;
+        client_.set_reading(*record.call, false);
+    }
+}
+
 /// Closes the connection of an answer that exceeds a bound.
 void gateway::on_answer_too_large(exchange_id exchange, const char* reason) {
     request_record& record = *find(exchange);
@@ -464,26 +512,19 @@
     if (event.id && record.last_event_id && *event.id <= *record.last_event_id)
         return; // Already forwarded from the previous server.
     if (!record.has_response_begun) {
-        record.has_response_begun = true;
         const auto elapsed = steady::now() - record.arrived;
         metrics_.observe("ospreystage_first_event_seconds", elapsed);
         log_event(log_level::info, "request_first_event",
                   {{"request", record.caller.id},
                    {"server", record.server},
                    {"after_ms", elapsed / milliseconds(1)}});
-        http_response head = record.head;
-        erase_hop_fields(head.fields);
-        server_->begin(exchange, head);
+        begin_response(exchange);
     }
     if (event.id)
         record.last_event_id = event.id;
     else if (!is_comment(event))
         record.has_unnumbered_event = true;
-    const bool can_write_more = server_->write(exchange, event.text);
-    if (!can_write_more && record.call) {
-        record.is_paused = true;
-        client_.set_reading(*record.call, false);
-    }
+    write(exchange, event.text);
 }
 
 void gateway::on_drained(exchange_id exchange) {
@@ -510,19 +551,28 @@
         on_stream_ended(exchange, end);
         return;
     }
-    if (end != call_end::complete) {
+    const bool is_refused =
+        (end == call_end::complete || end == call_end::too_large) &&
+        protocol_.is_not_run(record->head);
+    if (!is_refused && end != call_end::complete) {
         end_call(*record, attempt_result::failed);
         record->head.body.clear();
         on_attempt_failed(exchange, to_string(end), true);
         return;
     }
-    if (protocol_.is_not_run(record->head)) {
+    if (is_refused) {
         --record->possible_runs;
         end_call(*record, attempt_result::refused);
         record->head.body.clear();
         on_attempt_failed(exchange, "refused by the server", false);
         return;
     }
+    if (record->is_body_forwarded) {
+        end_call(*record, attempt_result::answered);
+        server_->finish(exchange);
+        erase(exchange, "answered");
+        return;
+    }
     if (record->has_response_begun) {
         // The server was asked to resume a stream and sent another response.
         end_call(*record, attempt_result::failed);
@@ -591,11 +641,7 @@
         end_call(record, attempt_result::answered);
         if (!remainder.empty())
             forward(exchange, {remainder, std::nullopt});
-        if (!record.has_response_begun) {
-            http_response head = record.head;
-            erase_hop_fields(head.fields);
-            server_->begin(exchange, head);
-        }
+        begin_response(exchange);
         server_->finish(exchange);
         erase(exchange, "answered");
         return;
@@ -604,9 +650,12 @@
     on_attempt_failed(exchange, defect, true);
 }
 
-/// Returns true if another server may run a request that may have run. A
-/// stream goes on after its last event, which must have an id.
+/// Returns true if another server may run a request that may have run. A plain
+/// answer must not have begun; a stream goes on after its last event, which
+/// must have an id.
 bool gateway::may_run_again(const request_record& record) {
+    if (record.is_body_forwarded)
+        return false;
     return record.kind == request_kind::idempotent ||
            (record.is_resumable && !record.has_unnumbered_event);
 }
--- a/tests/endless_answers.cpp
+++ b/tests/endless_answers.cpp
@@ -157,6 +157,69 @@
     CHECK(result.duration < milliseconds(500));
 }
 
+TEST_CASE("endless answers - a plain body without end is passed on until the "
+          "deadline and cut") {
+    const scripted_server server([&](const std::string&) {
+        return endless("HTTP/1.1 200 OK\r\n\r\n", filler);
+    });
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::idempotent, false, milliseconds(1000));
+    fixture.add_servers({server.endpoint()});
+    running_kernel running(fixture.core);
+    raw_connection caller(fixture.front_address);
+    caller.send("GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Request-Id: r1\r\nX-Request-Deadline: 1000\r\n\r\n");
+    const std::string answer = caller.read_all(seconds(4));
+    CHECK(caller.has_ended());
+    CHECK(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(answer.size() > 256 * 1024);
+    CHECK_FALSE(answer.ends_with("\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("endless answers - a refusal whose body does not end is a refusal") {
+    std::atomic<int> runs{0};
+    const auto answer = [&](const std::string&) {
+        if (runs++ == 0)
+            return endless("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n\r\n",
+                           filler);
+        return scripted_answer{make_response(200, "", "done")};
+    };
+    const scripted_server first(answer);
+    const scripted_server second(answer);
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    const auto result = fixture.send_request();
+    CHECK(result.response.body == "done");
+    CHECK(result.duration < milliseconds(1500));
+}
+
+TEST_CASE("endless answers - a large honest body is whole with and without a "
+          "length") {
+    const std::string body = repeat("0123456789", 3'000'000);
+    const auto chunked =
+        fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "{:x}\r\n{}\r\n0\r\n\r\n",
+                    body.size(), body);
+    for (const std::string& answer : {make_response(200, "", body), chunked,
+                                      "HTTP/1.1 200 OK\r\n\r\n" + body}) {
+        const scripted_server server([&](const std::string&) {
+            return scripted_answer{answer, true};
+        });
+        gateway_fixture fixture;
+        fixture.add_route(request_kind::non_idempotent, false);
+        fixture.add_servers({server.endpoint()});
+        running_kernel running(fixture.core);
+        raw_connection caller(fixture.front_address);
+        caller.send("GET /x/1 HTTP/1.0\r\nHost: a.example\r\n"
+                    "X-Request-Id: r1\r\nX-Request-Deadline: 3000\r\n\r\n");
+        const std::string received = caller.read_all();
+        CHECK(received.starts_with("HTTP/1.1 200 "));
+        CHECK(received.ends_with("\r\n\r\n" + body));
+        CHECK_FALSE(caller.was_reset());
+    }
+}
+
 namespace {
 
 /// Reads a listing from a store that answers each call as `script` does;
