Bound the blocking calls of the product's own interface

Answers of the key-value service, the list of VMs, an engine's own interface and an entry's answers to the command line were collected without a bound on size, and with a time limit for each read only. call_bounded adds both bounds. Heads of these answers are read by the library, which does not bound them: open.

--- a/src/app/ctl.cpp
+++ b/src/app/ctl.cpp
@@ -1,8 +1,8 @@
 #include <ospreystage/app/commands.hpp>
+#include <ospreystage/http/bounded_call.hpp>
 #include <ospreystage/rollout/rollout.hpp>
 
 #include <fmt/format.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr seconds call_timeout{15};
+/// The largest answer of an entry is its dump.
+constexpr call_bounds entry_bounds{64 * 1024 * 1024, 2 * call_timeout};
 constexpr const char* base = "/admin/v1/rollout";
 
 /// HTTP response of an entry; `status` is 0 if there was none.
@@ -46,13 +48,15 @@
 }
 
 reply get(const ctl_options& options, const std::string& path) {
-    return to_reply(make_client(options).Get(path.c_str()));
+    httplib::Client client = make_client(options);
+    return to_reply(call_bounded(client, make_get(path), entry_bounds));
 }
 
 reply post(const ctl_options& options, const std::string& path,
            const nlohmann::json& body) {
-    return to_reply(make_client(options).Post(path.c_str(), body.dump(),
-                                              "application/json"));
+    httplib::Client client = make_client(options);
+    return to_reply(
+        call_bounded(client, make_json_post(path, body.dump()), entry_bounds));
 }
 
 exit_code print(const reply& answer) {
--- a/src/fleet/vm_list.cpp
+++ b/src/fleet/vm_list.cpp
@@ -1,6 +1,6 @@
 #include <ospreystage/fleet/vm_list.hpp>
+#include <ospreystage/http/bounded_call.hpp>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace ospreystage {
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr int status_ok = 200;
+/// Largest list of VMs, of some 60 bytes each.
+constexpr std::size_t max_list_bytes = 1024 * 1024;
+/// Longest call, in multiples of the timeout of each of its steps.
+constexpr int max_call_timeouts = 3;
 
 } // namespace
 
@@ -33,7 +37,9 @@
     client.set_connection_timeout(timeout);
     client.set_read_timeout(timeout);
     client.set_write_timeout(timeout);
-    const auto answer = client.Get("/vms");
+    const auto answer =
+        call_bounded(client, make_get("/vms"),
+                     {max_list_bytes, max_call_timeouts * timeout});
     if (!answer)
         return fail(error_code::unavailable, "vm_list.read", url,
                     httplib::to_string(answer.error()));
--- a/src/store/kv_client.cpp
+++ b/src/store/kv_client.cpp
@@ -1,8 +1,7 @@
+#include <ospreystage/http/bounded_call.hpp>
 #include <ospreystage/impl/kv_json.hpp>
 #include <ospreystage/store/kv_client.hpp>
 
-#include <httplib.h>
-
 #include <exception>
 #include <utility>
 
@@ -15,6 +14,10 @@
 constexpr int status_ok = 200;
 constexpr int status_too_many_requests = 429;
 constexpr int first_server_error = 500;
+/// Largest answer: one document, twice as large in its encoded form.
+constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
+/// Longest call, in multiples of the timeout of each of its steps.
+constexpr int max_call_timeouts = 3;
 
 /// Maps an HTTP status other than 200. A write may have taken effect despite a
 /// server error (5xx), but not after any other status, which is a refusal.
@@ -122,7 +125,9 @@
     client.set_connection_timeout(call_timeout_);
     client.set_read_timeout(call_timeout_);
     client.set_write_timeout(call_timeout_);
-    const auto answer = client.Post(path, body, "application/json");
+    const auto answer =
+        call_bounded(client, make_json_post(path, body),
+                     {max_answer_bytes, max_call_timeouts * call_timeout_});
     if (!answer)
         return fail(to_error_code(answer.error()), step, url_,
                     httplib::to_string(answer.error()));
--- a/src/weights/engine_service.cpp
+++ b/src/weights/engine_service.cpp
@@ -1,10 +1,10 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/http/bounded_call.hpp>
 #include <ospreystage/requests/prompt_prefix.hpp>
 #include <ospreystage/weights/engine_service.hpp>
 
 #include <absl/time/time.h>
 #include <fmt/format.h>
-#include <httplib.h>
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +16,8 @@
 constexpr milliseconds poll_interval{150};
 constexpr milliseconds call_timeout{1000};
 constexpr std::size_t max_prefixes = 256;
+/// The engine runs beside its agent; its largest answer lists cache events.
+constexpr call_bounds engine_bounds{4 * 1024 * 1024, 2 * call_timeout};
 
 httplib::Client make_client(const std::string& url) {
     httplib::Client client(url);
@@ -91,7 +93,8 @@
 
 std::optional<engine_service::observation> engine_service::observe() {
     httplib::Client client = make_client(configuration_.backend_server.url);
-    const httplib::Result answer = client.Get("/state");
+    const httplib::Result answer =
+        call_bounded(client, make_get("/state"), engine_bounds);
     if (!answer || answer->status != 200)
         return std::nullopt;
     error ignored;
@@ -123,9 +126,9 @@
         fmt::format("http://{}", to_string(configuration_.listen.http));
     for (const engine_order& order : orders) {
         const nlohmann::json body = order_body(order, fence_, source);
-        const httplib::Result answer =
-            make_client(configuration_.backend_server.url)
-                .Post("/orders", body.dump(), "application/json");
+        httplib::Client client = make_client(configuration_.backend_server.url);
+        const httplib::Result answer = call_bounded(
+            client, make_json_post("/orders", body.dump()), engine_bounds);
         log_event(log_level::info, "engine_order",
                   {{"order", body["op"]},
                    {"version", body["version"]},
@@ -136,8 +139,9 @@
 void engine_service::read_cache_events() {
     const std::string path =
         fmt::format("/cache_events?after={}", next_cache_event_);
+    httplib::Client client = make_client(configuration_.backend_server.url);
     const httplib::Result answer =
-        make_client(configuration_.backend_server.url).Get(path.c_str());
+        call_bounded(client, make_get(path), engine_bounds);
     if (!answer || answer->status != 200)
         return;
     const auto body = nlohmann::json::parse(answer->body, nullptr, false);
--- a/tests/endless_answers.cpp
+++ b/tests/endless_answers.cpp
@@ -274,6 +274,36 @@
     CHECK(result->failure);
 }
 
+TEST_CASE("endless answers - a document of the key-value store without end "
+          "fails") {
+    const scripted_server server([](const std::string&) {
+        return endless("HTTP/1.1 200 OK\r\n\r\n{\"kvs\":[",
+                       std::string(1024 * 1024, ' '));
+    });
+    const kv_client client("http://" + to_string(server.endpoint()),
+                           milliseconds(1000));
+    error failure;
+    const instant started = steady::now();
+    CHECK_FALSE(value_or_error([&] { return client.read("key"); }, failure));
+    CHECK(failure.code == error_code::unavailable);
+    CHECK(steady::now() - started < seconds(4));
+}
+
+TEST_CASE("endless answers - a list of VMs without end fails") {
+    const scripted_server server([](const std::string&) {
+        return endless("HTTP/1.1 200 OK\r\n\r\n[", filler);
+    });
+    error failure;
+    const instant started = steady::now();
+    CHECK_FALSE(value_or_error(
+        [&] {
+            return read_vm_list("http://" + to_string(server.endpoint()),
+                                milliseconds(1000));
+        },
+        failure));
+    CHECK(steady::now() - started < seconds(4));
+}
+
 TEST_CASE("broken answers - a page of the store that does not say whether more "
           "follow is not the whole list") {
     const auto result = read_listing([](const std::string&) {
