Test that an entry's memory stays flat under answers without end

320 callers of one entry process, 40 servers that answer in eight ways without end (head, header line, chunk header, trailer, informational and discarded responses, plain body, event), half of the callers not reading.

--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -16,6 +16,8 @@
 #include <array>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -140,6 +142,56 @@
 
 constexpr const char* entry_key = "ospreystage/entries/edge-1";
 
+/// Memory limit of the smallest entry VM of the users' sheets.
+constexpr long small_vm_kib = 160 * 1024;
+
+/// Returns the highest resident size of a process so far, in KiB.
+long peak_memory_kib(pid_t process) {
+    std::ifstream status(fmt::format("/proc/{}/status", process));
+    const std::string field = "VmHWM:";
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(field))
+            return std::stol(line.substr(field.size()));
+    return 0;
+}
+
+/// Returns the way without end in which a server answers `request`, by the
+/// last part of its path.
+scripted_answer endless_answer(const std::string& request) {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(8 * 1024, 'a');
+    const auto has = [&](const char* kind) {
+        return request.find(kind) < request.find(" HTTP/");
+    };
+    const auto repeat = [](const std::string& text) {
+        std::string out;
+        while (out.size() < 8 * 1024)
+            out += text;
+        return out;
+    };
+    scripted_answer answer{ok + "\r\n"};
+    answer.endless_bytes = filler;
+    if (has("/head"))
+        answer = {ok, false, false, "", "", repeat("X-Field: value\r\n")};
+    if (has("/line"))
+        answer.bytes = ok + "X-Field: ";
+    if (has("/chunk"))
+        answer.bytes = chunked + "5;x=";
+    if (has("/trailer"))
+        answer = {chunked + "0\r\n",           false, false, "", "",
+                  repeat("X-Field: value\r\n")};
+    if (has("/informational"))
+        answer = {"", false, false,
+                  "", "",    repeat("HTTP/1.1 102 Processing\r\n\r\n")};
+    if (has("/discarded"))
+        answer.bytes = ok + "X-Request-Id: other\r\n\r\n";
+    if (has("/event"))
+        answer.bytes =
+            ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ";
+    return answer;
+}
+
 } // namespace
 
 TEST_CASE("platform entry - unread output does not delay requests") {
@@ -299,3 +351,53 @@
     CHECK(caller.read_all().size() == body.size());
     CHECK(entry.wait() == 0);
 }
+
+TEST_CASE("platform entry - memory stays flat while hundreds of servers send "
+          "bytes without end") {
+    constexpr int servers = 40;
+    constexpr int callers_per_kind = 40;
+    const scripted_server server(endless_answer);
+    platform_store store;
+    store.put("op/config",
+              R"({"version":3,"services":[{"name":"desk"}],"routes":[{
+                  "name":"r","hostname":"a.example","path_prefix":"/x/",
+                  "service":"desk","kind":"safe","timeout_ms":2500,
+                  "target_latency_ms":500,"max_attempts":2},{
+                  "name":"s","hostname":"a.example","path_prefix":"/s/",
+                  "service":"desk","kind":"streaming","timeout_ms":2500,
+                  "stream_resume":true,"target_gap_ms":400,
+                  "target_latency_ms":500,"max_attempts":2}]})");
+    for (int id = 0; id < servers; ++id)
+        store.put(fmt::format("servers/i-{}", id),
+                  fmt::format(R"({{"service":"desk","address":"{}",
+                              "zone":"hall-a","slots":64,"state":"ready"}})",
+                              to_string(server.endpoint())));
+    entry_process entry(store);
+    REQUIRE(await_ready(entry));
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (const char* path :
+         {"/x/head", "/x/line", "/x/chunk", "/x/trailer", "/x/informational",
+          "/x/discarded", "/x/plain", "/s/event"})
+        for (int count = 0; count < callers_per_kind; ++count) {
+            callers.push_back(std::make_unique<raw_connection>(entry.front()));
+            callers.back()->send(fmt::format(
+                "GET {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r{}\r\n"
+                "X-Request-Deadline: 2500\r\n\r\n",
+                path, callers.size()));
+        }
+    // Half of the callers read; the answers of the others wait.
+    for (std::size_t index = 0; index < callers.size(); index += 2)
+        callers[index]->read_all(milliseconds(20));
+    std::this_thread::sleep_for(seconds(3));
+    const long peak_kib = peak_memory_kib(entry.child().pid());
+    INFO("peak memory of the entry: " << peak_kib << " KiB");
+    CHECK(peak_kib > 0);
+    CHECK(peak_kib < small_vm_kib);
+    CHECK(get_raw(entry.front(), "/nowhere").find(" 404 ") !=
+          std::string::npos);
+    // No answer without end looks complete.
+    for (const auto& caller : callers) {
+        const std::string answer = caller->read_all(milliseconds(20));
+        CHECK_FALSE(answer.ends_with("\r\n0\r\n\r\n"));
+    }
+}
