--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint16_t status_unavailable = 503;
 constexpr std::uint16_t status_gateway_timeout = 504;
 constexpr std::uint16_t first_server_error = 500;
+/// Status of an attempt whose response head has not been received.
+constexpr std::uint16_t no_head_status = 0;
 
 /// Retry delay for callers before the first configuration or of a service that
 /// is not described, and for requests that fail without having run.
@@ -368,6 +370,7 @@
     record.tried.insert(chosen.server);
     record.last_received = now;
     record.head = {};
+    record.head.status = no_head_status;
     record.is_event_stream = false;
     record.has_event = false;
     record.is_paused = false;
@@ -603,6 +606,8 @@
 /// Counts how answers are framed and end, and logs the ends that leave open
 /// whether the answer is whole.
 void gateway::note_answer_end(const request_record& record, call_end end) {
+    if (record.head.status == no_head_status)
+        return;
     const char* framing = to_string(record.head.framing);
     metrics_.count(
         fmt::format("ospreystage_answers_total{{framing=\"{}\",end=\"{}\"}}",
