Read the product's own interface with the client that bounds heads

The library's client bounds neither the head of an answer nor the time that it takes, so bytes without end in a head were kept without end. This also held for the origin of weights on the users' platform. These readers (key-value service and its watch, list of VMs, engine, origin, command line) now use blocking_client: the same parser, bounds and judgement of the end as every other reader, on a kernel that the calling thread drives (kernel::run_while). call_bounded is gone.

--- a/include/ospreystage/core/kernel.hpp
+++ b/include/ospreystage/core/kernel.hpp
@@ -128,6 +128,10 @@
     /// Runs the loop until `stop`; drops tasks that are still queued then.
     void run();
 
+    /// Runs while `condition` holds and `stop` was not called; unlike `run`, it
+    /// may be called again.
+    void run_while(const std::function<bool()>& condition);
+
     /// Makes `run` return. Safe from any thread and from signal handlers.
     void stop() noexcept;
 
@@ -154,6 +158,7 @@
     [[nodiscard]] const service_record*
     find_record(const std::string& name) const;
     void execute(const std::string& service, const task& work);
+    void run_turn();
     void run_queue();
     void run_timers();
     void run_turn_end();
--- a/include/ospreystage/store/kv_watch.hpp
+++ b/include/ospreystage/store/kv_watch.hpp
@@ -13,12 +13,10 @@
 #include <string>
 #include <thread>
 
-namespace httplib {
-class Client;
-}
-
 namespace ospreystage {
 
+class blocking_client;
+
 /// Watches one key of the platform's key-value service on a dedicated thread.
 ///
 /// Reads the key, then watches for events after the revision of that read. If
@@ -57,7 +55,7 @@
     failure_handler on_failure_;
     mutable absl::Mutex mutex_;
     bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
-    std::shared_ptr<httplib::Client> connection_ ABSL_GUARDED_BY(mutex_);
+    std::shared_ptr<blocking_client> connection_ ABSL_GUARDED_BY(mutex_);
     std::thread thread_;
 };
 
--- a/include/ospreystage/weights/engine_service.hpp
+++ b/include/ospreystage/weights/engine_service.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/core/kernel.hpp>
 #include <ospreystage/core/settings.hpp>
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/weights/engine_state.hpp>
 
 #include <absl/base/thread_annotations.h>
@@ -54,6 +55,8 @@
         std::vector<std::uint64_t> prefixes;
     };
 
+    [[nodiscard]] blocking_client::answer
+    call_engine(const http_request& request) const;
     void poll();
     [[nodiscard]] std::optional<observation> observe();
     [[nodiscard]] std::vector<engine_order>
--- a/include/ospreystage/weights/origin_client.hpp
+++ b/include/ospreystage/weights/origin_client.hpp
@@ -15,12 +15,10 @@
 #include <utility>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace ospreystage {
 
+class blocking_client;
+
 /// URL paths of manifests and chunks on an origin.
 struct origin_layout {
     std::function<std::string(const digest& version)> manifest;
@@ -65,17 +63,17 @@
   private:
     [[nodiscard]] leaf::result<std::string> read(const std::string& path,
                                                  std::size_t limit_bytes);
-    [[nodiscard]] std::pair<std::shared_ptr<httplib::Client>, std::string>
+    [[nodiscard]] std::pair<std::shared_ptr<blocking_client>, std::string>
     acquire();
-    void release(const std::shared_ptr<httplib::Client>& client,
+    void release(const std::shared_ptr<blocking_client>& client,
                  const std::string& url, bool is_reusable);
 
     origin_layout layout_;
     mutable absl::Mutex mutex_;
     std::string host_ ABSL_GUARDED_BY(mutex_); ///< Scheme, host and port.
     bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
-    std::vector<std::shared_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
-    std::vector<std::shared_ptr<httplib::Client>> busy_ ABSL_GUARDED_BY(mutex_);
+    std::vector<std::shared_ptr<blocking_client>> idle_ ABSL_GUARDED_BY(mutex_);
+    std::vector<std::shared_ptr<blocking_client>> busy_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace ospreystage
--- a/src/app/ctl.cpp
+++ b/src/app/ctl.cpp
@@ -1,5 +1,5 @@
 #include <ospreystage/app/commands.hpp>
-#include <ospreystage/http/bounded_call.hpp>
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/rollout/rollout.hpp>
 
 #include <fmt/format.h>
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 namespace ospreystage {
 
@@ -17,7 +18,7 @@
 
 constexpr seconds call_timeout{15};
 /// The largest answer of an entry is its dump.
-constexpr call_bounds entry_bounds{64 * 1024 * 1024, 2 * call_timeout};
+constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
 constexpr const char* base = "/admin/v1/rollout";
 
 /// HTTP response of an entry; `status` is 0 if there was none.
@@ -27,36 +28,34 @@
     std::string text;
 };
 
-reply to_reply(const httplib::Result& result) {
+reply send(const ctl_options& options, http_request request) {
+    request.fields.push_back({"Authorization", "Bearer " + options.token});
+    call_options bounds;
+    bounds.connect_timeout = call_timeout;
+    bounds.idle_timeout = call_timeout;
+    bounds.timeout = 2 * call_timeout;
+    bounds.max_body_bytes = max_answer_bytes;
+    const auto answer = blocking_client(options.entry).fetch(request, bounds);
     reply out;
-    if (!result) {
-        out.text = httplib::to_string(result.error());
+    if (answer.end != call_end::complete) {
+        out.text = to_string(answer.end);
         return out;
     }
-    out.status = result->status;
-    out.text = result->body;
-    out.body = nlohmann::json::parse(result->body, nullptr, false);
+    out.status = answer.response.status;
+    out.text = answer.response.body;
+    out.body = nlohmann::json::parse(out.text, nullptr, false);
     return out;
 }
 
-httplib::Client make_client(const ctl_options& options) {
-    httplib::Client client(options.entry);
-    client.set_connection_timeout(call_timeout);
-    client.set_read_timeout(call_timeout);
-    client.set_bearer_token_auth(options.token.c_str());
-    return client;
-}
-
 reply get(const ctl_options& options, const std::string& path) {
-    httplib::Client client = make_client(options);
-    return to_reply(call_bounded(client, make_get(path), entry_bounds));
+    http_request request;
+    request.target = path;
+    return send(options, std::move(request));
 }
 
 reply post(const ctl_options& options, const std::string& path,
            const nlohmann::json& body) {
-    httplib::Client client = make_client(options);
-    return to_reply(
-        call_bounded(client, make_json_post(path, body.dump()), entry_bounds));
+    return send(options, make_json_post(path, body.dump()));
 }
 
 exit_code print(const reply& answer) {
--- a/src/core/kernel.cpp
+++ b/src/core/kernel.cpp
@@ -162,29 +162,8 @@
 }
 
 void kernel::run() {
-    std::array<epoll_event, events_per_wait> ready{};
-    while (!stopping_.load(std::memory_order_acquire)) {
-        run_turn_end();
-        const int count =
-            epoll_wait(epoll_descriptor_, ready.data(),
-                       static_cast<int>(ready.size()), next_wait_ms());
-        for (int index = 0; index < count; ++index) {
-            const epoll_event& event = ready[static_cast<std::size_t>(index)];
-            if (event.data.fd == wake_descriptor_) {
-                std::uint64_t value = 0;
-                [[maybe_unused]] const auto bytes =
-                    read(wake_descriptor_, &value, sizeof(value));
-                continue;
-            }
-            const auto found = watched_.find(event.data.fd);
-            if (found == watched_.end())
-                continue;
-            const std::shared_ptr<descriptor_handler> handler = found->second;
-            run_guarded("descriptor", [&] { (*handler)(event.events); });
-        }
-        run_queue();
-        run_timers();
-    }
+    while (!stopping_.load(std::memory_order_acquire))
+        run_turn();
     run_turn_end();
     run_ended_ = true;
     const absl::MutexLock lock(&mutex_);
@@ -192,6 +171,36 @@
     queue_.clear();
 }
 
+void kernel::run_while(const std::function<bool()>& condition) {
+    while (!stopping_.load(std::memory_order_acquire) && condition())
+        run_turn();
+    run_turn_end();
+}
+
+void kernel::run_turn() {
+    std::array<epoll_event, events_per_wait> ready{};
+    run_turn_end();
+    const int count =
+        epoll_wait(epoll_descriptor_, ready.data(),
+                   static_cast<int>(ready.size()), next_wait_ms());
+    for (int index = 0; index < count; ++index) {
+        const epoll_event& event = ready[static_cast<std::size_t>(index)];
+        if (event.data.fd == wake_descriptor_) {
+            std::uint64_t value = 0;
+            [[maybe_unused]] const auto bytes =
+                read(wake_descriptor_, &value, sizeof(value));
+            continue;
+        }
+        const auto found = watched_.find(event.data.fd);
+        if (found == watched_.end())
+            continue;
+        const std::shared_ptr<descriptor_handler> handler = found->second;
+        run_guarded("descriptor", [&] { (*handler)(event.events); });
+    }
+    run_queue();
+    run_timers();
+}
+
 void kernel::stop() noexcept {
     stopping_.store(true, std::memory_order_release);
     wake();
--- a/src/fleet/vm_list.cpp
+++ b/src/fleet/vm_list.cpp
@@ -1,5 +1,5 @@
 #include <ospreystage/fleet/vm_list.hpp>
-#include <ospreystage/http/bounded_call.hpp>
+#include <ospreystage/http/blocking_client.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int status_ok = 200;
+constexpr std::uint16_t status_ok = 200;
 /// Largest list of VMs, of some 60 bytes each.
 constexpr std::size_t max_list_bytes = 1024 * 1024;
 /// Longest call, in multiples of the timeout of each of its steps.
@@ -33,20 +33,21 @@
 
 leaf::result<std::vector<listed_vm>> read_vm_list(const std::string& url,
                                                   milliseconds timeout) {
-    httplib::Client client(url);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-    const auto answer =
-        call_bounded(client, make_get("/vms"),
-                     {max_list_bytes, max_call_timeouts * timeout});
-    if (!answer)
+    call_options options;
+    options.connect_timeout = timeout;
+    options.idle_timeout = timeout;
+    options.timeout = max_call_timeouts * timeout;
+    options.max_body_bytes = max_list_bytes;
+    http_request request;
+    request.target = "/vms";
+    const auto answer = blocking_client(url).fetch(request, options);
+    if (answer.end != call_end::complete)
         return fail(error_code::unavailable, "vm_list.read", url,
-                    httplib::to_string(answer.error()));
-    if (answer->status != status_ok)
+                    to_string(answer.end));
+    if (answer.response.status != status_ok)
         return fail(error_code::unavailable, "vm_list.read", url,
-                    "HTTP status " + std::to_string(answer->status));
-    return parse_vm_list(answer->body, url);
+                    "HTTP status " + std::to_string(answer.response.status));
+    return parse_vm_list(answer.response.body, url);
 }
 
 } // namespace ospreystage
--- a/src/requests/back_end.cpp
+++ b/src/requests/back_end.cpp
@@ -1,13 +1,11 @@
 #include <ospreystage/core/log.hpp>
-#include <ospreystage/network/socket_address.hpp>
+#include <ospreystage/network/resolve.hpp>
 #include <ospreystage/requests/back_end.hpp>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/string_view.h>
 #include <fmt/format.h>
-#include <netdb.h>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -23,7 +21,6 @@
 constexpr milliseconds silence_timeout{4000};
 constexpr milliseconds silence_check_interval{100};
 constexpr absl::string_view stream_end = "data: [DONE]";
-constexpr std::string_view scheme = "http://";
 
 /// Returns the request body with the fields that the agent sets.
 std::string engine_body(const run_order& order) {
@@ -58,33 +55,10 @@
     return status == 404 || status == 429 || status == 503;
 }
 
-/// Returns the address of `http://host:port`; a host name is resolved once.
-address resolve(const std::string& url) {
-    const auto parsed = parse_address(url.substr(scheme.size()));
-    if (!parsed)
-        return {};
-    addrinfo hints{};
-    hints.ai_family = AF_INET;
-    hints.ai_socktype = SOCK_STREAM;
-    addrinfo* found = nullptr;
-    const int status =
-        getaddrinfo(parsed->host.c_str(), nullptr, &hints, &found);
-    if (status != 0) {
-        log_event(log_level::error, "back_end_name_unknown",
-                  {{"url", url}, {"error", gai_strerror(status)}});
-        return *parsed;
-    }
-    address result = from_socket_address(
-        *reinterpret_cast<const sockaddr_in*>(found->ai_addr));
-    freeaddrinfo(found);
-    result.port = parsed->port;
-    return result;
-}
-
 } // namespace
 
 back_end::back_end(kernel& core, std::string url, callback receiver)
-    : core_(core), url_(std::move(url)), server_(resolve(url_)),
+    : core_(core), url_(std::move(url)), server_(resolve_url(url_)),
       receiver_(std::move(receiver)), client_(core) {
     core_.every(service_name, silence_check_interval,
                 [this] { fail_silent_calls(); });
--- a/src/store/kv_client.cpp
+++ b/src/store/kv_client.cpp
@@ -1,4 +1,4 @@
-#include <ospreystage/http/bounded_call.hpp>
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/impl/kv_json.hpp>
 #include <ospreystage/store/kv_client.hpp>
 
@@ -11,9 +11,9 @@
 
 using json_value = nlohmann::json;
 
-constexpr int status_ok = 200;
-constexpr int status_too_many_requests = 429;
-constexpr int first_server_error = 500;
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_too_many_requests = 429;
+constexpr std::uint16_t first_server_error = 500;
 /// Largest answer: one document, twice as large in its encoded form.
 constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
 /// Longest call, in multiples of the timeout of each of its steps.
@@ -21,26 +21,17 @@
 
 /// Maps an HTTP status other than 200. A write may have taken effect despite a
 /// server error (5xx), but not after any other status, which is a refusal.
-error_code to_error_code(int status) noexcept {
+error_code to_error_code(std::uint16_t status) noexcept {
     if (status >= first_server_error)
         return error_code::unknown_effect;
     return status == status_too_many_requests ? error_code::overloaded
                                               : error_code::invalid_argument;
 }
 
-/// Maps a transport failure. A call that did not connect had no effect.
-error_code to_error_code(httplib::Error failure) noexcept {
-    switch (failure) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-    case httplib::Error::BindIPAddress:
-    case httplib::Error::SSLConnection:
-    case httplib::Error::SSLLoadingCerts:
-    case httplib::Error::SSLServerVerification:
-        return error_code::unavailable;
-    default:
-        return error_code::unknown_effect;
-    }
+/// Maps a failed call. One that did not connect had no effect.
+error_code to_error_code(call_end end) noexcept {
+    return end == call_end::not_connected ? error_code::unavailable
+                                          : error_code::unknown_effect;
 }
 
 std::optional<kv_entry> first_entry(const json_value& range) {
@@ -121,20 +112,20 @@
 leaf::result<std::string> kv_client::post(const std::string& path,
                                           const std::string& body,
                                           const char* step) const {
-    httplib::Client client(url_);
-    client.set_connection_timeout(call_timeout_);
-    client.set_read_timeout(call_timeout_);
-    client.set_write_timeout(call_timeout_);
-    const auto answer =
-        call_bounded(client, make_json_post(path, body),
-                     {max_answer_bytes, max_call_timeouts * call_timeout_});
-    if (!answer)
-        return fail(to_error_code(answer.error()), step, url_,
-                    httplib::to_string(answer.error()));
-    if (answer->status != status_ok)
-        return fail(to_error_code(answer->status), step, url_,
-                    "HTTP status " + std::to_string(answer->status));
-    return answer->body;
+    call_options options;
+    options.connect_timeout = call_timeout_;
+    options.idle_timeout = call_timeout_;
+    options.timeout = max_call_timeouts * call_timeout_;
+    options.max_body_bytes = max_answer_bytes;
+    auto answer =
+        blocking_client(url_).fetch(make_json_post(path, body), options);
+    if (answer.end != call_end::complete)
+        return fail(to_error_code(answer.end), step, url_,
+                    to_string(answer.end));
+    if (answer.response.status != status_ok)
+        return fail(to_error_code(answer.response.status), step, url_,
+                    "HTTP status " + std::to_string(answer.response.status));
+    return std::move(answer.response.body);
 }
 
 } // namespace ospreystage
--- a/src/store/kv_watch.cpp
+++ b/src/store/kv_watch.cpp
@@ -1,8 +1,8 @@
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/impl/kv_json.hpp>
 #include <ospreystage/store/kv_watch.hpp>
 
 #include <absl/time/time.h>
-#include <httplib.h>
 
 #include <exception>
 #include <utility>
@@ -42,7 +42,7 @@
       on_failure_(std::move(on_failure)), thread_([this] { run(); }) {}
 
 kv_watch::~kv_watch() {
-    std::shared_ptr<httplib::Client> connection;
+    std::shared_ptr<blocking_client> connection;
     {
         const absl::MutexLock lock(&mutex_);
         stopped_ = true;
@@ -77,10 +77,7 @@
 }
 
 void kv_watch::follow(std::int64_t start_revision) {
-    auto connection = std::make_shared<httplib::Client>(client_.url());
-    connection->set_connection_timeout(client_.call_timeout());
-    connection->set_write_timeout(client_.call_timeout());
-    connection->set_read_timeout(silence_timeout_);
+    auto connection = std::make_shared<blocking_client>(client_.url());
     {
         const absl::MutexLock lock(&mutex_);
         if (stopped_)
@@ -88,20 +85,17 @@
         connection_ = connection;
     }
     const instant opened_at = steady::now();
+    call_options options;
+    options.connect_timeout = client_.call_timeout();
+    options.idle_timeout = silence_timeout_;
+    options.timeout = max_watch_silence_timeouts * silence_timeout_;
     std::string buffer;
-    httplib::Request request;
-    request.method = "POST";
-    request.path = "/v3/watch";
-    request.set_header("Content-Type", "application/json");
-    request.body = create_request(key_, start_revision);
-    request.content_receiver = [&](const char* data, std::size_t size,
-                                   std::uint64_t, std::uint64_t) {
-        buffer.append(data, size);
-        return process_lines(buffer) && !is_stopped() &&
-               steady::now() - opened_at <
-                   max_watch_silence_timeouts * silence_timeout_;
-    };
-    const auto answer = connection->send(request);
+    const auto answer = connection->follow(
+        make_json_post("/v3/watch", create_request(key_, start_revision)),
+        options, [&](std::string_view data) {
+            buffer.append(data);
+            return process_lines(buffer) && !is_stopped();
+        });
     {
         const absl::MutexLock lock(&mutex_);
         connection_.reset();
@@ -111,8 +105,9 @@
     if (steady::now() - opened_at >= silence_timeout_ || is_stopped())
         return;
     on_failure_({error_code::unavailable, "kv.watch", client_.url(),
-                 answer ? "HTTP status " + std::to_string(answer->status)
-                        : httplib::to_string(answer.error())});
+                 "watch ended: " + std::string(to_string(answer.end)) +
+                     ", HTTP status " +
+                     std::to_string(answer.response.status)});
     wait_before_retry();
 }
 
--- a/src/weights/engine_service.cpp
+++ b/src/weights/engine_service.cpp
@@ -1,5 +1,5 @@
 #include <ospreystage/core/log.hpp>
-#include <ospreystage/http/bounded_call.hpp>
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/requests/prompt_prefix.hpp>
 #include <ospreystage/weights/engine_service.hpp>
 
@@ -16,14 +16,28 @@
 constexpr milliseconds poll_interval{150};
 constexpr milliseconds call_timeout{1000};
 constexpr std::size_t max_prefixes = 256;
-/// The engine runs beside its agent; its largest answer lists cache events.
-constexpr call_bounds engine_bounds{4 * 1024 * 1024, 2 * call_timeout};
-
-httplib::Client make_client(const std::string& url) {
-    httplib::Client client(url);
-    client.set_connection_timeout(call_timeout);
-    client.set_read_timeout(call_timeout);
-    return client;
+constexpr std::uint16_t status_ok = 200;
+
+/// Returns the bounds of a call to the engine, which runs beside its agent. Its
+/// largest answer lists cache events.
+call_options engine_options() {
+    call_options options;
+    options.connect_timeout = call_timeout;
+    options.timeout = 2 * call_timeout;
+    options.idle_timeout = call_timeout;
+    options.max_body_bytes = 4 * 1024 * 1024;
+    return options;
+}
+
+bool is_success(const blocking_client::answer& answer) {
+    return answer.end == call_end::complete &&
+           answer.response.status == status_ok;
+}
+
+http_request make_get(std::string target) {
+    http_request request;
+    request.target = std::move(target);
+    return request;
 }
 
 nlohmann::json order_body(const engine_order& order, std::uint64_t fence,
@@ -72,6 +86,12 @@
             {"fence", latest_.fence}};
 }
 
+blocking_client::answer
+engine_service::call_engine(const http_request& request) const {
+    return blocking_client(configuration_.backend_server.url)
+        .fetch(request, engine_options());
+}
+
 void engine_service::poll() {
     do {
         const auto observed_state = observe();
@@ -92,15 +112,13 @@
 }
 
 std::optional<engine_service::observation> engine_service::observe() {
-    httplib::Client client = make_client(configuration_.backend_server.url);
-    const httplib::Result answer =
-        call_bounded(client, make_get("/state"), engine_bounds);
-    if (!answer || answer->status != 200)
+    const auto answer = call_engine(make_get("/state"));
+    if (!is_success(answer))
         return std::nullopt;
     error ignored;
     auto state = value_or_error(
         [&] {
-            return parse_engine_state(answer->body,
+            return parse_engine_state(answer.response.body,
                                       configuration_.backend_server.url);
         },
         ignored);
@@ -126,25 +144,25 @@
         fmt::format("http://{}", to_string(configuration_.listen.http));
     for (const engine_order& order : orders) {
         const nlohmann::json body = order_body(order, fence_, source);
-        httplib::Client client = make_client(configuration_.backend_server.url);
-        const httplib::Result answer = call_bounded(
-            client, make_json_post("/orders", body.dump()), engine_bounds);
-        log_event(log_level::info, "engine_order",
-                  {{"order", body["op"]},
-                   {"version", body["version"]},
-                   {"status", answer ? answer->status : 0}});
+        const auto answer = call_engine(make_json_post("/orders", body.dump()));
+        log_event(
+            log_level::info, "engine_order",
+            {{"order", body["op"]},
+             {"version", body["version"]},
+             {"end", to_string(answer.end)},
+             {"status",
+              answer.end == call_end::complete ? answer.response.status : 0}});
     }
 }
 
 void engine_service::read_cache_events() {
     const std::string path =
         fmt::format("/cache_events?after={}", next_cache_event_);
-    httplib::Client client = make_client(configuration_.backend_server.url);
-    const httplib::Result answer =
-        call_bounded(client, make_get(path), engine_bounds);
-    if (!answer || answer->status != 200)
+    const auto answer = call_engine(make_get(path));
+    if (!is_success(answer))
         return;
-    const auto body = nlohmann::json::parse(answer->body, nullptr, false);
+    const auto body =
+        nlohmann::json::parse(answer.response.body, nullptr, false);
     if (!body.is_object() || !body.contains("events"))
         return;
     next_cache_event_ = body.value("next", next_cache_event_);
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -1,8 +1,8 @@
+#include <ospreystage/http/blocking_client.hpp>
 #include <ospreystage/weights/manifest.hpp>
 #include <ospreystage/weights/origin_client.hpp>
 
 #include <fmt/format.h>
-#include <httplib.h>
 
 #include <algorithm>
 #include <utility>
@@ -15,14 +15,14 @@
 /// Maximum time without data within a response.
 constexpr milliseconds read_timeout{5000};
 constexpr milliseconds call_timeout{45'000};
-constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
-
-error_code code_of(httplib::Error problem) {
-    return problem == httplib::Error::Read ||
-                   problem == httplib::Error::ConnectionTimeout
-               ? error_code::timeout
-               : error_code::unavailable;
+constexpr std::uint16_t http_ok = 200;
+constexpr std::uint16_t http_not_found = 404;
+
+error_code code_of(call_end end) {
+    if (end == call_end::too_large)
+        return error_code::too_large;
+    return end == call_end::timeout ? error_code::timeout
+                                    : error_code::unavailable;
 }
 
 origin_layout default_layout(const std::string& prefix) {
@@ -83,43 +83,34 @@
     if (client == nullptr)
         return fail(error_code::unavailable, "origin.read", host,
                     "the client was stopped or has no address");
-    const instant deadline = steady::now() + call_timeout;
-    std::string body;
-    bool is_too_large = false;
-    const httplib::Result result =
-        client->Get(path, [&](const char* data, std::size_t size) {
-            is_too_large = body.size() + size > limit_bytes;
-            if (is_too_large || steady::now() > deadline)
-                return false;
-            body.append(data, size);
-            return true;
-        });
-    release(client, host, static_cast<bool>(result));
-    if (is_too_large)
-        return fail(error_code::too_large, "origin.read", host, path);
-    if (!result)
-        return fail(code_of(result.error()), "origin.read", host,
-                    path + ": " + httplib::to_string(result.error()));
-    if (result->status == http_not_found)
+    call_options options;
+    options.connect_timeout = connect_timeout;
+    options.idle_timeout = read_timeout;
+    options.timeout = call_timeout;
+    options.max_body_bytes = limit_bytes;
+    http_request request;
+    request.target = path;
+    auto answer = client->fetch(request, options);
+    release(client, host, answer.end == call_end::complete);
+    if (answer.end != call_end::complete)
+        return fail(code_of(answer.end), "origin.read", host,
+                    path + ": " + to_string(answer.end));
+    if (answer.response.status == http_not_found)
         return fail(error_code::not_found, "origin.read", host, path);
-    if (result->status != http_ok)
+    if (answer.response.status != http_ok)
         return fail(error_code::unavailable, "origin.read", host,
-                    fmt::format("{}: status {}", path, result->status));
-    return body;
+                    fmt::format("{}: status {}", path, answer.response.status));
+    return std::move(answer.response.body);
 }
 
-std::pair<std::shared_ptr<httplib::Client>, std::string>
+std::pair<std::shared_ptr<blocking_client>, std::string>
 origin_client::acquire() {
     const absl::MutexLock lock(&mutex_);
     if (stopped_ || host_.empty())
         return {nullptr, host_};
-    std::shared_ptr<httplib::Client> client;
+    std::shared_ptr<blocking_client> client;
     if (idle_.empty()) {
-        client = std::make_shared<httplib::Client>(host_);
-        client->set_connection_timeout(connect_timeout);
-        client->set_read_timeout(read_timeout);
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
+        client = std::make_shared<blocking_client>(host_);
     } else {
         client = std::move(idle_.back());
         idle_.pop_back();
@@ -128,7 +119,7 @@
     return {client, host_};
 }
 
-void origin_client::release(const std::shared_ptr<httplib::Client>& client,
+void origin_client::release(const std::shared_ptr<blocking_client>& client,
                             const std::string& url, bool is_reusable) {
     const absl::MutexLock lock(&mutex_);
     std::erase(busy_, client);
--- a/tests/endless_answers.cpp
+++ b/tests/endless_answers.cpp
@@ -6,6 +6,7 @@
 
 #include <ospreystage/fleet/vm_list.hpp>
 #include <ospreystage/store/kv_client.hpp>
+#include <ospreystage/weights/origin_client.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -274,6 +275,24 @@
     CHECK(result->failure);
 }
 
+TEST_CASE("endless answers - a head without end ends a blocking call") {
+    const scripted_server server([](const std::string&) {
+        return endless("HTTP/1.1 200 OK\r\n",
+                       repeat("X-Field: value\r\n", 16 * 1024));
+    });
+    const std::string url = "http://" + to_string(server.endpoint());
+    const instant started = steady::now();
+    error failure;
+    CHECK_FALSE(value_or_error(
+        [&] { return kv_client(url, seconds(1)).read("key"); }, failure));
+    CHECK_FALSE(
+        value_or_error([&] { return read_vm_list(url, seconds(1)); }, failure));
+    origin_client origin(url);
+    CHECK_FALSE(
+        value_or_error([&] { return origin.chunk("version", 1); }, failure));
+    CHECK(steady::now() - started < seconds(3));
+}
+
 TEST_CASE("endless answers - a document of the key-value store without end "
           "fails") {
     const scripted_server server([](const std::string&) {
--- a/tests/kernel.cpp
+++ b/tests/kernel.cpp
@@ -36,3 +36,19 @@
     CHECK(rounds == 5);
     close(pipe_ends[1]);
 }
+
+TEST_CASE("kernel - runs while a condition holds and again afterwards until it "
+          "is stopped") {
+    kernel core;
+    int turns = 0;
+    core.every("test", milliseconds(1), [&] { ++turns; });
+    core.run_while([&] { return turns < 3; });
+    CHECK(turns == 3);
+    core.run_while([&] { return turns < 5; });
+    CHECK(turns == 5);
+    core.after("test", milliseconds(5), [&] { core.stop(); });
+    core.run_while([] { return true; });
+    const int stopped_at = turns;
+    core.run_while([] { return true; });
+    CHECK(turns == stopped_at);
+}
