Count calls that ended without an answer by their end

Answers that exceed a bound before their head is complete were in no counter. ospreystage_answers_total has framing="none" for them; the log is as before.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -606,15 +606,16 @@
 /// Counts how answers are framed and end, and logs the ends that leave open
 /// whether the answer is whole.
 void gateway::note_answer_end(const request_record& record, call_end end) {
-    if (record.head.status == no_head_status)
-        return;
-    const char* framing = to_string(record.head.framing);
+    const bool has_head = record.head.status != no_head_status;
+    const char* framing = has_head ? to_string(record.head.framing) : "none";
     metrics_.count(
         fmt::format("ospreystage_answers_total{{framing=\"{}\",end=\"{}\"}}",
                     framing, to_string(end)));
     const std::size_t unfinished_bytes = record.events.remainder().size();
-    if (end == call_end::complete && unfinished_bytes == 0 &&
-        record.head.framing != http_framing::connection)
+    const bool is_plainly_whole =
+        end == call_end::complete && unfinished_bytes == 0 &&
+        record.head.framing != http_framing::connection;
+    if (!has_head || is_plainly_whole)
         return;
     log_event(log_level::info, "answer_ended",
               {{"request", record.caller.id},
