--- a/tests/back_end.cpp
+++ b/tests/back_end.cpp
@@ -112,6 +112,17 @@
     CHECK(record.failure().reached);
 }
 
+TEST_CASE("back end - an event without end ends its call") {
+    scripted_answer answer = stream_answer("data: 1\n\ndata: ");
+    answer.closes = false;
+    answer.endless_bytes.assign(16 * 1024, 'x');
+    const instant started = steady::now();
+    const call_record record = run_scripted(answer);
+    CHECK(record.parts() == "data: 1\n\n|");
+    CHECK(record.failure().reached);
+    CHECK(steady::now() - started < seconds(2));
+}
+
 TEST_CASE("back end - a refusal says that the request did not run") {
     const std::string refusal =
         "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
