--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -144,7 +144,7 @@
     void write(exchange_id exchange, std::string_view data);
     void on_answer_too_large(exchange_id exchange, const char* reason);
     void on_call_ended(exchange_id exchange, call_end end);
-    void note_answer_end(const request_record& record, call_end end);
+    void log_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
     stream_defect(const request_record& record);
     void on_stream_ended(exchange_id exchange, call_end end);
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -60,11 +60,11 @@
     void on_finish_impl(error_code&) override {}
 };
 
-/// `max_line_bytes` bounds what has to be kept until it can be parsed: a chunk
-/// header or the trailer fields, which the parser itself does not bound.
+/// `max_unparsed_bytes` bounds what has to be kept until it can be parsed: a
+/// chunk header or the trailer fields, which the parser itself does not bound.
 template <typename Parser>
 parse_progress feed_parser(Parser& parser, std::string_view input,
-                           std::size_t max_line_bytes) {
+                           std::size_t max_unparsed_bytes) {
     parse_progress progress;
     while (progress.consumed < input.size() && !parser.is_done()) {
         error_code problem;
@@ -88,9 +88,9 @@
     }
     progress.is_complete = parser.is_done();
     if (!progress.is_complete &&
-        input.size() - progress.consumed > max_line_bytes) {
+        input.size() - progress.consumed > max_unparsed_bytes) {
         progress.failure = fmt::format(
-            "chunk header or trailer larger than {} bytes", max_line_bytes);
+            "chunk header or trailer larger than {} bytes", max_unparsed_bytes);
         progress.failure_status = 431;
     }
     return progress;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -504,7 +504,7 @@
 void gateway::on_answer_too_large(exchange_id exchange, const char* reason) {
     request_record& record = *find(exchange);
     client_.cancel(*record.call);
-    note_answer_end(record, call_end::too_large);
+    log_answer_end(record, call_end::too_large);
     end_call(record, attempt_result::failed);
     record.head.body.clear();
     on_attempt_failed(exchange, reason, true);
@@ -549,7 +549,7 @@
         on_attempt_failed(exchange, "server not reached", false);
         return;
     }
-    note_answer_end(*record, end);
+    log_answer_end(*record, end);
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -605,7 +605,7 @@
 
 /// Counts how answers are framed and end, and logs the ends that leave open
 /// whether the answer is whole.
-void gateway::note_answer_end(const request_record& record, call_end end) {
+void gateway::log_answer_end(const request_record& record, call_end end) {
     const bool has_head = record.head.status != no_head_status;
     const char* framing = has_head ? to_string(record.head.framing) : "none";
     metrics_.count(
--- a/src/store/kv_watch.cpp
+++ b/src/store/kv_watch.cpp
@@ -105,9 +105,9 @@
     if (steady::now() - opened_at >= silence_timeout_ || is_stopped())
         return;
     on_failure_({error_code::unavailable, "kv.watch", client_.url(),
-                 "watch ended: " + std::string(to_string(answer.end)) +
-                     ", HTTP status " +
-                     std::to_string(answer.response.status)});
+                 answer.end == call_end::complete
+                     ? "HTTP status " + std::to_string(answer.response.status)
+                     : to_string(answer.end)});
     wait_before_retry();
 }
 
