--- a/tests/broken_answers.cpp
+++ b/tests/broken_answers.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace ospreystage;
@@ -159,6 +160,46 @@
     }
 }
 
+TEST_CASE("broken answers - a stream whose connection is half closed is judged "
+          "like a closed one") {
+    for (const bool is_whole : {true, false}) {
+        scripted_answer answer{unframed_stream(
+            event_text(1, 3) + (is_whole ? "" : unfinished_event))};
+        answer.half_closes = true;
+        const auto result = run_broken_stream(answer, true);
+        CHECK(result.caller.end == call_end::complete);
+        CHECK(result.caller.response.body == event_text(1, is_whole ? 3 : 6));
+        CHECK(result.runs == (is_whole ? 1 : 2));
+    }
+}
+
+TEST_CASE("broken answers - a stream that is closed inside an event while its "
+          "caller does not read is cut after its last event") {
+    constexpr int events = 100'000;
+    const std::string sent = event_text(1, events);
+    for (const bool is_whole : {true, false}) {
+        gateway_fixture fixture;
+        const scripted_server server([&](const std::string&) {
+            return scripted_answer{
+                unframed_stream(sent + (is_whole ? "" : unfinished_event)),
+                true};
+        });
+        fixture.add_route(request_kind::streaming, false, seconds(20));
+        fixture.add_servers({server.endpoint()});
+        running_kernel running(fixture.core);
+        raw_connection caller(fixture.front_address, 4096);
+        caller.send("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                    "X-Request-Id: r1\r\nX-Request-Deadline: 20000\r\n"
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(500));
+        const std::string received = caller.read_all(seconds(15));
+        CHECK(caller.has_ended());
+        CHECK(received.find(fmt::format("data: e{}\n", events)) !=
+              std::string::npos);
+        CHECK(received.ends_with("\r\n0\r\n\r\n") == is_whole);
+    }
+}
+
 TEST_CASE("broken answers - a plain body without length is whole if it was "
           "closed and not if it was reset") {
     const std::string body = "HTTP/1.1 200 OK\r\n\r\nwhole";
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -97,6 +97,8 @@
         }
         if (answer.closes)
             break;
+        if (answer.half_closes)
+            shutdown(descriptor, SHUT_WR);
         while (!answer.dripped_bytes.empty() && !stopping_) {
             std::this_thread::sleep_for(drip_interval);
             if (send(descriptor, answer.dripped_bytes.data(),
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -22,6 +22,8 @@
     /// Sent again and again after `bytes`, every 5 ms, while the connection
     /// lasts.
     std::string endless_bytes{};
+    /// Ends the sending side after `bytes`; the other side stays open.
+    bool half_closes = false;
 };
 
 /// Server on the loopback interface that responds with the bytes of a script.
