Keep requests away from servers that leave or ask for a pause

Cause: by reading, neither `Server-Leaving` nor the `Retry-After` of a server's refusal was read anywhere. A server that had said that it is leaving got requests until the store's list showed it; one that wanted a pause was backed off for 100 ms and chosen again where no other was ready. A server's 503 without `X-Not-Executed` was passed on, although the status promises callers that the request has not run.

Change: `serving/backend_availability` keeps both statements by the id of a server's start and decides without a network. The gateway asks it whenever a request is about to be sent: at first, for a retry or to resume a stream, once a permit has come, and once a new connection is open (`call_options::may_send`). The header names are read in `platform/wire`. An agent orders no switch of an engine that is leaving, and neither orders nor stages during a pause.

Ruled out: telling the other entries (199 datagrams for each server that leaves at 200 entries, for what the store's list brings within drain_ms).

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -26,6 +26,7 @@
 enum class call_end : std::uint8_t {
     complete,      ///< The response is complete.
     not_connected, ///< Nothing was sent: the server cannot have acted.
+    withheld,      ///< Not sent either: `may_send` returned false.
     no_answer,     ///< The connection ended before the response head.
     truncated,     ///< The connection was closed within the response.
     reset,         ///< The connection was reset within the response.
@@ -52,6 +53,9 @@
     /// check.
     std::string echoed_field;
     bool reuse = true; ///< May use an idle connection.
+    /// Asked once a new connection is open; if it returns false, the request is
+    /// not sent and the call ends with `withheld`. Empty: always sent.
+    std::function<bool()> may_send;
     /// Largest body that `fetch` collects; a larger one ends the call with
     /// `too_large`. Bodies that a handler of `start` takes are not bounded.
     std::size_t max_body_bytes = default_max_body_bytes;
@@ -118,6 +122,7 @@
     struct call_record {
         std::uint64_t connection = 0;
         std::string output;
+        std::function<bool()> may_send;
         bool is_head_request = false;
         std::string echoed_field;
         std::string echoed_value;
--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -45,6 +45,15 @@
 using limit_statement =
     std::variant<no_limit_named, limit_named, limit_unknown>;
 
+/// What an answer states about whether its server takes requests.
+struct availability_statement {
+    bool is_leaving = false;
+    /// Time for which the server wants no request from this entry.
+    std::optional<milliseconds> pause;
+    /// Another server at the same address may have answered.
+    bool is_misdirected = false;
+};
+
 /// Maps the header fields of callers and backend servers to the types above.
 struct caller_protocol {
     std::function<caller_request(const http_request&)> read_request;
@@ -55,6 +64,11 @@
     std::function<bool(const http_response&)> is_not_run;
     /// Returns what the response states about the server's limit.
     std::function<limit_statement(const http_response&)> limit_of;
+    /// Returns what the response states about its server's availability.
+    std::function<availability_statement(const http_response&)> availability_of;
+    /// Returns true if the response's status promises callers that the request
+    /// has not run.
+    std::function<bool(const http_response&)> is_promise;
     /// Header field with the request's id, which servers echo in responses.
     std::string id_field;
 };
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -6,6 +6,7 @@
 #include <ospreystage/http/web_client.hpp>
 #include <ospreystage/http/web_server.hpp>
 #include <ospreystage/routing/route_table.hpp>
+#include <ospreystage/serving/backend_availability.hpp>
 #include <ospreystage/serving/backend_load.hpp>
 #include <ospreystage/serving/caller_protocol.hpp>
 #include <ospreystage/serving/event_splitter.hpp>
@@ -48,9 +49,9 @@
   public:
     gateway(kernel& core, web_client& client, const route_table& routes,
             const backend_registry& servers, backend_load& load,
-            limit_exchange& limits, metrics& request_metrics,
-            caller_protocol protocol, gateway_context context,
-            const retry_window::options& retry_limits);
+            backend_availability& availability, limit_exchange& limits,
+            metrics& request_metrics, caller_protocol protocol,
+            gateway_context context, const retry_window::options& retry_limits);
 
     /// Sets the server that receives callers' requests.
     void attach(web_server& server);
@@ -131,13 +132,17 @@
     void place(exchange_id exchange);
     void refuse_placement(exchange_id exchange,
                           const placement_decision& decision,
+                          const available_servers& servers,
                           const std::vector<const backend_server*>& at_limit);
+    [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
     void on_permit(exchange_id exchange, const placement& chosen,
                    const permit_decision& decision);
     void on_permit_timeout(std::uint64_t sequence);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
+    void on_availability(const std::string& server,
+                         const availability_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
     void on_plain_body(exchange_id exchange, std::string_view data);
     void begin_response(exchange_id exchange);
@@ -172,6 +177,7 @@
     const route_table& routes_;
     const backend_registry& servers_;
     backend_load& load_;
+    backend_availability& availability_;
     limit_exchange& limits_;
     metrics& metrics_;
     caller_protocol protocol_;
--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -16,6 +16,7 @@
     bool is_loading = false;   ///< An order is in progress.
     std::uint64_t orders = 0;  ///< Orders accepted since the engine's start.
     std::int64_t started_unix_ms = 0; ///< Changes with each start.
+    bool is_leaving = false;          ///< The engine's process is about to end.
 };
 
 /// Compare the chunks staged at the engine with the verified chunks.
@@ -72,6 +73,13 @@
 
     void on_report(const engine_state_report& report, instant now);
 
+    /// Records that the engine has said that it is leaving. It gets no further
+    /// orders; only a new start of the engine ends this.
+    void on_leaving();
+
+    /// Records that the engine wants no orders and no chunks until `end`.
+    void on_pause(instant end);
+
     /// Records which staged chunks match the manifest.
     void on_checked(const chunk_bitmap& good, instant now);
 
@@ -104,6 +112,8 @@
     std::optional<instant> announced_at_;
     instant checked_at_{};
     instant backoff_until_{};
+    instant paused_until_{};
+    bool is_leaving_ = false;
     bool is_busy_ = false;
 };
 
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -52,6 +52,8 @@
         return "complete";
     case call_end::not_connected:
         return "not_connected";
+    case call_end::withheld:
+        return "withheld";
     case call_end::no_answer:
         return "no_answer";
     case call_end::truncated:
@@ -91,6 +93,7 @@
         record->echoed_value = *value;
     record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
+    record->may_send = options.may_send;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
     const std::uint64_t connection = acquire(server, options.reuse);
@@ -200,8 +203,14 @@
 }
 
 void web_client::on_connected(std::uint64_t id) {
-    connection_record& record = *connections_.at(id);
-    if (record.call)
+    const connection_record& record = *connections_.at(id);
+    if (!record.call)
+        return;
+    const call_record& call =
+        *calls_.at(static_cast<std::uint64_t>(*record.call));
+    if (call.may_send && !call.may_send())
+        finish(id, call_end::withheld);
+    else
         begin(id, *record.call);
 }
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -78,13 +78,15 @@
 
 gateway::gateway(kernel& core, web_client& client, const route_table& routes,
                  const backend_registry& servers, backend_load& load,
-                 limit_exchange& limits, metrics& request_metrics,
-                 caller_protocol protocol, gateway_context context,
+                 backend_availability& availability, limit_exchange& limits,
+                 metrics& request_metrics, caller_protocol protocol,
+                 gateway_context context,
                  const retry_window::options& retry_limits)
     : core_(core), client_(client), routes_(routes), servers_(servers),
-      load_(load), limits_(limits), metrics_(request_metrics),
-      protocol_(std::move(protocol)), context_(std::move(context)),
-      retry_limits_(retry_limits), random_(std::random_device{}()) {}
+      load_(load), availability_(availability), limits_(limits),
+      metrics_(request_metrics), protocol_(std::move(protocol)),
+      context_(std::move(context)), retry_limits_(retry_limits),
+      random_(std::random_device{}()) {}
 
 void gateway::attach(web_server& server) {
     server_ = &server;
@@ -219,36 +221,49 @@
         service->max_connections == 0
             ? 0
             : std::max<std::size_t>(1, service->max_connections / entries);
-    std::vector<const backend_server*> servers =
-        servers_.serving(record.service);
-    std::erase_if(servers, [&](const backend_server* server) {
-        return !client_.has_free_connection(server->endpoint, share);
-    });
     const instant now = steady::now();
+    available_servers servers =
+        availability_.select(servers_.serving(record.service), now);
     std::vector<const backend_server*> at_limit;
-    std::erase_if(servers, [&](const backend_server* server) {
-        if (!limits_.is_closed(server->id, now))
-            return false;
-        at_limit.push_back(server);
-        return true;
-    });
-    const placement_decision decision =
-        load_.place(placement_query, servers, entries, now);
-    if (const auto* chosen = std::get_if<placement>(&decision))
+    const auto choose = [&](std::vector<const backend_server*>& candidates) {
+        std::erase_if(candidates, [&](const backend_server* server) {
+            return !client_.has_free_connection(server->endpoint, share);
+        });
+        std::erase_if(candidates, [&](const backend_server* server) {
+            if (!limits_.is_closed(server->id, now))
+                return false;
+            at_limit.push_back(server);
+            return true;
+        });
+        return load_.place(placement_query, candidates, entries, now);
+    };
+    const placement_decision decision = choose(servers.available);
+    if (const auto* chosen = std::get_if<placement>(&decision)) {
+        await_permit(exchange, *chosen);
+        return;
+    }
+    const placement_decision last_resort = choose(servers.last_resort);
+    if (const auto* chosen = std::get_if<placement>(&last_resort))
         await_permit(exchange, *chosen);
     else
-        refuse_placement(exchange, decision, at_limit);
+        refuse_placement(exchange, decision, servers, at_limit);
 }
 
 void gateway::refuse_placement(
     exchange_id exchange, const placement_decision& decision,
+    const available_servers& servers,
     const std::vector<const backend_server*>& at_limit) {
+    const instant now = steady::now();
     if (const auto* refusal = std::get_if<no_capacity>(&decision))
         refuse(exchange, "no server has room in time", refusal->retry_after);
     else if (!at_limit.empty())
-        refuse(
-            exchange, "servers are at their limits",
-            limits_.retry_after(at_limit, context_.entries(), steady::now()));
+        refuse(exchange, "servers are at their limits",
+               limits_.retry_after(at_limit, context_.entries(), now));
+    else if (servers.next_available)
+        refuse(exchange, "servers ask for a pause",
+               availability_.retry_after(*servers.next_available, now));
+    else if (servers.has_leaving)
+        refuse(exchange, "servers are leaving", no_server_retry_after);
     else
         // Servers take seconds to load weights, so this uses the longest delay.
         refuse(exchange, "no server can answer", no_server_retry_after);
@@ -283,7 +298,8 @@
     metrics_.count(
         fmt::format("ospreystage_permits_total{{granted=\"{}\"}}", is_granted));
     const backend_server* server = servers_.find(chosen.server);
-    if (is_granted && server != nullptr && !server->is_draining) {
+    if (is_granted && server != nullptr && !server->is_draining &&
+        availability_.may_send(chosen.server, steady::now())) {
         send(exchange, chosen);
         return;
     }
@@ -356,6 +372,9 @@
     // is a fallback.
     options.timeout = metadata.time_left + call_timeout_margin;
     options.echoed_field = protocol_.id_field;
+    options.may_send = [this, id = chosen.server] {
+        return availability_.may_send(id, steady::now());
+    };
     call_handlers handlers;
     handlers.head = [this, exchange](const http_response& head) {
         on_head(exchange, head);
@@ -423,6 +442,7 @@
     if (std::holds_alternative<limit_named>(statement))
         metrics_.count("ospreystage_limit_answers_total");
     limits_.on_answer(record->server, statement, record->last_received);
+    on_availability(record->server, protocol_.availability_of(head));
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
@@ -430,6 +450,22 @@
         is_event_stream(field_value(head.fields, "Content-Type"));
 }
 
+void gateway::on_availability(const std::string& server,
+                              const availability_statement& statement) {
+    if (statement.is_leaving)
+        metrics_.count("ospreystage_leaving_answers_total");
+    if (statement.pause)
+        metrics_.count("ospreystage_pause_answers_total");
+    const instant now = steady::now();
+    availability_.on_answer(server, statement, now);
+    const backend_server* listed = servers_.find(server);
+    if (!statement.is_leaving || !statement.is_misdirected || listed == nullptr)
+        return;
+    // The server that answered may be the other one listed at the address.
+    for (const std::string& id : servers_.ids_at(listed->endpoint))
+        availability_.on_answer(id, statement, now);
+}
+
 void gateway::on_body(exchange_id exchange, std::string_view data) {
     request_record* record = find(exchange);
     if (record == nullptr)
@@ -543,6 +579,13 @@
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
+    if (end == call_end::withheld) {
+        --record->possible_runs;
+        --record->sent_attempts;
+        end_call(*record, attempt_result::cancelled);
+        place(exchange);
+        return;
+    }
     if (end == call_end::not_connected) {
         --record->possible_runs; // Nothing was sent.
         end_call(*record, attempt_result::failed);
@@ -598,6 +641,11 @@
         place(exchange);
         return;
     }
+    if (protocol_.is_promise(record->head)) {
+        // Passed on, the status would promise that the request never ran.
+        fail_request(exchange, status_bad_gateway, "server failed");
+        return;
+    }
     http_response response = std::move(record->head);
     erase_hop_fields(response.fields);
     respond(exchange, response, is_server_error ? "server failed" : "answered");
@@ -685,11 +733,21 @@
         return;
     }
     if (record.possible_runs == 0)
-        refuse(exchange, reason, default_retry_after);
+        refuse(exchange, reason, retry_delay(record));
     else
         fail_request(exchange, status_bad_gateway, reason);
 }
 
+/// Returns when the caller of a request that has not run should return.
+milliseconds gateway::retry_delay(const request_record& record) {
+    const instant now = steady::now();
+    const available_servers servers =
+        availability_.select(servers_.serving(record.service), now);
+    return servers.available.empty() && servers.next_available
+               ? availability_.retry_after(*servers.next_available, now)
+               : default_retry_after;
+}
+
 void gateway::check_idle_attempts() {
     const instant now = steady::now();
     std::vector<exchange_id> idle_exchanges;
--- a/src/weights/engine_loader.cpp
+++ b/src/weights/engine_loader.cpp
@@ -18,13 +18,31 @@
 }
 
 void engine_loader::on_report(const engine_state_report& report, instant) {
-    if (report_ && report_->started_unix_ms != report.started_unix_ms)
+    // Only a start of the engine resets its count of orders.
+    const bool is_restarted =
+        report_ && (report_->started_unix_ms != report.started_unix_ms ||
+                    report_->orders > report.orders);
+    if (is_restarted) {
         staged_.reset();
+        is_leaving_ = false;
+        paused_until_ = {};
+    }
+    if (report.is_leaving)
+        on_leaving();
     if (report.is_loading || report.version >= requested_)
         announced_at_.reset();
     report_ = report;
 }
 
+void engine_loader::on_leaving() {
+    is_leaving_ = true;
+    announced_at_.reset();
+}
+
+void engine_loader::on_pause(instant end) {
+    paused_until_ = std::max(paused_until_, end);
+}
+
 void engine_loader::on_checked(const chunk_bitmap& good, instant now) {
     staged_ = good;
     checked_at_ = now;
@@ -39,6 +57,8 @@
 loader_action engine_loader::next(instant now) {
     if (is_busy_ || now < backoff_until_ || !report_ || requested_ == 0)
         return std::monostate{};
+    if (is_leaving_ || now < paused_until_)
+        return std::monostate{};
     if (report_->version >= requested_ || report_->is_loading ||
         held_ != requested_)
         return std::monostate{};
--- a/tests/engine_client.cpp
+++ b/tests/engine_client.cpp
@@ -58,3 +58,34 @@
     REQUIRE(is_accepted.has_value());
     CHECK_FALSE(*is_accepted);
 }
+
+TEST_CASE("engine client - whatever an engine answers says that it is leaving "
+          "or wants a pause") {
+    const int status = GENERATE(202, 409, 503);
+    const scripted_server engine([status](const std::string& request) {
+        std::string answer =
+            answer_to(request, request.starts_with("GET") ? 200 : status,
+                      R"({"busy":false,"sequence":1})");
+        answer.insert(answer.find("\r\n") + 2,
+                      "Server-Leaving: 1\r\nRetry-After: 0.5\r\n");
+        return scripted_answer{answer};
+    });
+    kernel core;
+    web_client client(core);
+    int leaving_statements = 0;
+    std::optional<milliseconds> pause;
+    engine_client tested(client, engine.endpoint(),
+                         [&](const availability_statement& statement) {
+                             leaving_statements += statement.is_leaving ? 1 : 0;
+                             pause = statement.pause;
+                         });
+    tested.read_report(1, [&](const auto& report) {
+        CHECK(report);
+        CHECK(report->state.is_leaving);
+        tested.order("m", {2, 1}, [&](bool) { core.stop(); });
+    });
+    core.after("test", seconds(3), [&] { core.stop(); });
+    core.run();
+    CHECK(leaving_statements == 2);
+    CHECK(pause.has_value() == (status == 503));
+}
--- a/tests/engine_loader.cpp
+++ b/tests/engine_loader.cpp
@@ -121,3 +121,46 @@
     CHECK(switch_delay(9, 5, seconds(2), seconds(6)) == seconds(6));
     CHECK(switch_delay(0, 1, seconds(2), seconds(6)) == seconds(2));
 }
+
+TEST_CASE(
+    "engine loader - an engine that is leaving gets no order until it has "
+    "started anew") {
+    const bool is_in_report = GENERATE(true, false);
+    // A start shows in its time, or only in the count of orders.
+    const engine_state_report restarted =
+        GENERATE(engine_state_report{0, false, 5, 2},
+                 engine_state_report{0, false, 0, 1});
+    engine_loader loader = holding(0, start);
+    engine_state_report report{0, false, 5, 1};
+    report.is_leaving = is_in_report;
+    loader.on_report(report, start);
+    if (!is_in_report)
+        loader.on_leaving();
+    CHECK(is<std::monostate>(loader.next(start)));
+    // A later report that does not say so is of the same start.
+    report.is_leaving = false;
+    loader.on_report(report, start);
+    CHECK(is<std::monostate>(loader.next(start)));
+    loader.on_report(restarted, start);
+    CHECK(is<check_staged>(loader.next(start)));
+}
+
+TEST_CASE("engine loader - a leaving engine that was about to switch is no "
+          "longer announced") {
+    engine_loader loader = holding(1, start);
+    stage_all(loader, start);
+    REQUIRE(is<announce_switch>(loader.next(start)));
+    loader.on_done(true, start);
+    loader.on_leaving();
+    CHECK_FALSE(loader.is_announced());
+    CHECK(is<std::monostate>(loader.next(start + seconds(10))));
+}
+
+TEST_CASE("engine loader - an engine that wants a pause gets no order before "
+          "the end of the longest one") {
+    engine_loader loader = holding(0, start);
+    loader.on_pause(start + seconds(2));
+    loader.on_pause(start + seconds(1));
+    CHECK(is<std::monostate>(loader.next(start + milliseconds(1999))));
+    CHECK(is<check_staged>(loader.next(start + seconds(2))));
+}
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -285,3 +285,44 @@
     response.status = 421;
     CHECK(std::holds_alternative<limit_unknown>(statement("3")));
 }
+
+TEST_CASE("caller protocol - an answer says whether its server is leaving") {
+    const caller_protocol protocol = make_caller_protocol();
+    http_response response;
+    for (const int status : {200, 421, 429, 500, 503}) {
+        response.status = static_cast<std::uint16_t>(status);
+        response.fields = {};
+        CHECK_FALSE(protocol.availability_of(response).is_leaving);
+        response.fields = {{"server-leaving", "1"}};
+        CHECK(protocol.availability_of(response).is_leaving);
+        CHECK(protocol.availability_of(response).is_misdirected ==
+              (status == 421));
+        response.fields = {{"Server-Leaving", "0"}};
+        CHECK_FALSE(protocol.availability_of(response).is_leaving);
+    }
+}
+
+TEST_CASE("caller protocol - a refusal states a pause in seconds; other "
+          "answers and other values state none") {
+    const caller_protocol protocol = make_caller_protocol();
+    http_response response;
+    response.status = 503;
+    const auto pause = [&](const std::string& value) {
+        response.fields = {{"Retry-After", value}};
+        return protocol.availability_of(response).pause;
+    };
+    CHECK(pause("2") == milliseconds(2000));
+    CHECK(pause("0.0015") == milliseconds(2));
+    CHECK(pause("3600") == std::chrono::hours(1));
+    // The end of the pause can still be represented.
+    CHECK(steady::now() + pause("1e300").value() > steady::now());
+    for (const char* value : {"", "0", "-1", "soon", "nan", "inf", "1,5",
+                              "Fri, 04 Dec 2026 14:00:00 GMT"})
+        CHECK_FALSE(pause(value));
+    response.status = 429;
+    CHECK(pause("1") == seconds(1));
+    for (const int status : {200, 301, 500}) {
+        response.status = static_cast<std::uint16_t>(status);
+        CHECK_FALSE(pause("1"));
+    }
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr seconds test_timeout{8};
+/// A leaving server may be used for this long where no other can be.
+constexpr milliseconds last_resort_time{300};
 
 limit_exchange::options limit_options() {
     limit_exchange::options options;
@@ -28,12 +30,13 @@
 } // namespace
 
 gateway_fixture::gateway_fixture()
-    : load({}, 1), limits(limit_options(), duties, servers,
-                          [this](const entry_datagram& datagram) {
-                              datagrams.push_back(datagram.value);
-                          }),
+    : load({}, 1), availability({.last_resort_time = last_resort_time}),
+      limits(limit_options(), duties, servers,
+             [this](const entry_datagram& datagram) {
+                 datagrams.push_back(datagram.value);
+             }),
       client(core),
-      tested_gateway(core, client, routes, servers, load, limits,
+      tested_gateway(core, client, routes, servers, load, availability, limits,
                      gateway_metrics, platform::make_caller_protocol(),
                      {[] { return 1U; },
                       [](const std::string&) { return std::uint64_t{0}; },
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -44,6 +44,7 @@
     backend_registry servers;
     backend_load load;
     entry_duties duties;
+    backend_availability availability;
     limit_exchange limits;
     web_client client;
     gateway tested_gateway;
