Pass load on through a bounded number of relays a region

All three entries that deal with an engine passed each report on. The server of each report and notice was looked up by comparing the addresses of all servers; a change of one entry's registration had all choices of `entry_duties` hashed anew.

Change: VMs are spread over eight slots a region, each with an entry, by rendezvous hashing (`entry_duties::relays_per_region`; up to eight entries nothing changes). A notice goes to the entries that deal with the engine only, and the first of them passes it on; the same for reports, where the others stand in after 300 ms without one. Servers are indexed by address, a datagram to several receivers is encoded once, choices are kept as long as the relays stay.

An entry takes its own notices out of the digests in which they come back.

--- a/include/ospreystage/core/address.hpp
+++ b/include/ospreystage/core/address.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace ospreystage {
 
@@ -17,6 +18,11 @@
         archive(host, port);
     }
     friend auto operator<=>(const address&, const address&) = default;
+
+    template <typename State>
+    friend State AbslHashValue(State state, const address& value) {
+        return State::combine(std::move(state), value.host, value.port);
+    }
 };
 
 /// Formats as `host:port`.
--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -83,8 +83,9 @@
     [[nodiscard]] const backend_server* find(const std::string& id) const;
     [[nodiscard]] std::vector<const backend_server*> all() const;
     /// Returns the ids of the servers at an address. A reused address may have
-    /// two ids until the older server is removed.
-    [[nodiscard]] std::vector<std::string>
+    /// two ids until the older server is removed. The result is valid until
+    /// the list changes.
+    [[nodiscard]] const std::vector<std::string>&
     ids_at(const address& endpoint) const;
     [[nodiscard]] bool has_list() const noexcept { return has_list_; }
     /// Returns the end of the last outage.
@@ -101,8 +102,11 @@
         std::optional<instant> remove_at; ///< Set while not listed.
     };
 
+    void index_addresses();
+
     options limits_;
     absl::flat_hash_map<std::string, server_record> servers_;
+    absl::flat_hash_map<address, std::vector<std::string>> ids_by_address_;
     std::optional<instant> last_read_at_;
     std::optional<instant> last_listed_at_; ///< When `on_list` was called.
     std::optional<instant> unreachable_since_;
--- a/include/ospreystage/fleet/entry_duties.hpp
+++ b/include/ospreystage/fleet/entry_duties.hpp
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace ospreystage {
@@ -15,14 +14,20 @@
 /// Chooses the entries of each region that deal with a VM on behalf of the
 /// others.
 ///
-/// The choice is by rendezvous hashing, so that all entries agree on it without
-/// messages, the VMs are spread over the entries, and an entry that joins or
-/// leaves changes the choice for few VMs.
+/// In each region a bounded number of entries, the relays, share the VMs, so
+/// that what they pass on to the rest of the region travels in few, full
+/// datagrams. VMs are spread over a fixed number of slots and each slot has an
+/// entry, both by rendezvous hashing. So all entries agree on the choice
+/// without messages, and an entry that joins or leaves changes it for few VMs.
 class entry_duties {
   public:
     /// Entries per region and VM. With several, one that is gone and not yet
     /// off the list leaves no gap.
     static constexpr std::size_t entries_per_vm = 3;
+    /// Most relays of a region. Each sends a digest to every entry of its
+    /// region at a fixed interval, so the datagrams of a region grow with its
+    /// entries, not with their square.
+    static constexpr std::size_t relays_per_region = 8;
 
     void set_entries(const std::map<std::string, site_entry>& entries);
 
@@ -51,11 +56,18 @@
     [[nodiscard]] std::vector<std::string> regions() const;
 
   private:
-    std::map<std::string, std::map<std::string, site_entry>> by_region_;
-    /// Choices so far by region and host: they are needed for each report.
-    mutable absl::flat_hash_map<std::pair<std::string, std::string>,
-                                std::vector<const site_entry*>>
-        chosen_;
+    struct region_record {
+        void set_entries(std::map<std::string, site_entry> listed);
+
+        std::map<std::string, site_entry> entries;
+        /// Names of the relays by the slots of the VMs.
+        std::map<std::string, std::string> relays;
+        /// Choices so far by host: they are needed for each report.
+        mutable absl::flat_hash_map<std::string, std::vector<const site_entry*>>
+            chosen;
+    };
+
+    std::map<std::string, region_record> by_region_;
 };
 
 /// Returns true if `entries` has one called `name`.
--- a/include/ospreystage/network/links.hpp
+++ b/include/ospreystage/network/links.hpp
@@ -105,6 +105,9 @@
 
     /// Sends one datagram; delivery is not guaranteed.
     void send_datagram(const address& remote, const message& value);
+    /// Sends a datagram to several processes; it is encoded once.
+    void send_datagrams(const std::vector<address>& remotes,
+                        const message& value);
 
   private:
     struct link_record {
--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -370,15 +370,18 @@
     OSPREYSTAGE_FIELDS(engine, running, queued, version, is_loading)
 };
 
-/// Notifies the other entries that a request was sent to an engine.
+/// Notifies an entry that a request was sent to an engine.
 ///
 /// Sent for each attempt, so it is small: the address is in binary form.
 struct attempt_notice {
     std::uint32_t host = 0; ///< IPv4 address of the engine, in host order.
     std::uint16_t port = 0;
     std::uint32_t prefill_us = 0; ///< Prefill time of its prompt.
-    bool is_remote = false;       ///< From an entry of another region.
-    OSPREYSTAGE_FIELDS(host, port, prefill_us, is_remote)
+    /// The first entry of the region that deals with the engine passes it on.
+    bool is_passed_on = false;
+    OSPREYSTAGE_FIELDS(host, port, prefill_us, is_passed_on)
+    friend bool operator==(const attempt_notice&,
+                           const attempt_notice&) = default;
 };
 
 /// An agent of a service, as an entry knows it.
--- a/include/ospreystage/network/network.hpp
+++ b/include/ospreystage/network/network.hpp
@@ -86,6 +86,9 @@
 
     /// Sends one datagram; delivery is not guaranteed.
     void send_datagram(const address& remote, const message& value);
+    /// Sends a datagram to several processes; it is encoded once.
+    void send_datagrams(const std::vector<address>& remotes,
+                        const message& value);
 
     /// Limit of the send queue of one connection in bytes.
     static constexpr std::size_t max_pending_bytes = 24 * 1024 * 1024;
--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -6,20 +6,26 @@
 #include <ospreystage/serving/backend_load.hpp>
 #include <ospreystage/serving/entry_datagram.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreystage {
 
 /// Exchanges what is known of the engines' load between the entries.
 ///
-/// An agent reports to the entries of each region that deal with it, and an
-/// attempt is announced to the own region and to those entries of the others.
-/// They pass both on to the rest of their region in digests, so that the
-/// traffic between regions does not grow with the number of entries. An entry
-/// takes nothing from a digest that it is also sent directly: the digest is
-/// older.
+/// Designed for hundreds of entries and engines with thousands of attempts and
+/// reports a second. An agent reports to the few entries of each region that
+/// deal with it (`entry_duties`), and an attempt is announced to the same ones.
+/// The first of them passes both on to the rest of its region in digests; the
+/// next ones stand in for it when its digests do not come. So the traffic grows
+/// with the number of entries, not with its square, and that between regions
+/// not at all. An entry takes nothing from a digest that it is also sent
+/// directly: the digest is older.
 class load_exchange {
   public:
     using outgoing = entry_datagram;
@@ -39,13 +45,15 @@
     /// passed.
     [[nodiscard]] bool is_digest_full() const noexcept;
 
-    /// Returns the notices of an attempt whose prompt takes `prefill_time`;
-    /// nothing if the server's address is not numeric.
-    [[nodiscard]] std::vector<outgoing>
-    announce(const backend_server& server, microseconds prefill_time) const;
-
     // ---- Events ------------------------------------------------------------
 
+    /// Handles an attempt of this entry whose prompt takes `prefill_time`.
+    /// Returns the notice to send; nothing if the server's address is not
+    /// numeric.
+    [[nodiscard]] std::optional<outgoing>
+    on_attempt(const backend_server& server, microseconds prefill_time,
+               instant now);
+
     /// Handles a report that an agent has sent to this entry.
     void on_report(const engine_report& report, instant now);
     /// Handles a notice that an entry has sent to this one.
@@ -59,6 +67,13 @@
   private:
     /// Returns true if the region has entries that do not deal with an engine.
     [[nodiscard]] bool has_other_entries() const;
+    /// Returns true if this entry passes reports of the engine at `host` on to
+    /// its region: it is the first that deals with it, or the ones before it
+    /// have not passed any on for a while.
+    [[nodiscard]] bool passes_on(const std::string& host, instant now) const;
+    void collect(const attempt_notice& notice);
+    /// Returns true if the notice is one of this entry, once for each.
+    [[nodiscard]] bool is_own(const attempt_notice& notice, instant now);
     void apply(const engine_report& report, instant now);
     void apply(const attempt_notice& notice, instant now);
     [[nodiscard]] std::vector<const site_entry*>
@@ -70,6 +85,11 @@
     const backend_registry& servers_;
     backend_load& load_;
     load_digest digest_;
+    /// Recent notices of this entry, which come back in digests.
+    std::deque<std::pair<instant, attempt_notice>> own_notices_;
+    /// Last time at which another entry passed on a report, by the host of the
+    /// engine; engines with which this entry deals.
+    absl::flat_hash_map<std::string, instant> passed_on_at_;
 };
 
 } // namespace ospreystage
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -49,10 +49,12 @@
     last_listed_at_ = now;
     has_list_ = true;
     absl::flat_hash_set<std::string> seen;
+    bool has_new_address = false;
     for (backend_server& entry : listed) {
         seen.insert(entry.id);
         const auto [found, is_new] = servers_.try_emplace(entry.id);
         server_record& record = found->second;
+        has_new_address |= is_new || record.server.endpoint != entry.endpoint;
         if (is_new || record.server.is_draining != entry.is_draining ||
             record.server.started_unix_ms != entry.started_unix_ms)
             log_event(log_level::info, "backend_server_listed",
@@ -65,6 +67,8 @@
         record.listed_at = now;
         record.remove_at.reset();
     }
+    if (has_new_address)
+        index_addresses();
     const bool may_return =
         outage_ended_ && now - *outage_ended_ < limits_.reregistration_time;
     for (auto& [id, record] : servers_)
@@ -77,7 +81,7 @@
 }
 
 void backend_registry::advance(instant now) {
-    absl::erase_if(servers_, [&](const auto& entry) {
+    const auto removed = absl::erase_if(servers_, [&](const auto& entry) {
         const bool is_gone =
             entry.second.remove_at && *entry.second.remove_at <= now;
         if (is_gone)
@@ -85,6 +89,14 @@
                       {{"id", entry.first}});
         return is_gone;
     });
+    if (removed > 0)
+        index_addresses();
+}
+
+void backend_registry::index_addresses() {
+    ids_by_address_.clear();
+    for (const auto& [id, record] : servers_)
+        ids_by_address_[record.server.endpoint].push_back(id);
 }
 
 std::vector<const backend_server*>
@@ -108,13 +120,11 @@
     return result;
 }
 
-std::vector<std::string>
+const std::vector<std::string>&
 backend_registry::ids_at(const address& endpoint) const {
-    std::vector<std::string> result;
-    for (const auto& [id, record] : servers_)
-        if (record.server.endpoint == endpoint)
-            result.push_back(id);
-    return result;
+    static const std::vector<std::string> none;
+    const auto found = ids_by_address_.find(endpoint);
+    return found == ids_by_address_.end() ? none : found->second;
 }
 
 std::optional<milliseconds> backend_registry::age(instant now) const {
--- a/src/network/links.cpp
+++ b/src/network/links.cpp
@@ -147,6 +147,11 @@
     network_.send_datagram(remote, value);
 }
 
+void links::send_datagrams(const std::vector<address>& remotes,
+                           const message& value) {
+    network_.send_datagrams(remotes, value);
+}
+
 void links::on_opened(connection_id id, bool outgoing) {
     if (!outgoing) {
         link_record record;
--- a/src/network/network.cpp
+++ b/src/network/network.cpp
@@ -166,14 +166,23 @@
 }
 
 void network::send_datagram(const address& remote, const message& value) {
-    const auto raw = to_socket_address(remote);
+    send_datagrams({remote}, value);
+}
+
+void network::send_datagrams(const std::vector<address>& remotes,
+                             const message& value) {
     const std::string payload = datagram_key_ + encode_payload(value);
-    if (!raw || payload.size() > max_datagram_bytes)
+    if (payload.size() > max_datagram_bytes)
         return;
-    const auto sent =
-        sendto(datagram_socket_, payload.data(), payload.size(), 0,
-               reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
-    if (sent > 0) {
+    for (const address& remote : remotes) {
+        const auto raw = to_socket_address(remote);
+        if (!raw)
+            continue;
+        const auto sent =
+            sendto(datagram_socket_, payload.data(), payload.size(), 0,
+                   reinterpret_cast<const sockaddr*>(&*raw), sizeof(*raw));
+        if (sent <= 0)
+            continue;
         sent_bytes_ += static_cast<std::uint64_t>(sent);
         sent_by_type_[value.index()] += static_cast<std::uint64_t>(sent);
     }
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -12,6 +12,12 @@
 
 /// Reports, or notices, in a digest; it then fits into an IP packet.
 constexpr std::size_t max_digest_items = 16;
+/// An entry stands in for the ones before it once they have passed on no report
+/// of an engine for this long, once for each of them. Engines in use report
+/// more often than that.
+constexpr milliseconds stand_in_delay{300};
+/// A notice that has not come back in a digest by then was lost.
+constexpr milliseconds max_notice_age{500};
 
 /// Returns the address of the engine that a notice names.
 address engine_of(const attempt_notice& notice) {
@@ -41,53 +47,67 @@
            max_digest_items;
 }
 
-std::vector<load_exchange::outgoing>
-load_exchange::announce(const backend_server& server,
-                        microseconds prefill_time) const {
+// ---- Events ----------------------------------------------------------------
+
+std::optional<load_exchange::outgoing>
+load_exchange::on_attempt(const backend_server& server,
+                          microseconds prefill_time, instant now) {
     const auto raw = to_socket_address(server.endpoint);
     if (!raw)
-        return {};
-    attempt_notice notice{ntohl(raw->sin_addr.s_addr), server.endpoint.port,
-                          static_cast<std::uint32_t>(prefill_time.count()),
-                          false};
-    std::vector<outgoing> result{
-        {without_self(duties_.entries_of(region_)), notice}};
-    notice.is_remote = true;
-    for (const std::string& region : duties_.regions())
-        if (region != region_)
-            result.push_back(
-                {duties_.responsible(region, server.endpoint.host), notice});
+        return std::nullopt;
+    const attempt_notice notice{
+        ntohl(raw->sin_addr.s_addr), server.endpoint.port,
+        static_cast<std::uint32_t>(prefill_time.count()), true};
+    collect(notice);
+    if (has_other_entries() && !deals_with(server.endpoint.host))
+        own_notices_.emplace_back(now, notice);
+    outgoing result{{}, notice};
+    for (const std::string& region : duties_.regions()) {
+        const auto receivers =
+            without_self(duties_.responsible(region, server.endpoint.host));
+        result.receivers.insert(result.receivers.end(), receivers.begin(),
+                                receivers.end());
+    }
     return result;
 }
 
-// ---- Events ----------------------------------------------------------------
-
 void load_exchange::on_report(const engine_report& report, instant now) {
     apply(report, now);
-    if (has_other_entries())
+    if (has_other_entries() && passes_on(report.engine.host, now))
         digest_.reports.push_back(report);
 }
 
 void load_exchange::on_notice(const attempt_notice& notice, instant now) {
     apply(notice, now);
-    if (!notice.is_remote || !has_other_entries())
-        return;
-    // All entries that deal with the engine get the notice; one passes it on.
-    const auto responsible =
-        duties_.responsible(region_, engine_of(notice).host);
-    if (!responsible.empty() && responsible.front()->name == self_)
-        digest_.notices.push_back(notice);
+    // Entries of earlier releases send notices to their whole region.
+    if (notice.is_passed_on)
+        collect(notice);
 }
 
 void load_exchange::on_digest(const load_digest& digest, instant now) {
     for (const engine_report& report : digest.reports)
-        if (!deals_with(report.engine.host))
+        if (deals_with(report.engine.host))
+            passed_on_at_[report.engine.host] = now;
+        else
             apply(report, now);
     for (const attempt_notice& notice : digest.notices)
-        if (!deals_with(engine_of(notice).host))
+        if (!deals_with(engine_of(notice).host) && !is_own(notice, now))
             apply(notice, now);
 }
 
+bool load_exchange::is_own(const attempt_notice& notice, instant now) {
+    while (!own_notices_.empty() &&
+           now - own_notices_.front().first > max_notice_age)
+        own_notices_.pop_front();
+    const auto found =
+        std::find_if(own_notices_.begin(), own_notices_.end(),
+                     [&](const auto& own) { return own.second == notice; });
+    if (found == own_notices_.end())
+        return false;
+    own_notices_.erase(found);
+    return true;
+}
+
 std::optional<load_exchange::outgoing> load_exchange::take_digest() {
     if (digest_.reports.empty() && digest_.notices.empty())
         return std::nullopt;
@@ -95,6 +115,31 @@
                     std::exchange(digest_, {})};
 }
 
+/// Adds a notice to the digest if this entry is the one that passes it on.
+void load_exchange::collect(const attempt_notice& notice) {
+    if (!has_other_entries())
+        return;
+    const auto& responsible =
+        duties_.responsible(region_, engine_of(notice).host);
+    if (!responsible.empty() && responsible.front()->name == self_)
+        digest_.notices.push_back(notice);
+}
+
+bool load_exchange::passes_on(const std::string& host, instant now) const {
+    const auto& responsible = duties_.responsible(region_, host);
+    const auto self = std::find_if(
+        responsible.begin(), responsible.end(),
+        [this](const site_entry* entry) { return entry->name == self_; });
+    if (self == responsible.end())
+        return false;
+    const auto rank = self - responsible.begin();
+    if (rank == 0)
+        return true;
+    const auto passed_on = passed_on_at_.find(host);
+    return passed_on == passed_on_at_.end() ||
+           now - passed_on->second > stand_in_delay * rank;
+}
+
 bool load_exchange::has_other_entries() const {
     return duties_.size_of(region_) > entry_duties::entries_per_vm;
 }
