Leave an unchanged list of servers out of the site feed

Cause: every heartbeat of a server raises the revision of the list, so each entry got the whole list (13 kB at 120 servers, by reckoning) at each of its five requests a second.

Change: a request carries the digest of the list that the entry holds; the answer leaves the list out if it is still this one. The digest, unlike a revision since which the list is said to be the same, also holds where two readers have seen different states in between (`site copy - a list that changed and changed back …`). It travels in a header field that entries of the release before ignore.

--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -54,6 +54,8 @@
     std::vector<site_entry> entries;
     /// All servers, if their revision is newer.
     std::vector<backend_server> servers;
+    /// Set in place of `servers` if the list is the one with this digest.
+    std::optional<std::uint64_t> unchanged_servers;
 };
 
 /// An entry's copy of what the platform's store says about the site.
@@ -81,9 +83,17 @@
     /// one of them was never read.
     [[nodiscard]] std::optional<milliseconds> age(instant now) const;
 
-    /// Returns what has changed since `known`.
-    [[nodiscard]] site_changes changes_since(const site_revisions& known,
-                                             instant now) const;
+    /// Returns the digest of the list of servers. Heartbeats raise the
+    /// revision of a list that stays the same.
+    [[nodiscard]] std::uint64_t servers_digest() const noexcept {
+        return servers_digest_;
+    }
+
+    /// Returns what has changed since `known`. The servers are left out if
+    /// their digest is `known_servers`.
+    [[nodiscard]] site_changes
+    changes_since(const site_revisions& known, instant now,
+                  std::optional<std::uint64_t> known_servers = {}) const;
 
     // ---- Reads of the store ------------------------------------------------
 
@@ -122,6 +132,7 @@
     std::map<std::string, site_document> documents_;
     std::map<std::string, site_entry> entries_;
     std::vector<backend_server> servers_;
+    std::uint64_t servers_digest_ = 0;
     std::optional<instant> documents_read_at_;
     std::optional<instant> servers_read_at_;
     std::optional<instant> outage_ended_at_;
--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -42,7 +42,7 @@
   private:
     void poll();
     void on_changes(const std::string& source, instant requested_at,
-                    const std::string& body);
+                    const http_response& response);
     [[nodiscard]] http_response answer(const http_request& request);
 
     kernel& core_;
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -1,3 +1,4 @@
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/fleet/site_copy.hpp>
 #include <ospreystage/impl/decode.hpp>
 
@@ -42,6 +43,13 @@
     return age ? age->count() : -1;
 }
 
+std::uint64_t digest_of(const std::vector<backend_server>& servers) {
+    std::string bytes;
+    impl::string_output_archive archive(bytes);
+    archive(servers);
+    return stable_hash(bytes);
+}
+
 std::optional<milliseconds> decode_age(std::int64_t count) {
     return count < 0 ? std::nullopt : std::optional(milliseconds(count));
 }
@@ -117,8 +125,9 @@
     return std::max(*documents, *servers);
 }
 
-site_changes site_copy::changes_since(const site_revisions& known,
-                                      instant now) const {
+site_changes
+site_copy::changes_since(const site_revisions& known, instant now,
+                         std::optional<std::uint64_t> known_servers) const {
     site_changes changes;
     changes.revisions = revisions_;
     changes.documents_age = elapsed_since(documents_read_at_, now);
@@ -130,8 +139,12 @@
     if (revisions_.entries > known.entries)
         for (const auto& [name, entry] : entries_)
             changes.entries.push_back(entry);
-    if (revisions_.servers > known.servers)
-        changes.servers = servers_;
+    if (revisions_.servers > known.servers) {
+        if (known_servers == servers_digest_)
+            changes.unchanged_servers = servers_digest_;
+        else
+            changes.servers = servers_;
+    }
     return changes;
 }
 
@@ -178,6 +191,7 @@
     if (revision < revisions_.servers)
         return;
     servers_ = std::move(listed);
+    servers_digest_ = digest_of(servers_);
     revisions_.servers = revision;
     advance_to(servers_read_at_, read_at);
 }
@@ -202,10 +216,17 @@
         on_entries_read(changes.revisions.entries);
         applied.has_entries = true;
     }
-    if (changes.servers_age && changes.revisions.servers > revisions_.servers) {
+    // The list may have changed since the request that said which one is held.
+    const bool has_servers = !changes.unchanged_servers ||
+                             changes.unchanged_servers == servers_digest_;
+    if (changes.servers_age && has_servers &&
+        changes.revisions.servers > revisions_.servers) {
         applied.servers_read_at = requested_at - *changes.servers_age;
-        on_servers_read(changes.servers, changes.revisions.servers,
-                        *applied.servers_read_at);
+        if (!changes.unchanged_servers)
+            on_servers_read(changes.servers, changes.revisions.servers,
+                            *applied.servers_read_at);
+        revisions_.servers = changes.revisions.servers;
+        advance_to(servers_read_at_, *applied.servers_read_at);
     }
     if (changes.outage_ended_ago) {
         const instant ended = requested_at - *changes.outage_ended_ago;
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -1,6 +1,9 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/fleet/site_feed.hpp>
 
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +13,10 @@
 
 constexpr const char* service_name = "site_feed";
 constexpr const char* target = "/v1/site";
+/// In a request, the digest of the list of servers that the entry holds, in
+/// hexadecimal; in the answer, that the list is still this one and left out.
+/// Entries of earlier releases ignore it and answer with the list.
+constexpr const char* servers_field = "Ospreystage-Servers";
 constexpr milliseconds poll_interval{200};
 constexpr milliseconds connect_timeout{300};
 /// Longest time without data from a reader; then the next one is asked.
@@ -20,6 +27,17 @@
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_bad_request = 400;
 
+std::optional<std::uint64_t> read_digest(const http_fields& fields) {
+    std::uint64_t value = 0;
+    if (!absl::SimpleHexAtoi(field_value(fields, servers_field), &value))
+        return std::nullopt;
+    return value;
+}
+
+void write_digest(http_fields& fields, std::uint64_t value) {
+    fields.push_back({servers_field, fmt::format("{:x}", value)});
+}
+
 } // namespace
 
 site_feed::site_feed(kernel& core, web_client& client, site_copy& copy,
@@ -62,6 +80,7 @@
     http_request request;
     request.method = "POST";
     request.target = target;
+    write_digest(request.fields, copy_.servers_digest());
     request.body = encode(copy_.revisions());
     call_options call;
     call.connect_timeout = connect_timeout;
@@ -74,20 +93,21 @@
         [this, source, now](call_end end, const http_response& response) {
             is_polling_ = false;
             if (end == call_end::complete && response.status == status_ok)
-                on_changes(source, now, response.body);
+                on_changes(source, now, response);
         });
 }
 
 void site_feed::on_changes(const std::string& source, instant requested_at,
-                           const std::string& body) {
+                           const http_response& response) {
     error failure;
-    const auto changes = value_or_error(
-        [&] { return decode_site_changes(body, source); }, failure);
+    auto changes = value_or_error(
+        [&] { return decode_site_changes(response.body, source); }, failure);
     if (!changes) {
         log_event(log_level::warn, "site_changes_unreadable",
                   {{"error", to_string(failure)}});
         return;
     }
+    changes->unchanged_servers = read_digest(response.fields);
     const site_copy::applied_parts applied =
         copy_.apply(*changes, requested_at);
     if (changes->documents_age && changes->servers_age)
@@ -107,8 +127,12 @@
     }
     const instant now = steady::now();
     selection_.on_request(now);
-    return text_response("application/octet-stream",
-                         encode(copy_.changes_since(*known, now)));
+    const site_changes changes =
+        copy_.changes_since(*known, now, read_digest(request.fields));
+    response = text_response("application/octet-stream", encode(changes));
+    if (changes.unchanged_servers)
+        write_digest(response.fields, *changes.unchanged_servers);
+    return response;
 }
 
 } // namespace ospreystage
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -104,6 +104,47 @@
     CHECK(changes.servers_age == milliseconds(0));
 }
 
+TEST_CASE("site copy - a list of servers that a heartbeat has not changed is "
+          "not sent again") {
+    site_copy source = make_copy(start);
+    site_copy copy = make_copy(start);
+    source.on_servers_read({make_server("i-1")}, 12, start + seconds(1));
+    const site_changes changes = source.changes_since(
+        copy.revisions(), start + seconds(1), copy.servers_digest());
+    CHECK(changes.servers.empty());
+    CHECK(changes.unchanged_servers == copy.servers_digest());
+    const auto applied = copy.apply(changes, start + seconds(1));
+    CHECK(applied.servers_read_at == start + seconds(1));
+    CHECK(copy.revisions().servers == 12);
+    CHECK(copy.servers() == source.servers());
+}
+
+TEST_CASE("site copy - a list that changed and changed back between two reads "
+          "of the source replaces the one in between") {
+    site_copy source = make_copy(start);
+    site_copy copy = make_copy(start);
+    // Read by another entry at a moment that the source did not see.
+    copy.on_servers_read({}, 11, start + seconds(1));
+    source.on_servers_read({make_server("i-1")}, 12, start + seconds(2));
+    copy.apply(source.changes_since(copy.revisions(), start + seconds(2),
+                                    copy.servers_digest()),
+               start + seconds(2));
+    CHECK(copy.servers() == source.servers());
+}
+
+TEST_CASE("site copy - an answer that refers to a list that is no longer held "
+          "changes nothing") {
+    site_copy source = make_copy(start);
+    site_copy copy = make_copy(start);
+    source.on_servers_read({make_server("i-1")}, 13, start + seconds(1));
+    const site_changes changes = source.changes_since(
+        copy.revisions(), start + seconds(1), copy.servers_digest());
+    copy.on_servers_read({}, 12, start + seconds(1));
+    CHECK_FALSE(copy.apply(changes, start + seconds(1)).servers_read_at);
+    CHECK(copy.servers().empty());
+    CHECK(copy.revisions().servers == 12);
+}
+
 TEST_CASE("site copy - its age is that of the older part") {
     site_copy copy = make_copy(start);
     copy.on_servers_read({}, 12, start + seconds(3));
