Ask the other reader while one answers slowly

Change: a request that takes more than 400 ms is joined by one to the other reader. The first whole answer counts, the older request is cancelled, which also takes the load off that link, and its reader is not preferred for 3 s.

`site feed - a reader behind a narrow link …` fails with the second request switched off (hedge_delay of 10 s: 3 of 5 documents late) and passes with it.

--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -6,17 +6,23 @@
 #include <ospreystage/http/web_client.hpp>
 #include <ospreystage/http/web_server.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace ospreystage {
 
 /// Exchanges the state of the site between the entries of a region over HTTP.
 ///
 /// Serves this entry's `site_copy` to others, and brings it up to date from the
-/// region's readers, in turn, at a fixed interval.
+/// region's readers, in turn, at a fixed interval. While one of them answers
+/// slowly, as a large document does over a narrow link, the other one is asked
+/// too, and the first whole answer counts.
 class site_feed {
   public:
     using update_handler = std::function<void(const site_copy::applied_parts&)>;
@@ -40,7 +46,17 @@
     [[nodiscard]] feed_selection& selection() noexcept { return selection_; }
 
   private:
+    /// A request to a reader that has not ended.
+    struct open_request {
+        call_id call{};
+        std::string source;
+        instant started{};
+    };
+
     void poll();
+    [[nodiscard]] std::optional<std::string> choose_source(instant now);
+    void request(const std::string& source, address reader, instant now);
+    void on_answered(const std::string& source, instant now);
     void on_changes(const std::string& source, instant requested_at,
                     const http_response& response);
     [[nodiscard]] http_response answer(const http_request& request);
@@ -53,7 +69,9 @@
     update_handler on_update_;
     web_server server_;
     std::size_t next_source_ = 0;
-    bool is_polling_ = false;
+    std::vector<open_request> requests_;
+    /// Readers that another one has overtaken are asked again from then on.
+    absl::flat_hash_map<std::string, instant> avoided_until_;
 };
 
 } // namespace ospreystage
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -22,6 +22,10 @@
 /// Longest time without data from a reader; then the next one is asked.
 constexpr milliseconds idle_timeout{400};
 constexpr milliseconds total_timeout{5000};
+/// A request that takes longer is joined by one to another reader.
+constexpr milliseconds hedge_delay{400};
+/// A reader that was overtaken is not preferred for this long.
+constexpr milliseconds avoidance_time{3000};
 /// Largest answer: the whole state of the store that entries keep.
 constexpr std::size_t max_changes_bytes = 16 * 1024 * 1024;
 constexpr std::uint16_t status_ok = 200;
@@ -68,15 +72,43 @@
 void site_feed::poll() {
     const instant now = steady::now();
     const auto age = copy_.age(now);
-    const std::vector<std::string>& sources = selection_.sources();
     const bool needs_state =
         !selection_.is_reader() || !age || *age > selection_.max_age();
-    if (is_polling_ || sources.empty() || !needs_state)
+    const bool is_waiting =
+        !requests_.empty() && now - requests_.back().started < hedge_delay;
+    if (!needs_state || is_waiting)
         return;
-    const std::string source = sources[next_source_++ % sources.size()];
-    const auto found = copy_.entries().find(source);
-    if (found == copy_.entries().end())
+    const auto source = choose_source(now);
+    if (!source)
         return;
+    const auto found = copy_.entries().find(*source);
+    if (found != copy_.entries().end())
+        request(*source, {found->second.callers.host, options_.local.port},
+                now);
+}
+
+/// Returns the next reader without an open request; one that was overtaken
+/// lately only if there is no other.
+std::optional<std::string> site_feed::choose_source(instant now) {
+    const std::vector<std::string>& sources = selection_.sources();
+    std::optional<std::string> overtaken;
+    for (std::size_t count = 0; count < sources.size(); ++count) {
+        const std::string& source = sources[next_source_++ % sources.size()];
+        const bool is_open = std::any_of(
+            requests_.begin(), requests_.end(),
+            [&](const open_request& each) { return each.source == source; });
+        if (is_open)
+            continue;
+        const auto avoided = avoided_until_.find(source);
+        if (avoided == avoided_until_.end() || avoided->second <= now)
+            return source;
+        overtaken = source;
+    }
+    return overtaken;
+}
+
+void site_feed::request(const std::string& source, address reader,
+                        instant now) {
     http_request request;
     request.method = "POST";
     request.target = target;
@@ -87,14 +119,35 @@
     call.idle_timeout = idle_timeout;
     call.timeout = total_timeout;
     call.max_body_bytes = max_changes_bytes;
-    is_polling_ = true;
-    client_.fetch(
-        {found->second.callers.host, options_.local.port}, request, call,
+    const call_id id = client_.fetch(
+        reader, request, call,
         [this, source, now](call_end end, const http_response& response) {
-            is_polling_ = false;
-            if (end == call_end::complete && response.status == status_ok)
-                on_changes(source, now, response);
+            std::erase_if(requests_, [&](const open_request& each) {
+                return each.source == source;
+            });
+            if (end != call_end::complete || response.status != status_ok)
+                return;
+            on_answered(source, now);
+            on_changes(source, now, response);
         });
+    requests_.push_back({id, source, now});
+}
+
+/// Cancels the requests that the answer to a later one has overtaken.
+void site_feed::on_answered(const std::string& source, instant requested_at) {
+    avoided_until_.erase(source);
+    std::erase_if(requests_, [&](const open_request& each) {
+        if (each.started >= requested_at)
+            return false;
+        client_.cancel(each.call);
+        avoided_until_[each.source] = steady::now() + avoidance_time;
+        log_event(
+            log_level::info, "site_reader_slow",
+            {{"reader", each.source},
+             {"open_ms", (steady::now() - each.started) / milliseconds(1)},
+             {"overtaken_by", source}});
+        return true;
+    });
 }
 
 void site_feed::on_changes(const std::string& source, instant requested_at,
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -4,8 +4,10 @@
 
 #include <ospreystage/fleet/site_feed.hpp>
 
+#include <absl/container/flat_hash_set.h>
 #include <catch2/catch.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -270,3 +272,62 @@
     CHECK(stranger.read_all().find(" 400 ") != std::string::npos);
     running.stop();
 }
+
+TEST_CASE("site feed - a reader behind a narrow link does not keep an entry "
+          "from the other one") {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    // A large document crosses the narrow link, a few bytes at a time.
+    absl::flat_hash_set<std::uint64_t> answers;
+    web_server narrow(core,
+                      {[&](exchange_id exchange, const http_request&) {
+                           narrow.begin(exchange, {}, 276'557);
+                           answers.insert(static_cast<std::uint64_t>(exchange));
+                       },
+                       [&](exchange_id exchange) {
+                           answers.erase(static_cast<std::uint64_t>(exchange));
+                       },
+                       nullptr});
+    core.every("test", milliseconds(100), [&] {
+        for (const std::uint64_t exchange : answers)
+            narrow.write(exchange_id{exchange}, "some bytes");
+    });
+    site_copy copy;
+    for (site_copy* each : {&source, &copy}) {
+        each->on_entry({"narrow", {"127.0.0.2", 80}, "north"});
+        each->on_entry({"reader", {"127.0.0.3", 80}, "north"});
+    }
+    site_feed reader(core, client, source,
+                     {"reader", "north", {"127.0.0.3", port}, {}}, nullptr);
+    site_feed follower(core, client, copy,
+                       {"follower", "north", {"127.0.0.4", port}, {}},
+                       [](const site_copy::applied_parts&) {});
+    running_kernel running(core);
+    running.ask([&] {
+        error failure;
+        const auto listening = value_or_error(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(narrow.listen({"127.0.0.2", port}));
+                BOOST_LEAF_CHECK(reader.start());
+                BOOST_LEAF_CHECK(follower.start());
+                return true;
+            },
+            failure);
+        follower.on_entries_changed();
+        return listening.has_value();
+    });
+    // Whichever reader is asked first, and after each new document.
+    for (std::int64_t revision = 11; revision <= 15; ++revision) {
+        running.ask([&] {
+            source.on_document({"op/config", "newer", revision});
+            source.on_documents_read(revision, steady::now());
+            return true;
+        });
+        CHECK(running.until(
+            [&] { return copy.revisions().documents == revision; },
+            milliseconds(1500)));
+    }
+    running.stop();
+}
