Do not count documents as unchanged while a change of them is arriving

Cause: a successful read of the servers marked the documents as up to date unless the watch on them had failed. While a large change crosses a narrow link, the watch has not failed and the servers are read beside it, so a reader called its old documents current. Its region then neither asked another reader nor the store.

Change: a watch whose answer has begun to arrive no longer confirms the documents.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -56,6 +56,8 @@
     /// Asked once a new connection is open; if it returns false, the request is
     /// not sent and the call ends with `withheld`. Empty: always sent.
     std::function<bool()> may_send;
+    /// Called by `fetch` once the head of the response has arrived. Optional.
+    std::function<void()> began;
     /// Largest body that `fetch` collects; a larger one ends the call with
     /// `too_large`. Bodies that a handler of `start` takes are not bounded.
     std::size_t max_body_bytes = default_max_body_bytes;
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -132,7 +132,12 @@
                           std::function<void(call_end, http_response)> done) {
     auto response = std::make_shared<http_response>();
     call_handlers handlers;
-    handlers.head = [response](const http_response& head) { *response = head; };
+    handlers.head = [response,
+                     began = options.began](const http_response& head) {
+        *response = head;
+        if (began)
+            began();
+    };
     handlers.body = [response](std::string_view data) {
         response->body.append(data);
     };
