--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -16,6 +16,12 @@
 /// the state from it, or if what the readers give it is too old. The number of
 /// reads then depends on the number of regions, not on that of the entries, and
 /// entries that choose different readers still get their state.
+///
+/// When the state is too old, the store may be away and the readers well. So
+/// the entries take over in tiers, each as large as all before it, instead of
+/// all at once, and the later ones repeat failed reads more rarely: after its
+/// return the store first meets the readers, and the others get its state from
+/// them.
 class feed_selection {
   public:
     struct options {
@@ -26,6 +32,11 @@
         milliseconds requester_timeout{2000};
         /// Time after the start in which the readers may answer first.
         milliseconds startup_grace{400};
+        /// Time from one tier's turn to that of the next one.
+        milliseconds tier_interval{250};
+        /// Pause after a failed read in the first tier after the readers;
+        /// doubled with each further one.
+        milliseconds tier_retry_pause{800};
     };
 
     feed_selection(std::string self, const options& limits, instant started);
@@ -38,10 +49,12 @@
     /// Returns true if this entry should read the store now.
     [[nodiscard]] bool reads_store(instant now) const;
 
-    /// Returns the readers of the region other than this entry.
-    [[nodiscard]] const std::vector<std::string>& sources() const noexcept {
-        return sources_;
-    }
+    /// Returns the entries to ask for the state, without this one: the readers,
+    /// and the first tier after them while the state is too old.
+    [[nodiscard]] std::vector<std::string> sources(instant now) const;
+
+    /// Returns the shortest pause after a read of the store that has failed.
+    [[nodiscard]] milliseconds retry_pause() const noexcept;
 
     // ---- Events ------------------------------------------------------------
 
@@ -61,11 +74,17 @@
     }
 
   private:
+    /// Returns the tier of a rank in the order of entries; readers are in 0.
+    [[nodiscard]] std::size_t tier_of(std::size_t rank) const noexcept;
+    /// Returns for how long the state has been too old; negative if it is not.
+    [[nodiscard]] milliseconds overdue(instant now) const;
+
     std::string self_;
     options limits_;
     instant started_;
-    bool is_reader_ = false; ///< Not before the entries are known.
-    std::vector<std::string> sources_;
+    bool is_reader_ = false;         ///< Not before the entries are known.
+    std::vector<std::string> order_; ///< Entries of the region, by rank.
+    std::size_t tier_ = 1;           ///< Of this entry.
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
 };
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -2,6 +2,7 @@
 #include <ospreystage/fleet/feed_selection.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace ospreystage {
@@ -17,14 +18,43 @@
                                instant started)
     : self_(std::move(self)), limits_(limits), started_(started) {}
 
+std::size_t feed_selection::tier_of(std::size_t rank) const noexcept {
+    std::size_t tier = 0;
+    for (std::size_t end = limits_.readers; rank >= end; end *= 2)
+        ++tier;
+    return tier;
+}
+
+milliseconds feed_selection::overdue(instant now) const {
+    const instant due = state_read_at_ ? *state_read_at_ + limits_.max_age
+                                       : started_ + limits_.startup_grace;
+    return std::chrono::floor<milliseconds>(now - due);
+}
+
 bool feed_selection::reads_store(instant now) const {
     if (is_reader_)
         return true;
     if (requested_at_ && now - *requested_at_ <= limits_.requester_timeout)
         return true;
-    const bool has_fresh_state =
-        state_read_at_ && now - *state_read_at_ <= limits_.max_age;
-    return !has_fresh_state && now - started_ >= limits_.startup_grace;
+    const auto turn =
+        limits_.tier_interval * static_cast<std::int64_t>(tier_ - 1);
+    // A state of exactly the allowed age still counts.
+    return state_read_at_ ? overdue(now) > turn : overdue(now) >= turn;
+}
+
+std::vector<std::string> feed_selection::sources(instant now) const {
+    const std::size_t last_tier = overdue(now) > milliseconds(0) ? 1 : 0;
+    std::vector<std::string> result;
+    for (std::size_t rank = 0; rank < order_.size(); ++rank)
+        if (tier_of(rank) <= last_tier && order_[rank] != self_)
+            result.push_back(order_[rank]);
+    return result;
+}
+
+milliseconds feed_selection::retry_pause() const noexcept {
+    if (is_reader_)
+        return milliseconds(0);
+    return limits_.tier_retry_pause * (std::int64_t{1} << (tier_ - 1));
 }
 
 void feed_selection::set_entries(std::vector<std::string> names) {
@@ -36,9 +66,10 @@
         rendezvous_order(ranking_key, std::move(names));
     if (!is_registered)
         order.push_back(self_);
-    order.resize(std::min(order.size(), limits_.readers));
-    is_reader_ = std::erase(order, self_) > 0;
-    sources_ = std::move(order);
+    const auto self = std::find(order.begin(), order.end(), self_);
+    tier_ = tier_of(static_cast<std::size_t>(self - order.begin()));
+    is_reader_ = tier_ == 0;
+    order_ = std::move(order);
 }
 
 void feed_selection::on_state(instant read_at) {
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -90,7 +90,7 @@
 /// Returns the next reader without an open request; one that was overtaken
 /// lately only if there is no other.
 std::optional<std::string> site_feed::choose_source(instant now) {
-    const std::vector<std::string>& sources = selection_.sources();
+    const std::vector<std::string> sources = selection_.sources(now);
     std::optional<std::string> overtaken;
     for (std::size_t count = 0; count < sources.size(); ++count) {
         const std::string& source = sources[next_source_++ % sources.size()];
