--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -107,7 +107,7 @@
     return overtaken;
 }
 
-void site_feed::request(const std::string& source, address reader,
+void site_feed::request(const std::string& source, const address& reader,
                         instant now) {
     http_request request;
     request.method = "POST";
--- a/tests/backend_availability.cpp
+++ b/tests/backend_availability.cpp
@@ -96,6 +96,7 @@
     for (const milliseconds remaining :
          {milliseconds(100), milliseconds(4000)}) {
         std::vector<milliseconds> waits;
+        waits.reserve(200);
         for (int caller = 0; caller < 200; ++caller)
             waits.push_back(tested.retry_after(start + remaining, start));
         const auto [first, last] =
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -208,6 +208,7 @@
 TEST_CASE("feed selection - entries whose state is too old do not all turn to "
           "the store at once") {
     std::vector<std::string> names;
+    names.reserve(30);
     for (int number = 0; number < 30; ++number)
         names.push_back("e-" + std::to_string(number));
     std::vector<feed_selection> selections;
@@ -229,6 +230,7 @@
     CHECK(reading(milliseconds(2751)) == 30);
     // While the store is away, half of them call it every 6 s only.
     std::vector<milliseconds> pauses;
+    pauses.reserve(selections.size());
     for (const feed_selection& each : selections) {
         pauses.push_back(each.retry_pause());
         CHECK(each.sources(start + milliseconds(2001)).size() <= 4);
