Measure the messages on engines' load without a network

`bench control-items` plays reports, notices and digests of fleets of 30, 100 and 300 VMs through the exchanges of all entries, and prints the time of an item, the datagrams a second and those of the busiest entry.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,6 +1,7 @@
 #include <tests/bench/capacity.hpp>
 #include <tests/bench/claims.hpp>
 #include <tests/bench/control.hpp>
+#include <tests/bench/control_items.hpp>
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/limits.hpp>
@@ -15,6 +16,7 @@
     ospreystage::bench::add_requests(app, status);
     ospreystage::bench::add_distribution(app, status);
     ospreystage::bench::add_control(app, status);
+    ospreystage::bench::add_control_items(app, status);
     ospreystage::bench::add_capacity(app, status);
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
