Tell all entries of a server that answers much later than expected

From 21.05 s on nearly no request to the three engines looked at is answered: 270 of them in 6 s, 2 to 3.6 s on their way. The engines report few requests, since few arrive, so every entry goes on choosing them, for second attempts too; these arrive after their callers have left. Each entry meets one of 48 engines too rarely to find out by itself.

Ruled out: a new connection for second attempts (the handshake is not delayed in that play: none of 44 failed connections is to one of these engines).

The entries that deal with it, then all, prefer other servers for 2 s, doubled while it is found slow again, 8 s at most (`backend_load::on_slow`). Load that it answers: engines that look idle because nothing reaches them.

--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -177,7 +177,8 @@
         }
         const load_record* record = find(server->id);
         const bool is_backing_off =
-            record != nullptr && record->backoff_until > now;
+            record != nullptr &&
+            std::max(record->backoff_until, record->slow_until) > now;
         (is_backing_off ? backing_off : ready).push_back(next);
     }
     if (ready.empty())
@@ -226,6 +227,20 @@
     add_prefill(record, prefill_time, now);
 }
 
+std::optional<milliseconds> backend_load::on_slow(const std::string& server,
+                                                  instant now) {
+    load_record& record = records_[server];
+    if (record.slow_until > now)
+        return std::nullopt;
+    const bool is_repeated = now - record.slow_until < limits_.slow_avoidance;
+    record.slow_count = is_repeated ? record.slow_count + 1 : 0;
+    const milliseconds duration = std::min(
+        limits_.slow_avoidance * (1U << std::min(record.slow_count, 4U)),
+        limits_.max_slow_avoidance);
+    record.slow_until = now + duration;
+    return duration;
+}
+
 void backend_load::on_ended(const std::string& server, attempt_result result,
                             instant now) {
     load_record& record = records_[server];
--- a/tests/backend_load.cpp
+++ b/tests/backend_load.cpp
@@ -7,6 +7,8 @@
 #include <numeric>
 #include <random>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 using namespace ospreystage;
@@ -297,3 +299,90 @@
     CHECK(std::get<placement>(load.place(request, pointers(servers), 1, start))
               .server == "i-1");
 }
+
+TEST_CASE("backend load - a slow server is avoided, whatever it answers, until "
+          "its time is over") {
+    const service_description service = make_service();
+    const auto servers = make_servers(2);
+    backend_load tested({}, 1);
+    for (const auto& server : servers)
+        tested.on_status(server.id, {1, 0, 1, false}, start);
+    CHECK(tested.on_slow("i-0", start) == milliseconds(2000));
+    CHECK_FALSE(tested.on_slow("i-0", start + seconds(1)));
+    tested.on_sent("i-0", microseconds(0), start);
+    tested.on_ended("i-0", attempt_result::answered, start);
+    for (int round = 0; round < 20; ++round) {
+        const auto decision = tested.place(
+            make_request(service), pointers(servers), 1, start + seconds(1));
+        CHECK(std::get<placement>(decision).server == "i-1");
+    }
+    // Where there is no other server it is used all the same.
+    const auto decision = tested.place(make_request(service), {&servers[0]}, 1,
+                                       start + milliseconds(900));
+    CHECK(std::holds_alternative<placement>(decision));
+}
+
+TEST_CASE(
+    "backend load - a server that is slow again is avoided for longer, up "
+    "to a limit, and a later time starts anew") {
+    backend_load tested({}, 1);
+    instant now = start;
+    for (const int seconds_avoided : {2, 4, 8, 8}) {
+        CHECK(tested.on_slow("i-0", now) == seconds(seconds_avoided));
+        now += seconds(seconds_avoided) + milliseconds(700);
+    }
+    CHECK(tested.on_slow("i-0", now + seconds(3)) == seconds(2));
+}
+
+namespace {
+
+/// Returns how many of the requests of eight entries get stuck at engines
+/// behind narrow links, which look idle in their reports.
+int stuck_requests(bool announces_slow) {
+    constexpr int engine_count = 12;
+    constexpr int narrow_count = 2;
+    constexpr milliseconds step{10};
+    constexpr milliseconds slow_after{700};
+    const service_description service = make_service();
+    const auto servers = make_servers(engine_count);
+    std::vector<backend_load> entries;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+        entries.emplace_back(backend_load::options{}, seed);
+    std::deque<std::pair<instant, std::string>> stuck;
+    int count = 0;
+    int next_entry = 0;
+    for (instant now = start; now < start + seconds(7); now += step) {
+        for (backend_load& entry : entries)
+            for (int index = 0; index < engine_count; ++index) {
+                const std::uint32_t running = index < narrow_count ? 1 : 6;
+                entry.on_status(servers[static_cast<std::size_t>(index)].id,
+                                {running, 0, 1, false}, now);
+            }
+        while (!stuck.empty() && now - stuck.front().first > slow_after) {
+            if (announces_slow)
+                for (backend_load& entry : entries)
+                    entry.on_slow(stuck.front().second, now);
+            stuck.pop_front();
+        }
+        backend_load& entry =
+            entries[static_cast<std::size_t>(next_entry++) % entries.size()];
+        const auto decision =
+            entry.place(make_request(service), pointers(servers), 8, now);
+        const std::string& chosen = std::get<placement>(decision).server;
+        if (chosen == servers[0].id || chosen == servers[1].id) {
+            ++count;
+            stuck.emplace_back(now, chosen);
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("backend load - callers do not go on to engines behind narrow links, "
+          "which look idle, once one request is stuck there") {
+    const int without = stuck_requests(false);
+    const int with = stuck_requests(true);
+    INFO("stuck without notices " << without << ", with " << with);
+    CHECK(with * 3 < without);
+}
