Prefer a slow server to a refusal, but not for a second attempt

An engine that had answered one request late was left out for 2 s although the others had no room.

Change: if no other server has room in time, a first attempt goes to a slow one whose estimate allows it. A second attempt does not: its caller has waited already, and second attempts behind narrow links are those that arrive after their callers have left.

`backend load - a slow server is used before a request is refused …` fails before (no_capacity).

--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -148,6 +148,7 @@
     };
     const auto& engine = request.service->engine;
     std::vector<candidate> backing_off;
+    std::vector<candidate> slow;
     std::vector<candidate> ready;
     for (const backend_server* server : servers) {
         if (request.tried != nullptr && request.tried->contains(server->id))
@@ -176,11 +177,21 @@
             next.has_capacity = next.cost < plain_queue_factor;
         }
         const load_record* record = find(server->id);
-        const bool is_backing_off =
-            record != nullptr &&
-            std::max(record->backoff_until, record->slow_until) > now;
-        (is_backing_off ? backing_off : ready).push_back(next);
+        if (record != nullptr && record->backoff_until > now)
+            backing_off.push_back(next);
+        else if (record != nullptr && record->slow_until > now)
+            slow.push_back(next);
+        else
+            ready.push_back(next);
     }
+    const bool has_room =
+        std::any_of(ready.begin(), ready.end(),
+                    [](const candidate& item) { return item.has_capacity; });
+    // A slow server is better than a refusal, but not for a second attempt,
+    // whose caller has waited already.
+    const bool is_first = request.tried == nullptr || request.tried->empty();
+    if (ready.empty() || (!has_room && is_first && !slow.empty()))
+        ready = std::move(slow);
     if (ready.empty())
         ready = std::move(backing_off);
     if (ready.empty())
--- a/tests/backend_load.cpp
+++ b/tests/backend_load.cpp
@@ -386,3 +386,21 @@
     INFO("stuck without notices " << without << ", with " << with);
     CHECK(with * 3 < without);
 }
+
+TEST_CASE("backend load - a slow server is used before a request is refused, "
+          "but not for its second attempt") {
+    const service_description service = make_service();
+    const auto servers = make_servers(2);
+    backend_load tested({}, 1);
+    tested.on_status("i-0", {1, 0, 1, false}, start);
+    tested.on_status("i-1", {16, 40, 1, false}, start);
+    tested.on_slow("i-0", start);
+    auto request = make_request(service);
+    const auto first = tested.place(request, pointers(servers), 1, start);
+    REQUIRE(std::holds_alternative<placement>(first));
+    CHECK(std::get<placement>(first).server == "i-0");
+    const absl::flat_hash_set<std::string> tried{"i-2"};
+    request.tried = &tried;
+    const auto second = tested.place(request, pointers(servers), 1, start);
+    CHECK(std::holds_alternative<no_capacity>(second));
+}
