--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -18,10 +18,10 @@
 /// entries that choose different readers still get their state.
 ///
 /// When the state is too old, the store may be away and the readers well. So
-/// the entries take over in tiers, each as large as all before it, instead of
-/// all at once, and the later ones repeat failed reads more rarely: after its
-/// return the store first meets the readers, and the others get its state from
-/// them.
+/// the entries take over in tiers, each three times as large as all before it,
+/// instead of all at once, and the later ones repeat failed reads more rarely:
+/// after its return the store first meets the readers, and the others get its
+/// state from them.
 class feed_selection {
   public:
     struct options {
@@ -33,9 +33,9 @@
         /// Time after the start in which the readers may answer first.
         milliseconds startup_grace{400};
         /// Time from one tier's turn to that of the next one.
-        milliseconds tier_interval{250};
-        /// Pause after a failed read in the first tier after the readers;
-        /// doubled with each further one.
+        milliseconds tier_interval{400};
+        /// Pause after a failed read in the first tier after the readers; four
+        /// times as long with each further one.
         milliseconds tier_retry_pause{800};
     };
 
@@ -50,7 +50,7 @@
     [[nodiscard]] bool reads_store(instant now) const;
 
     /// Returns the entries to ask for the state, without this one: the readers,
-    /// and the first tier after them while the state is too old.
+    /// or the first tier after them while what the readers give is too old.
     [[nodiscard]] std::vector<std::string> sources(instant now) const;
 
     /// Returns the shortest pause after a read of the store that has failed.
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -11,6 +11,8 @@
 
 /// Key of the rendezvous order; all entries of a region rank alike by it.
 constexpr const char* ranking_key = "site feed";
+/// Factor from the entries up to a tier to those up to the next one.
+constexpr std::size_t tier_growth = 4;
 
 } // namespace
 
@@ -20,7 +22,7 @@
 
 std::size_t feed_selection::tier_of(std::size_t rank) const noexcept {
     std::size_t tier = 0;
-    for (std::size_t end = limits_.readers; rank >= end; end *= 2)
+    for (std::size_t end = limits_.readers; rank >= end; end *= tier_growth)
         ++tier;
     return tier;
 }
@@ -43,18 +45,27 @@
 }
 
 std::vector<std::string> feed_selection::sources(instant now) const {
-    const std::size_t last_tier = overdue(now) > milliseconds(0) ? 1 : 0;
-    std::vector<std::string> result;
-    for (std::size_t rank = 0; rank < order_.size(); ++rank)
-        if (tier_of(rank) <= last_tier && order_[rank] != self_)
-            result.push_back(order_[rank]);
-    return result;
+    std::vector<std::string> readers;
+    std::vector<std::string> first_tier;
+    for (std::size_t rank = 0; rank < order_.size(); ++rank) {
+        if (order_[rank] == self_)
+            continue;
+        if (tier_of(rank) == 0)
+            readers.push_back(order_[rank]);
+        else if (tier_of(rank) == 1)
+            first_tier.push_back(order_[rank]);
+    }
+    const bool is_overdue = overdue(now) > milliseconds(0);
+    return is_overdue && !first_tier.empty() ? first_tier : readers;
 }
 
 milliseconds feed_selection::retry_pause() const noexcept {
     if (is_reader_)
         return milliseconds(0);
-    return limits_.tier_retry_pause * (std::int64_t{1} << (tier_ - 1));
+    milliseconds pause = limits_.tier_retry_pause;
+    for (std::size_t tier = 1; tier < tier_; ++tier)
+        pause *= static_cast<std::int64_t>(tier_growth);
+    return pause;
 }
 
 void feed_selection::set_entries(std::vector<std::string> names) {
