Revert the notices of slow servers

What is wanted: a sign that needs several entries' late answers, or an engine that looks idle, before all avoid it.

--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -424,16 +424,6 @@
     OSPREYSTAGE_FIELDS(reports, notices)
 };
 
-/// Notifies an entry that a server answers much later than expected.
-///
-/// Entries of earlier releases drop it.
-struct slow_server_notice {
-    address server; ///< Address at which the server accepts requests.
-    /// The first entry of the region that deals with the server passes it on.
-    bool is_passed_on = false;
-    OSPREYSTAGE_FIELDS(server, is_passed_on)
-};
-
 // ---- Datagrams between entries: limits of backend servers ------------------
 
 /// Reports what an answer of a backend server stated about its limit.
@@ -481,7 +471,7 @@
                  document_push, chunk_have, manifest_request, manifest_reply,
                  chunk_request, chunk_data, engine_report, weights_assignment,
                  attempt_notice, report_subscription, load_digest, limit_report,
-                 permit_request, permit_reply, slow_server_notice>;
+                 permit_request, permit_reply>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -520,7 +510,6 @@
                      "load_digest",
                      "limit_report",
                      "permit_request",
-                     "permit_reply",
-                     "slow_server_notice"};
+                     "permit_reply"};
 
 } // namespace ospreystage
--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -85,10 +85,6 @@
         /// further failure up to `max_backoff`.
         milliseconds min_backoff{500};
         milliseconds max_backoff{4000};
-        /// A slow server is avoided for this long, doubled each time that it
-        /// is found slow again soon after, up to `max_slow_avoidance`.
-        milliseconds slow_avoidance{2000};
-        milliseconds max_slow_avoidance{8000};
     };
 
     backend_load(const options& limits, std::uint64_t seed);
@@ -127,10 +123,6 @@
     /// Records the same for another entry.
     void on_sent_by_peer(const std::string& server, microseconds prefill_time,
                          instant now);
-    /// Records that a request to the server got no answer for much longer than
-    /// was expected, as behind a narrow link. Other servers are preferred for a
-    /// while. Returns for how long; nothing if it is avoided already.
-    std::optional<milliseconds> on_slow(const std::string& server, instant now);
     void on_ended(const std::string& server, attempt_result result,
                   instant now);
     void on_status(const std::string& server, const engine_status& status,
@@ -151,8 +143,6 @@
         instant prefill_until{}; ///< Estimated end of all prefill sent so far.
         std::uint32_t consecutive_failures = 0;
         instant backoff_until{};
-        instant slow_until{};
-        std::uint32_t slow_count = 0; ///< Times in short succession.
     };
 
     [[nodiscard]] const load_record* find(const std::string& server) const;
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -37,9 +37,6 @@
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
         announce_attempt;
-    /// Records, here and at the other entries, that a server answers much later
-    /// than expected.
-    std::function<void(const backend_server& server)> announce_slow;
 };
 
 /// Forwards callers' requests to backend servers and returns the responses.
@@ -108,10 +105,7 @@
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
         std::optional<call_id> call;
-        std::string server;           ///< Server of the current or last call.
-        instant sent_at{};            ///< Start of that call.
-        milliseconds expected_wait{}; ///< Estimated time to its first event.
-        bool is_slow_announced = false;
+        std::string server; ///< Server of the current or last call.
         /// Time of the call's last data; of an event stream, of its last event.
         instant last_received{};
         bool is_paused = false; ///< Reading waits for the caller.
@@ -165,7 +159,6 @@
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
-    void check_slow_answers(instant now);
     void end_call(request_record& record, attempt_result result);
     void cancel_call(request_record& record);
     [[nodiscard]] bool acquire_retry(request_record& record);
--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -54,15 +54,6 @@
     on_attempt(const backend_server& server, microseconds prefill_time,
                instant now);
 
-    /// Handles an attempt of this entry at a server that answers much later
-    /// than expected; returns what to send.
-    [[nodiscard]] std::vector<outgoing> on_slow(const backend_server& server,
-                                                instant now);
-    /// Handles a notice of another entry about a slow server; returns what to
-    /// pass on.
-    [[nodiscard]] std::vector<outgoing>
-    on_slow_notice(const slow_server_notice& notice, instant now);
-
     /// Handles a report that an agent has sent to this entry.
     void on_report(const engine_report& report, instant now);
     /// Handles a notice that an entry has sent to this one.
@@ -81,12 +72,6 @@
     /// have not passed any on for a while.
     [[nodiscard]] bool passes_on(const std::string& host, instant now) const;
     void collect(const attempt_notice& notice);
-    /// Records that the servers at an address are slow; returns false if that
-    /// was known.
-    bool apply_slow(const address& server, const char* source, instant now);
-    /// Returns the notice to the rest of the region, if this entry is the one
-    /// that passes it on.
-    [[nodiscard]] std::vector<outgoing> relay_slow(const address& server) const;
     /// Returns true if the notice is one of this entry, once for each.
     [[nodiscard]] bool is_own(const attempt_notice& notice, instant now);
     void apply(const engine_report& report, instant now);
--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -148,7 +148,6 @@
     };
     const auto& engine = request.service->engine;
     std::vector<candidate> backing_off;
-    std::vector<candidate> slow;
     std::vector<candidate> ready;
     for (const backend_server* server : servers) {
         if (request.tried != nullptr && request.tried->contains(server->id))
@@ -177,21 +176,10 @@
             next.has_capacity = next.cost < plain_queue_factor;
         }
         const load_record* record = find(server->id);
-        if (record != nullptr && record->backoff_until > now)
-            backing_off.push_back(next);
-        else if (record != nullptr && record->slow_until > now)
-            slow.push_back(next);
-        else
-            ready.push_back(next);
+        const bool is_backing_off =
+            record != nullptr && record->backoff_until > now;
+        (is_backing_off ? backing_off : ready).push_back(next);
     }
-    const bool has_room =
-        std::any_of(ready.begin(), ready.end(),
-                    [](const candidate& item) { return item.has_capacity; });
-    // A slow server is better than a refusal, but not for a second attempt,
-    // whose caller has waited already.
-    const bool is_first = request.tried == nullptr || request.tried->empty();
-    if (ready.empty() || (!has_room && is_first && !slow.empty()))
-        ready = std::move(slow);
     if (ready.empty())
         ready = std::move(backing_off);
     if (ready.empty())
@@ -238,20 +226,6 @@
     add_prefill(record, prefill_time, now);
 }
 
-std::optional<milliseconds> backend_load::on_slow(const std::string& server,
-                                                  instant now) {
-    load_record& record = records_[server];
-    if (record.slow_until > now)
-        return std::nullopt;
-    const bool is_repeated = now - record.slow_until < limits_.slow_avoidance;
-    record.slow_count = is_repeated ? record.slow_count + 1 : 0;
-    const milliseconds duration = std::min(
-        limits_.slow_avoidance * (1U << std::min(record.slow_count, 4U)),
-        limits_.max_slow_avoidance);
-    record.slow_until = now + duration;
-    return duration;
-}
-
 void backend_load::on_ended(const std::string& server, attempt_result result,
                             instant now) {
     load_record& record = records_[server];
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -44,10 +44,6 @@
 /// Idle time on all calls to a server after which its overdue attempts move
 /// without waiting for their own idle timeout.
 constexpr milliseconds server_idle_timeout{700};
-/// A server whose answer has not begun after this time, and after this multiple
-/// of the estimate, is slow.
-constexpr milliseconds min_slow_answer_time{700};
-constexpr int slow_answer_factor = 3;
 /// Idle timeout of an attempt in units of the expected gap: the target latency
 /// before the first event, the target gap after it.
 constexpr int idle_timeout_gaps = 3;
@@ -390,9 +386,6 @@
         on_call_ended(exchange, end);
     };
     record.server = chosen.server;
-    record.sent_at = now;
-    record.expected_wait = chosen.expected_wait;
-    record.is_slow_announced = false;
     record.tried.insert(chosen.server);
     record.last_received = now;
     record.head = {};
@@ -755,27 +748,8 @@
                : default_retry_after;
 }
 
-/// Announces servers that have not begun to answer a request for much longer
-/// than was expected when it was sent.
-void gateway::check_slow_answers(instant now) {
-    for (const auto& [id, record] : requests_) {
-        if (!record->call || record->is_slow_announced ||
-            record->head.status != no_head_status)
-            continue;
-        const milliseconds limit = std::max(
-            record->expected_wait * slow_answer_factor, min_slow_answer_time);
-        const backend_server* server = servers_.find(record->server);
-        if (server == nullptr || now - record->sent_at <= limit)
-            continue;
-        record->is_slow_announced = true;
-        metrics_.count("ospreystage_slow_answers_total");
-        context_.announce_slow(*server);
-    }
-}
-
 void gateway::check_idle_attempts() {
     const instant now = steady::now();
-    check_slow_answers(now);
     std::vector<exchange_id> idle_exchanges;
     for (const auto& [id, record] : requests_) {
         // The server cannot send while the caller does not read.
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -1,4 +1,3 @@
-#include <ospreystage/core/log.hpp>
 #include <ospreystage/network/socket_address.hpp>
 #include <ospreystage/serving/load_exchange.hpp>
 
@@ -72,55 +71,6 @@
     return result;
 }
 
-std::vector<load_exchange::outgoing>
-load_exchange::on_slow(const backend_server& server, instant now) {
-    if (!apply_slow(server.endpoint, "attempt", now))
-        return {};
-    std::vector<outgoing> result = relay_slow(server.endpoint);
-    outgoing notice{{}, slow_server_notice{server.endpoint, true}};
-    for (const std::string& region : duties_.regions()) {
-        const auto receivers =
-            without_self(duties_.responsible(region, server.endpoint.host));
-        notice.receivers.insert(notice.receivers.end(), receivers.begin(),
-                                receivers.end());
-    }
-    result.push_back(std::move(notice));
-    return result;
-}
-
-std::vector<load_exchange::outgoing>
-load_exchange::on_slow_notice(const slow_server_notice& notice, instant now) {
-    const bool is_new = apply_slow(notice.server, "entry", now);
-    return is_new && notice.is_passed_on ? relay_slow(notice.server)
-                                         : std::vector<outgoing>{};
-}
-
-bool load_exchange::apply_slow(const address& server, const char* source,
-                               instant now) {
-    bool is_new = false;
-    for (const std::string& id : servers_.ids_at(server)) {
-        const auto duration = load_.on_slow(id, now);
-        if (!duration)
-            continue;
-        is_new = true;
-        log_event(log_level::info, "server_slow",
-                  {{"server", id},
-                   {"source", source},
-                   {"avoided_ms", duration->count()}});
-    }
-    return is_new;
-}
-
-std::vector<load_exchange::outgoing>
-load_exchange::relay_slow(const address& server) const {
-    const auto& responsible = duties_.responsible(region_, server.host);
-    if (!has_other_entries() || responsible.empty() ||
-        responsible.front()->name != self_)
-        return {};
-    return {{without_self(duties_.entries_of(region_)),
-             slow_server_notice{server, false}}};
-}
-
 void load_exchange::on_report(const engine_report& report, instant now) {
     apply(report, now);
     if (has_other_entries() && passes_on(report.engine.host, now))
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -400,30 +400,3 @@
     CHECK(fixture.send_request().end != call_end::complete);
     CHECK(runs == 1);
 }
-
-TEST_CASE(
-    "gateway - a server that does not begin to answer is announced as slow "
-    "once") {
-    gateway_fixture fixture;
-    const scripted_server silent(
-        [](const std::string&) { return scripted_answer{""}; });
-    fixture.add_route(request_kind::non_idempotent, false, milliseconds(1500));
-    fixture.add_servers({silent.endpoint()});
-    CHECK(fixture.send_request().response.status == 504);
-    CHECK(fixture.slow_servers ==
-          std::vector{fixture.servers.all().front()->id});
-}
-
-TEST_CASE("gateway - a server whose stream goes on slowly is not announced as "
-          "slow") {
-    gateway_fixture fixture;
-    const scripted_server slow([](const std::string&) {
-        scripted_answer answer{make_event_stream(1, 2, false)};
-        answer.dripped_bytes = "9\r\ndata: e\n\n\r\n";
-        return answer;
-    });
-    fixture.add_route(request_kind::streaming, true, milliseconds(1500));
-    fixture.add_servers({slow.endpoint()});
-    fixture.send_request();
-    CHECK(fixture.slow_servers.empty());
-}
--- a/tests/load_exchange.cpp
+++ b/tests/load_exchange.cpp
@@ -55,28 +55,17 @@
     }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
-    /// Delivers a datagram and what it leads to; returns the number of
-    /// receivers.
+    /// Delivers a datagram; returns the number of its receivers.
     std::size_t deliver(const load_exchange::outgoing& datagram) {
-        std::size_t receivers = datagram.receivers.size();
         for (const site_entry* entry : datagram.receivers) {
             load_exchange& receiver = at(entry->name);
             if (const auto* notice =
                     std::get_if<attempt_notice>(&datagram.value))
                 receiver.on_notice(*notice, now);
-            else if (const auto* slow =
-                         std::get_if<slow_server_notice>(&datagram.value))
-                receivers += deliver(receiver.on_slow_notice(*slow, now));
             else
                 receiver.on_digest(std::get<load_digest>(datagram.value), now);
         }
-        return receivers;
-    }
-    std::size_t deliver(const std::vector<load_exchange::outgoing>& datagrams) {
-        std::size_t receivers = 0;
-        for (const auto& datagram : datagrams)
-            receivers += deliver(datagram);
-        return receivers;
+        return datagram.receivers.size();
     }
 
     /// Delivers the digests of all entries; returns how many there were.
@@ -124,14 +113,6 @@
             return load.status("i-1", now).has_value();
         });
     }
-    /// Returns the entries that avoid the engine as slow already.
-    [[nodiscard]] std::size_t avoiding() {
-        std::size_t result = 0;
-        for (auto& [name, load] : loads_)
-            if (!load.on_slow("i-1", now))
-                ++result;
-        return result;
-    }
     /// Returns the entries that expect the engine to prefill for `time`.
     [[nodiscard]] std::size_t with_backlog(milliseconds time) const {
         return count([&](const backend_load& load) {
@@ -293,15 +274,3 @@
     CHECK(digest->receivers.size() == 7);
     CHECK_FALSE(exchange.take_digest());
 }
-
-TEST_CASE("load exchange - a slow server is known to all entries, in a few "
-          "datagrams an entry") {
-    const int entries_per_region = GENERATE(3, 12, 30);
-    site entries(entries_per_region);
-    const std::size_t sent =
-        entries.deliver(entries.at("north-0").on_slow(entries.server(), now));
-    CHECK(sent <= entries.size() + 2 * entry_duties::entries_per_vm);
-    // Others that find it slow too have nothing to add.
-    CHECK(entries.at("south-1").on_slow(entries.server(), now).empty());
-    CHECK(entries.avoiding() == entries.size());
-}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -40,10 +40,7 @@
                      gateway_metrics, platform::make_caller_protocol(),
                      {[] { return 1U; },
                       [](const std::string&) { return std::uint64_t{0}; },
-                      [](const backend_server&, microseconds) {},
-                      [this](const backend_server& server) {
-                          slow_servers.push_back(server.id);
-                      }},
+                      [](const backend_server&, microseconds) {}},
                      {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
                               tested_gateway.on_request(exchange,
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -37,8 +37,7 @@
     /// Returns the requests for permits sent so far.
     [[nodiscard]] std::vector<permit_request> permit_requests() const;
 
-    std::vector<message> datagrams;        ///< To other entries.
-    std::vector<std::string> slow_servers; ///< Announced, by their ids.
+    std::vector<message> datagrams; ///< To other entries.
     kernel core;
     metrics gateway_metrics;
     route_table routes;
