--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -20,12 +20,12 @@
 ///
 /// Designed for hundreds of entries and engines with thousands of attempts and
 /// reports a second. An agent reports to the few entries of each region that
-/// deal with it (`entry_duties`), and an attempt is announced to the same ones.
-/// The first of them passes both on to the rest of its region in digests; the
-/// next ones stand in for it when its digests do not come. So the traffic grows
-/// with the number of entries, not with its square, and that between regions
-/// not at all. An entry takes nothing from a digest that it is also sent
-/// directly: the digest is older.
+/// deal with it (`entry_duties`), and an attempt is announced to the same ones,
+/// in a small region to all. The first of them passes both on to the rest of
+/// its region in digests; the next ones stand in for it when its digests do not
+/// come. So the traffic grows with the number of entries, not with its square,
+/// and that between regions not at all. An entry takes nothing from a digest
+/// that it is also sent directly: the digest is older.
 class load_exchange {
   public:
     using outgoing = entry_datagram;
@@ -48,11 +48,11 @@
     // ---- Events ------------------------------------------------------------
 
     /// Handles an attempt of this entry whose prompt takes `prefill_time`.
-    /// Returns the notice to send; nothing if the server's address is not
+    /// Returns the notices to send; none if the server's address is not
     /// numeric.
-    [[nodiscard]] std::optional<outgoing>
-    on_attempt(const backend_server& server, microseconds prefill_time,
-               instant now);
+    [[nodiscard]] std::vector<outgoing> on_attempt(const backend_server& server,
+                                                   microseconds prefill_time,
+                                                   instant now);
 
     /// Handles a report that an agent has sent to this entry.
     void on_report(const engine_report& report, instant now);
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -16,6 +16,9 @@
 /// of an engine for this long, once for each of them. Engines in use report
 /// more often than that.
 constexpr milliseconds stand_in_delay{300};
+/// Entries of a region up to which they send each other their notices directly,
+/// which is sooner than through a digest.
+constexpr std::size_t max_direct_receivers = 16;
 /// A notice that has not come back in a digest by then was lost.
 constexpr milliseconds max_notice_age{500};
 
@@ -49,26 +52,34 @@
 
 // ---- Events ----------------------------------------------------------------
 
-std::optional<load_exchange::outgoing>
+std::vector<load_exchange::outgoing>
 load_exchange::on_attempt(const backend_server& server,
                           microseconds prefill_time, instant now) {
     const auto raw = to_socket_address(server.endpoint);
     if (!raw)
-        return std::nullopt;
-    const attempt_notice notice{
-        ntohl(raw->sin_addr.s_addr), server.endpoint.port,
-        static_cast<std::uint32_t>(prefill_time.count()), true};
-    collect(notice);
-    if (has_other_entries() && !deals_with(server.endpoint.host))
-        own_notices_.emplace_back(now, notice);
-    outgoing result{{}, notice};
+        return {};
+    attempt_notice notice{ntohl(raw->sin_addr.s_addr), server.endpoint.port,
+                          static_cast<std::uint32_t>(prefill_time.count()),
+                          true};
+    const bool is_direct = duties_.size_of(region_) <= max_direct_receivers;
+    outgoing relayed{{}, notice};
     for (const std::string& region : duties_.regions()) {
+        if (region == region_ && is_direct)
+            continue;
         const auto receivers =
             without_self(duties_.responsible(region, server.endpoint.host));
-        result.receivers.insert(result.receivers.end(), receivers.begin(),
-                                receivers.end());
+        relayed.receivers.insert(relayed.receivers.end(), receivers.begin(),
+                                 receivers.end());
+    }
+    if (!is_direct) {
+        collect(notice);
+        if (!deals_with(server.endpoint.host))
+            own_notices_.emplace_back(now, notice);
+        return {std::move(relayed)};
     }
-    return result;
+    notice.is_passed_on = false;
+    return {{without_self(duties_.entries_of(region_)), notice},
+            std::move(relayed)};
 }
 
 void load_exchange::on_report(const engine_report& report, instant now) {
