--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -72,6 +72,7 @@
     /// have not passed any on for a while.
     [[nodiscard]] bool passes_on(const std::string& host, instant now) const;
     void collect(const attempt_notice& notice);
+    void drop_old_notices(instant now);
     /// Returns true if the notice is one of this entry, once for each.
     [[nodiscard]] bool is_own(const attempt_notice& notice, instant now);
     void apply(const engine_report& report, instant now);
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -73,6 +73,7 @@
     }
     if (!is_direct) {
         collect(notice);
+        drop_old_notices(now);
         if (!deals_with(server.endpoint.host))
             own_notices_.emplace_back(now, notice);
         return {std::move(relayed)};
@@ -106,10 +107,14 @@
             apply(notice, now);
 }
 
-bool load_exchange::is_own(const attempt_notice& notice, instant now) {
+void load_exchange::drop_old_notices(instant now) {
     while (!own_notices_.empty() &&
            now - own_notices_.front().first > max_notice_age)
         own_notices_.pop_front();
+}
+
+bool load_exchange::is_own(const attempt_notice& notice, instant now) {
+    drop_old_notices(now);
     const auto found =
         std::find_if(own_notices_.begin(), own_notices_.end(),
                      [&](const auto& own) { return own.second == notice; });
