Give a VM's entries slots of groups that share no entry

Change: the entries of a region of more than nine form three groups by a hash of their names, each with three slots; a VM has one slot in each group. An entry that leaves now changes its own slots only. Small regions, and those with an empty group, share the VMs among all entries, as before.

The test passes; so do `load exchange` and `limit exchange`.

--- a/include/ospreystage/fleet/entry_duties.hpp
+++ b/include/ospreystage/fleet/entry_duties.hpp
@@ -27,7 +27,7 @@
     /// Most relays of a region. Each sends a digest to every entry of its
     /// region at a fixed interval, so the datagrams of a region grow with its
     /// entries, not with their square.
-    static constexpr std::size_t relays_per_region = 8;
+    static constexpr std::size_t relays_per_region = 9;
 
     void set_entries(const std::map<std::string, site_entry>& entries);
 
@@ -58,6 +58,8 @@
   private:
     struct region_record {
         void set_entries(std::map<std::string, site_entry> listed);
+        [[nodiscard]] std::vector<std::string>
+        slots_of(const std::string& host) const;
 
         std::map<std::string, site_entry> entries;
         /// Names of the relays by the slots of the VMs.
--- a/src/fleet/entry_duties.cpp
+++ b/src/fleet/entry_duties.cpp
@@ -1,39 +1,52 @@
 #include <ospreystage/core/ids.hpp>
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/fleet/entry_duties.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace ospreystage {
 
 namespace {
 
+/// The entries of a large region form groups, one for each entry that deals
+/// with a VM, so that these are different ones; each group has this many slots.
+constexpr std::size_t slots_per_group =
+    entry_duties::relays_per_region / entry_duties::entries_per_vm;
 /// Choices that are kept for a region, beyond the VMs of any site; addresses
 /// change over time.
 constexpr std::size_t max_chosen = 4096;
 
 const std::vector<const site_entry*> no_entries;
 
+std::string slot_label(std::size_t group, std::size_t slot) {
+    return fmt::format("relay {} {}", group, slot);
+}
+
 /// Returns the relays of a region by their slots. In a small region each entry
-/// has a slot of its own.
+/// has a slot of its own; so it has if some group has no entry.
 std::map<std::string, std::string>
 relays_of(const std::map<std::string, site_entry>& entries) {
-    std::vector<std::string> names;
-    names.reserve(entries.size());
-    for (const auto& [name, entry] : entries)
-        names.push_back(name);
-    std::map<std::string, std::string> relays;
-    if (names.size() <= entry_duties::relays_per_region) {
-        for (const std::string& name : names)
-            relays[name] = name;
-        return relays;
-    }
-    for (std::size_t slot = 0; slot < entry_duties::relays_per_region; ++slot) {
-        const std::string label = fmt::format("relay {}", slot);
-        relays[label] = rendezvous_order(label, names).front();
+    std::map<std::string, std::string> own_slots;
+    std::array<std::vector<std::string>, entry_duties::entries_per_vm> groups;
+    for (const auto& [name, entry] : entries) {
+        own_slots[name] = name;
+        groups[stable_hash(name) % groups.size()].push_back(name);
     }
+    const bool has_empty_group =
+        std::any_of(groups.begin(), groups.end(),
+                    [](const auto& group) { return group.empty(); });
+    if (entries.size() <= entry_duties::relays_per_region || has_empty_group)
+        return own_slots;
+    std::map<std::string, std::string> relays;
+    for (std::size_t group = 0; group < groups.size(); ++group)
+        for (std::size_t slot = 0; slot < slots_per_group; ++slot) {
+            const std::string label = slot_label(group, slot);
+            relays[label] = rendezvous_order(label, groups[group]).front();
+        }
     return relays;
 }
 
@@ -79,16 +92,30 @@
     std::vector<const site_entry*>& result = known->second;
     if (!is_new)
         return result;
+    for (const std::string& slot : record.slots_of(host))
+        result.push_back(&record.entries.at(record.relays.at(slot)));
+    return result;
+}
+
+/// Returns the slots of the VM at `host`, best first: in a large region, one of
+/// each group.
+std::vector<std::string>
+entry_duties::region_record::slots_of(const std::string& host) const {
     std::vector<std::string> slots;
-    slots.reserve(record.relays.size());
-    for (const auto& [slot, relay] : record.relays)
-        slots.push_back(slot);
-    for (const std::string& slot : rendezvous_order(host, std::move(slots))) {
-        const std::string& relay = record.relays.at(slot);
-        if (result.size() < entries_per_vm && !has_entry(result, relay))
-            result.push_back(&record.entries.at(relay));
+    if (!relays.contains(slot_label(0, 0))) {
+        for (const auto& [slot, relay] : relays)
+            slots.push_back(slot);
+    } else {
+        for (std::size_t group = 0; group < entries_per_vm; ++group) {
+            std::vector<std::string> labels;
+            for (std::size_t slot = 0; slot < slots_per_group; ++slot)
+                labels.push_back(slot_label(group, slot));
+            slots.push_back(rendezvous_order(host, std::move(labels)).front());
+        }
     }
-    return result;
+    std::vector<std::string> order = rendezvous_order(host, std::move(slots));
+    order.resize(std::min(order.size(), entries_per_vm));
+    return order;
 }
 
 std::vector<const site_entry*>
