--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -56,7 +56,7 @@
     void poll();
     [[nodiscard]] std::optional<std::string> choose_source(instant now);
     void request(const std::string& source, const address& reader, instant now);
-    void on_answered(const std::string& source, instant now);
+    void on_answered(const std::string& source, instant requested_at);
     void on_changes(const std::string& source, instant requested_at,
                     const http_response& response);
     [[nodiscard]] http_response answer(const http_request& request);
