--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -106,6 +106,8 @@
         absl::flat_hash_set<std::string> tried;
         std::optional<call_id> call;
         std::string server; ///< Server of the current or last call.
+        std::uint64_t version = 0; ///< Engines: version held there when sent.
+        instant sent_at{};
         /// Time of the call's last data; of an event stream, of its last event.
         instant last_received{};
         bool is_paused = false; ///< Reading waits for the caller.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -393,6 +393,8 @@
     record.is_event_stream = false;
     record.has_event = false;
     record.is_paused = false;
+    record.version = chosen.version;
+    record.sent_at = now;
     ++record.sent_attempts;
     ++record.possible_runs;
     last_received_.try_emplace(chosen.server, now);
@@ -405,6 +407,7 @@
               {{"request", record.caller.id},
                {"server", chosen.server},
                {"attempt", record.sent_attempts},
+               {"version", chosen.version},
                {"in_flight", chosen.in_flight},
                {"backlog_ms", chosen.backlog.count()},
                {"expected_ms", chosen.expected_wait.count()},
@@ -551,12 +554,17 @@
     if (event.id && record.last_event_id && *event.id <= *record.last_event_id)
         return; // Already forwarded from the previous server.
     if (!record.has_response_begun) {
-        const auto elapsed = steady::now() - record.arrived;
+        const instant now = steady::now();
+        const auto elapsed = now - record.arrived;
+        const auto since_sent = now - record.sent_at;
         metrics_.observe("ospreystage_first_event_seconds", elapsed);
+        metrics_.observe("ospreystage_attempt_first_event_seconds", since_sent);
         log_event(log_level::info, "request_first_event",
                   {{"request", record.caller.id},
                    {"server", record.server},
-                   {"after_ms", elapsed / milliseconds(1)}});
+                   {"version", record.version},
+                   {"after_ms", elapsed / milliseconds(1)},
+                   {"since_sent_ms", since_sent / milliseconds(1)}});
         begin_response(exchange);
     }
     if (event.id)
