Show that requests begin on a version of the weights that has ended

A stream that has begun goes on, and has to. The fixture lists engines with versions; the scripted server counts its open connections.

--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -39,7 +40,9 @@
       tested_gateway(core, client, routes, servers, load, availability, limits,
                      gateway_metrics, platform::make_caller_protocol(),
                      {[] { return 1U; },
-                      [](const std::string&) { return std::uint64_t{0}; },
+                      [this](const std::string&) {
+                          return versions.min_version(model, steady::now());
+                      },
                       [](const backend_server&, microseconds) {}},
                      {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
@@ -72,31 +75,58 @@
 void gateway_fixture::add_route(request_kind kind, bool is_resumable,
                                 milliseconds timeout) {
     route added_route;
-    added_route.host = "a.example";
-    added_route.path_prefix = "/x/";
     added_route.kind = kind;
     added_route.is_resumable = is_resumable;
     added_route.timeout = timeout;
     added_route.target_latency = milliseconds(200);
+    add_route(std::move(added_route), std::nullopt);
+}
+
+void gateway_fixture::add_engine_route(bool is_resumable) {
+    route added_route;
+    added_route.kind = request_kind::streaming;
+    added_route.is_resumable = is_resumable;
+    added_route.timeout = version_limit * 2;
+    // The request then stays at its engine for that long.
+    added_route.target_latency = version_limit * 2;
+    add_route(std::move(added_route), engine_profile{});
+}
+
+void gateway_fixture::add_route(route added_route,
+                                std::optional<engine_profile> engine) {
+    added_route.host = "a.example";
+    added_route.path_prefix = "/x/";
     added_route.target_gap = milliseconds(200);
     added_route.max_attempts = 2;
     added_route.targets = {{"desk", 1}};
     routing_configuration configuration;
     configuration.version = 1;
-    configuration.routes = {added_route};
-    configuration.services.emplace_back().name = "desk";
+    configuration.routes = {std::move(added_route)};
+    service_description& service = configuration.services.emplace_back();
+    service.name = "desk";
+    service.engine = std::move(engine);
     const bool is_applied = routes.apply(std::move(configuration));
     REQUIRE(is_applied);
 }
 
 void gateway_fixture::add_servers(const std::vector<address>& endpoints) {
+    std::vector<std::pair<address, std::uint64_t>> listed;
+    for (const address& endpoint : endpoints)
+        listed.emplace_back(endpoint, 0);
+    add_engines(listed);
+}
+
+void gateway_fixture::add_engines(
+    const std::vector<std::pair<address, std::uint64_t>>& engines) {
     std::vector<backend_server> listed;
-    for (const address& endpoint : endpoints) {
+    for (const auto& [endpoint, version] : engines) {
         backend_server server;
         server.id = "i-" + std::to_string(endpoint.port);
         server.service = "desk";
         server.endpoint = endpoint;
         server.slots = 4;
+        if (version != 0)
+            server.layers = {{0, 1, version}};
         listed.push_back(server);
     }
     servers.on_list(std::move(listed), steady::now());
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <ospreystage/serving/gateway.hpp>
+#include <ospreystage/weights/published_versions.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreystage::testing {
@@ -23,7 +27,13 @@
 
     void add_route(request_kind kind, bool is_resumable,
                    milliseconds timeout = milliseconds(3000));
+    /// Adds a route of event streams to a service of engines, whose responses
+    /// may take longer than their version lasts.
+    void add_engine_route(bool is_resumable);
     void add_servers(const std::vector<address>& endpoints);
+    /// Lists engines by their addresses and the versions that they hold.
+    void
+    add_engines(const std::vector<std::pair<address, std::uint64_t>>& engines);
 
     /// Lists entries of one region; this one is called edge-1.
     void add_entries(const std::vector<std::string>& names);
@@ -37,6 +47,11 @@
     /// Returns the requests for permits sent so far.
     [[nodiscard]] std::vector<permit_request> permit_requests() const;
 
+    /// Time after which no request may begin on an older version.
+    static constexpr milliseconds version_limit{2500};
+    /// The model of the engines.
+    static constexpr const char* model = "m";
+
     std::vector<message> datagrams; ///< To other entries.
     kernel core;
     metrics gateway_metrics;
@@ -45,11 +60,15 @@
     backend_load load;
     entry_duties duties;
     backend_availability availability;
+    published_versions versions{version_limit};
     limit_exchange limits;
     web_client client;
     gateway tested_gateway;
     web_server front_server;
     address front_address;
+
+  private:
+    void add_route(route added_route, std::optional<engine_profile> engine);
 };
 
 /// Returns a response with `Content-Length`; `fields` are whole header lines.
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -68,8 +68,11 @@
         if (descriptor < 0)
             continue;
         ++connections_;
-        workers_.emplace_back(
-            [this, descriptor] { serve_connection(descriptor); });
+        ++open_;
+        workers_.emplace_back([this, descriptor] {
+            serve_connection(descriptor);
+            --open_;
+        });
     }
 }
 
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -42,6 +42,8 @@
     [[nodiscard]] address endpoint() const { return {"127.0.0.1", port_}; }
     /// Number of connections accepted so far.
     [[nodiscard]] int connections() const noexcept { return connections_; }
+    /// Number of connections that are open.
+    [[nodiscard]] int open_connections() const noexcept { return open_; }
 
   private:
     void serve();
@@ -52,6 +54,7 @@
     int listener_ = -1;
     std::uint16_t port_ = 0;
     std::atomic<int> connections_{0};
+    std::atomic<int> open_{0};
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> workers_;
     std::thread thread_;
