Withdraw requests that have not begun when their engine's version ends

Cause: the bound on when work begins was enforced when a request is sent.

Every 100 ms an entry now withdraws event streams without an event whose engine's version may begin no request within the next second: it closes the connection, which takes the request off the engine's queue, and sends it to another engine as after any other failure, within the retry budget. A stream that may not run twice, or has no retry left, ends with 502, since it may have begun. Plain answers do not show when they begin; for them the send margin stays the only bound.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -30,9 +30,11 @@
 struct gateway_context {
     /// Returns the number of entries that share the budgets, this one included.
     std::function<std::uint32_t()> entries;
-    /// Returns the oldest version of a service's weights that may start a
-    /// request.
+    /// Returns the oldest version of a service's weights to which requests may
+    /// be sent.
     std::function<std::uint64_t(const std::string& service)> min_version;
+    /// Returns the oldest version on which a request that was sent may begin.
+    std::function<std::uint64_t(const std::string& service)> min_begin_version;
     /// Notifies the other entries of a request whose prompt takes
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
@@ -67,7 +69,7 @@
     /// Handles the reply of another entry to a request for a permit.
     void on_permit_reply(const permit_reply& reply);
 
-    /// Starts the periodic check for idle attempts.
+    /// Starts the periodic checks for idle and outdated attempts.
     void start();
 
     /// Replaces the retry limits of every service.
@@ -105,7 +107,7 @@
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
         std::optional<call_id> call;
-        std::string server; ///< Server of the current or last call.
+        std::string server;        ///< Server of the current or last call.
         std::uint64_t version = 0; ///< Engines: version held there when sent.
         instant sent_at{};
         /// Time of the call's last data; of an event stream, of its last event.
@@ -161,6 +163,8 @@
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
+    void withdraw_outdated_attempts();
+    void withdraw(exchange_id exchange, std::uint64_t min_version);
     void end_call(request_record& record, attempt_result result);
     void cancel_call(request_record& record);
     [[nodiscard]] bool acquire_retry(request_record& record);
--- a/include/ospreystage/weights/published_versions.hpp
+++ b/include/ospreystage/weights/published_versions.hpp
@@ -39,12 +39,22 @@
     [[nodiscard]] std::optional<publication>
     find(const std::string& model) const;
 
-    /// Returns the oldest version that may still begin a request; 0: any.
+    /// Returns the oldest version of whose engines requests may still be sent
+    /// to; 0: any.
     [[nodiscard]] std::uint64_t min_version(const std::string& model,
                                             instant now) const;
 
+    /// Returns the oldest version on which a request that was sent before may
+    /// still begin; 0: any.
+    [[nodiscard]] std::uint64_t min_begin_version(const std::string& model,
+                                                  instant now) const;
+
   private:
-    [[nodiscard]] bool is_due(const publication& record, instant now) const;
+    [[nodiscard]] bool is_due(const publication& record, milliseconds margin,
+                              instant now) const;
+    [[nodiscard]] std::uint64_t newest_due(const std::string& model,
+                                           milliseconds margin,
+                                           instant now) const;
 
     milliseconds limit_;
     /// By model, the oldest first; those that are past their limit are
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -37,8 +37,8 @@
 constexpr milliseconds call_timeout_margin{1000};
 /// Retry delay when this entry is stopping: the caller should use another one.
 constexpr milliseconds stopping_retry_after{50};
-/// Interval between two checks for idle attempts.
-constexpr milliseconds idle_check_interval{100};
+/// Interval between two checks for idle and outdated attempts.
+constexpr milliseconds attempt_check_interval{100};
 /// Shortest idle time after which an attempt moves to another server.
 constexpr milliseconds min_idle_timeout{1200};
 /// Idle time on all calls to a server after which its overdue attempts move
@@ -93,8 +93,10 @@
 }
 
 void gateway::start() {
-    core_.every(service_name, idle_check_interval,
-                [this] { check_idle_attempts(); });
+    core_.every(service_name, attempt_check_interval, [this] {
+        withdraw_outdated_attempts();
+        check_idle_attempts();
+    });
 }
 
 gateway::request_record* gateway::find(exchange_id exchange) {
@@ -798,6 +800,40 @@
     }
 }
 
+/// Withdraws the requests that still wait at an engine whose version may begin
+/// no request any more. Only event streams show that they have begun.
+void gateway::withdraw_outdated_attempts() {
+    absl::flat_hash_map<std::string, std::uint64_t> min_versions;
+    std::vector<exchange_id> outdated;
+    for (const auto& [id, record] : requests_) {
+        if (!record->call || record->version == 0 || record->has_event ||
+            record->kind != request_kind::streaming)
+            continue;
+        const auto [found, is_new] = min_versions.try_emplace(record->service);
+        if (is_new)
+            found->second = context_.min_begin_version(record->service);
+        if (record->version < found->second)
+            outdated.push_back(exchange_id{id});
+    }
+    for (const exchange_id exchange : outdated)
+        withdraw(exchange, min_versions.at(find(exchange)->service));
+}
+
+void gateway::withdraw(exchange_id exchange, std::uint64_t min_version) {
+    request_record& record = *find(exchange);
+    const auto waited = steady::now() - record.sent_at;
+    log_event(log_level::warn, "attempt_withdrawn",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"version", record.version},
+               {"min_version", min_version},
+               {"waited_ms", waited / milliseconds(1)}});
+    metrics_.count("ospreystage_withdrawn_attempts_total");
+    cancel_call(record);
+    record.head.body.clear();
+    on_attempt_failed(exchange, "version ended", true);
+}
+
 void gateway::on_deadline(exchange_id exchange) {
     request_record* record = find(exchange);
     if (record == nullptr)
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -43,6 +43,10 @@
                       [this](const std::string&) {
                           return versions.min_version(model, steady::now());
                       },
+                      [this](const std::string&) {
+                          return versions.min_begin_version(model,
+                                                            steady::now());
+                      },
                       [](const backend_server&, microseconds) {}},
                      {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
