Check the version of a choice again before its request is sent

A request waits for a permit or for a new connection between the choice of an engine and its sending. Both waits now check the version as the placement does; a choice that no longer holds is placed again.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -143,6 +143,8 @@
     void on_permit(exchange_id exchange, const placement& chosen,
                    const permit_decision& decision);
     void on_permit_timeout(std::uint64_t sequence);
+    [[nodiscard]] bool may_send(const request_record& record,
+                                const placement& chosen) const;
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
     void on_availability(const std::string& server,
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -301,7 +301,7 @@
         fmt::format("ospreystage_permits_total{{granted=\"{}\"}}", is_granted));
     const backend_server* server = servers_.find(chosen.server);
     if (is_granted && server != nullptr && !server->is_draining &&
-        availability_.may_send(chosen.server, steady::now())) {
+        may_send(*find(exchange), chosen)) {
         send(exchange, chosen);
         return;
     }
@@ -349,6 +349,16 @@
 
 // ---- Attempts at a server --------------------------------------------------
 
+/// Returns true if a choice still holds: its server takes requests, and the
+/// version of its weights has not ended.
+bool gateway::may_send(const request_record& record,
+                       const placement& chosen) const {
+    const bool is_current =
+        chosen.version == 0 ||
+        chosen.version >= context_.min_version(record.service);
+    return is_current && availability_.may_send(chosen.server, steady::now());
+}
+
 void gateway::send(exchange_id exchange, const placement& chosen) {
     request_record& record = *find(exchange);
     const instant now = steady::now();
@@ -374,8 +384,8 @@
     // is a fallback.
     options.timeout = metadata.time_left + call_timeout_margin;
     options.echoed_field = protocol_.id_field;
-    options.may_send = [this, id = chosen.server] {
-        return availability_.may_send(id, steady::now());
+    options.may_send = [this, exchange, chosen] {
+        return may_send(*find(exchange), chosen);
     };
     call_handlers handlers;
     handlers.head = [this, exchange](const http_response& head) {
