--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -28,6 +28,11 @@
     return options;
 }
 
+void replace_field(http_fields& fields, const http_field& field) {
+    erase_field(fields, field.name.c_str());
+    fields.push_back(field);
+}
+
 } // namespace
 
 gateway_fixture::gateway_fixture()
@@ -150,6 +155,13 @@
 
 std::vector<gateway_fixture::outcome>
 gateway_fixture::send_requests(std::size_t count, const std::string& method) {
+    return send_requests(std::vector<http_fields>(count), method);
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_requests(const std::vector<http_fields>& more_fields,
+                               const std::string& method) {
+    const std::size_t count = more_fields.size();
     std::vector<outcome> results;
     http_request request;
     request.method = method;
@@ -161,7 +173,10 @@
                       {"X-Tenant", "forged"}};
     std::function<void()> send_next = [&] {
         const instant started = steady::now();
-        client.fetch(front_address, request, {},
+        http_request next = request;
+        for (const http_field& field : more_fields[results.size()])
+            replace_field(next.fields, field);
+        client.fetch(front_address, next, {},
                      [&, started](call_end end, http_response response) {
                          results.push_back(
                              {end, std::move(response),
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -44,6 +44,12 @@
     std::vector<outcome> send_requests(std::size_t count,
                                        const std::string& method = "POST");
 
+    /// Sends one request after the other, each with more fields; may be called
+    /// once.
+    std::vector<outcome>
+    send_requests(const std::vector<http_fields>& more_fields,
+                  const std::string& method = "POST");
+
     /// Returns the requests for permits sent so far.
     [[nodiscard]] std::vector<permit_request> permit_requests() const;
 
