Quarantine parts of prompts that crash engines

Cause: what an entry learns from a failed attempt ends with its request. Nothing related the crashes to what the requests had in common, so every such request was sent, and sent again after it had crashed its first engine. The class: a failure that travels with the request is treated as one of the server.

An entry now reports to all others which requests an engine had just begun when its connections ended, by hashes of the shared parts of their prompts. A crash counts against the parts on which no engine has written an answer lately; three crashes that are apart in time, with different requests, and not explained by another part put a part into quarantine. Requests with it are refused at once, those that wait at an engine are withdrawn, and none is retried. Answers clear their parts; entries that know a suspected part to be sound say so, at random times so that few of them do.

--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/ids.hpp>
+#include <ospreystage/core/prompt_part.hpp>
 
 #include <array>
 #include <cstdint>
@@ -457,6 +458,46 @@
     OSPREYSTAGE_FIELDS(server, sequence, verdict, wait_ms)
 };
 
+// ---- Datagrams between entries: prompts that crash engines -----------------
+
+/// A request whose answer an engine had just begun when it ended.
+struct crash_suspect {
+    std::uint64_t request = 0; ///< Hash of the request's id.
+    std::vector<prompt_part> parts;
+    OSPREYSTAGE_FIELDS(request, parts)
+};
+
+/// An engine that ended, and what the sender had just begun there.
+struct engine_crash {
+    std::uint64_t server = 0; ///< Hash of the server's id.
+    std::uint32_t age_ms = 0;
+    std::vector<crash_suspect> suspects;
+    OSPREYSTAGE_FIELDS(server, age_ms, suspects)
+};
+
+/// A part on which an engine has written an answer.
+struct sound_part {
+    prompt_part part = 0;
+    std::uint32_t age_ms = 0; ///< Time since such an answer last began.
+    OSPREYSTAGE_FIELDS(part, age_ms)
+};
+
+/// A part that no request may have.
+struct quarantined_part {
+    prompt_part part = 0;
+    std::uint32_t age_ms = 0; ///< Time since it was quarantined.
+    std::uint32_t probes = 0; ///< Requests with it that were let through since.
+    OSPREYSTAGE_FIELDS(part, age_ms, probes)
+};
+
+/// What an entry knows of the parts of prompts.
+struct prompt_report {
+    std::vector<engine_crash> crashes;
+    std::vector<sound_part> sound;
+    std::vector<quarantined_part> quarantined;
+    OSPREYSTAGE_FIELDS(crashes, sound, quarantined)
+};
+
 #undef OSPREYSTAGE_FIELDS
 
 /// Every message of the peer protocol.
@@ -471,7 +512,7 @@
                  document_push, chunk_have, manifest_request, manifest_reply,
                  chunk_request, chunk_data, engine_report, weights_assignment,
                  attempt_notice, report_subscription, load_digest, limit_report,
-                 permit_request, permit_reply>;
+                 permit_request, permit_reply, prompt_report>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -510,6 +551,7 @@
                      "load_digest",
                      "limit_report",
                      "permit_request",
-                     "permit_reply"};
+                     "permit_reply",
+                     "prompt_report"};
 
 } // namespace ospreystage
--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/prompt_part.hpp>
 #include <ospreystage/http/message.hpp>
 
 #include <cstdint>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace ospreystage {
 
@@ -19,6 +21,8 @@
     std::optional<milliseconds> time_left; ///< How long the caller will wait.
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_answer_tokens = 0;
+    /// Parts of the prompt that other requests may have too.
+    std::vector<prompt_part> prompt_parts;
 };
 
 /// Metadata that an entry adds to a request to a backend server.
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -11,6 +11,7 @@
 #include <ospreystage/serving/caller_protocol.hpp>
 #include <ospreystage/serving/event_splitter.hpp>
 #include <ospreystage/serving/limit_exchange.hpp>
+#include <ospreystage/serving/prompt_quarantine.hpp>
 #include <ospreystage/serving/retry_window.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -52,8 +53,9 @@
     gateway(kernel& core, web_client& client, const route_table& routes,
             const backend_registry& servers, backend_load& load,
             backend_availability& availability, limit_exchange& limits,
-            metrics& request_metrics, caller_protocol protocol,
-            gateway_context context, const retry_window::options& retry_limits);
+            prompt_quarantine& quarantine, metrics& request_metrics,
+            caller_protocol protocol, gateway_context context,
+            const retry_window::options& retry_limits);
 
     /// Sets the server that receives callers' requests.
     void attach(web_server& server);
@@ -96,6 +98,8 @@
         std::uint32_t max_attempts = 1;
         bool is_resumable = false;
         bool is_late = false; ///< Refused before, judging by the time left.
+        /// Sent once although its prompt is quarantined.
+        bool is_probe = false;
         instant arrived{};
         instant deadline{};
         timer_id deadline_timer{};
@@ -110,6 +114,7 @@
         std::string server;        ///< Server of the current or last call.
         std::uint64_t version = 0; ///< Engines: version held there when sent.
         instant sent_at{};
+        instant head_at{}; ///< When the current attempt's head was received.
         /// Time of the call's last data; of an event stream, of its last event.
         instant last_received{};
         bool is_paused = false; ///< Reading waits for the caller.
@@ -118,9 +123,10 @@
         /// forwarded.
         http_response head;
         bool is_event_stream = false;
-        bool has_event = false; ///< The current attempt has sent an event.
-        bool has_response_begun = false; ///< Head sent to the caller.
-        bool is_body_forwarded = false;  ///< A plain body, as it arrives.
+        std::uint32_t events_received = 0; ///< Of the current attempt.
+        bool is_reported_answered = false; ///< The current attempt.
+        bool has_response_begun = false;   ///< Head sent to the caller.
+        bool is_body_forwarded = false;    ///< A plain body, as it arrives.
         event_splitter events;
         std::optional<std::uint64_t> last_event_id;
         /// The caller has received an event without an id.
@@ -145,6 +151,7 @@
     void on_permit_timeout(std::uint64_t sequence);
     [[nodiscard]] bool may_send(const request_record& record,
                                 const placement& chosen) const;
+    [[nodiscard]] bool is_quarantined(const request_record& record) const;
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
     void on_availability(const std::string& server,
@@ -165,8 +172,13 @@
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
-    void withdraw_outdated_attempts();
-    void withdraw(exchange_id exchange, std::uint64_t min_version);
+    void withdraw_attempts();
+    void withdraw(exchange_id exchange, const char* reason);
+    void check_answered(request_record& record);
+    void check_crash(const request_record& record, call_end end);
+    void report_crash(const std::string& server, instant at,
+                      const std::string& request,
+                      const std::vector<prompt_part>& parts);
     void end_call(request_record& record, attempt_result result);
     void cancel_call(request_record& record);
     [[nodiscard]] bool acquire_retry(request_record& record);
@@ -187,6 +199,7 @@
     backend_load& load_;
     backend_availability& availability_;
     limit_exchange& limits_;
+    prompt_quarantine& quarantine_;
     metrics& metrics_;
     caller_protocol protocol_;
     gateway_context context_;
--- /dev/null
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <ospreystage/core/clock.hpp>
+#include <ospreystage/network/messages.hpp>
+#include <ospreystage/serving/sound_parts.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace ospreystage {
+
+/// Whether a request may be sent, judging by the parts of its prompt.
+enum class prompt_verdict : std::uint8_t {
+    admitted,
+    probe,       ///< Sent once to find out whether the part still crashes.
+    quarantined, ///< It would crash the engine that begins it.
+};
+
+/// Finds parts of prompts that crash every engine which begins an answer on
+/// them, and quarantines them.
+///
+/// Answers the load of callers who keep sending such requests at all entries,
+/// among sound ones that share callers and other parts with them, while engines
+/// also end for other reasons. Each entry records the requests whose answer had
+/// just begun when their engine ended, and sends these records to all others.
+/// A crash counts against the parts of such a request on which no engine has
+/// written an answer lately. A part is quarantined once enough crashes, apart
+/// in time and with different requests, count against it and no other part
+/// explains them. An answer that is written clears its parts.
+///
+/// All tables are bounded, and callers who invent parts cannot fill them: a
+/// record takes a crash, and answered parts are kept by use.
+class prompt_quarantine {
+  public:
+    struct options {
+        /// Crashes with different requests after which a part is quarantined.
+        std::size_t min_crashes = 3;
+        /// The same for a part that had been sound, while all other parts of
+        /// these requests are sound too.
+        std::size_t min_crashes_if_sound = 5;
+        /// Crashes within this time count once: several engines that end
+        /// together have one cause, which is not a prompt.
+        milliseconds crash_spacing{100};
+        /// A part on which an answer was written counts as sound for this long.
+        milliseconds sound_time{10'000};
+        /// Crashes are forgotten after this time.
+        milliseconds crash_retention{600'000};
+        /// Ages of a quarantine at which one request each is let through.
+        std::vector<milliseconds> probe_times{seconds(30), seconds(300)};
+        /// A quarantine ends after this time.
+        milliseconds max_quarantine{3'600'000};
+        /// What this entry knows to be sound is sent to the others within this
+        /// time after a crash counts against it, unless one of them did.
+        milliseconds max_reply_delay{200};
+        /// Returns true if this entry is the one that probes a part.
+        std::function<bool(prompt_part)> is_prober;
+    };
+
+    prompt_quarantine(options configuration, std::uint64_t seed);
+
+    // ---- Observers ---------------------------------------------------------
+
+    [[nodiscard]] bool
+    is_quarantined(const std::vector<prompt_part>& parts) const;
+    [[nodiscard]] std::size_t size() const noexcept {
+        return quarantined_.size();
+    }
+
+    // ---- Requests of this entry --------------------------------------------
+
+    /// Decides on a request that has not been sent before.
+    [[nodiscard]] prompt_verdict admit(const std::vector<prompt_part>& parts,
+                                       instant now);
+
+    /// Records that an engine has written an answer which began at `begun`.
+    void on_answered(const std::vector<prompt_part>& parts, instant begun,
+                     instant now);
+
+    /// Records that `server` ended just after it had begun to answer `request`.
+    void on_crash(std::uint64_t server, std::uint64_t request,
+                  const std::vector<prompt_part>& parts, instant now);
+
+    // ---- Exchange with the other entries -----------------------------------
+
+    void on_report(const prompt_report& report, instant now);
+
+    /// Returns what all other entries should learn now, if anything. Crashes
+    /// are returned twice, since datagrams may be lost; each entry judges them
+    /// for itself.
+    [[nodiscard]] std::optional<prompt_report> take_report(instant now);
+
+    /// Returns the quarantine for an entry that may have started lately or
+    /// missed a report; nothing if it is empty.
+    [[nodiscard]] std::optional<prompt_report> take_summary(instant now);
+
+  private:
+    struct crash_record {
+        std::uint64_t server = 0;
+        instant at{};
+        std::vector<crash_suspect> suspects;
+    };
+    struct quarantine_record {
+        instant since{};
+        std::uint32_t probes = 0;
+        bool is_probe_unreported = false;
+    };
+    /// A crash that this entry has to report.
+    struct outgoing_crash {
+        std::uint64_t server = 0;
+        crash_suspect suspect;
+        instant at{};
+        instant due{};
+        bool is_repeated = false;
+    };
+
+    [[nodiscard]] std::optional<instant> last_begun(prompt_part part) const;
+    [[nodiscard]] bool is_sound(prompt_part part, instant at) const;
+    [[nodiscard]] bool counts_against(prompt_part part,
+                                      const crash_suspect& suspect, instant at,
+                                      bool blames_sound) const;
+    [[nodiscard]] bool is_explained(const crash_record& crash,
+                                    prompt_part part) const;
+    [[nodiscard]] std::size_t crashes_against(prompt_part part,
+                                              bool blames_sound) const;
+    [[nodiscard]] bool is_guilty(prompt_part part) const;
+    void add_suspect(std::uint64_t server, const crash_suspect& suspect,
+                     instant at, instant now);
+    void judge(const std::vector<prompt_part>& parts, instant now);
+    void quarantine(prompt_part part, instant since, std::uint32_t probes,
+                    const char* source);
+    void clear(prompt_part part, instant begun);
+    void schedule_reply(prompt_part part, instant now);
+    void drop_old(instant now);
+
+    options options_;
+    std::mt19937_64 random_;
+    std::deque<crash_record> crashes_; ///< In the order of their times.
+    /// Latest crash for which each part is suspected.
+    absl::flat_hash_map<prompt_part, instant> suspected_;
+    sound_parts answered_; ///< Answers of this entry.
+    /// Latest answer on each suspected part that all entries were told of.
+    absl::flat_hash_map<prompt_part, instant> reported_sound_;
+    absl::flat_hash_map<prompt_part, quarantine_record> quarantined_;
+    std::vector<outgoing_crash> outgoing_;
+    /// Times at which to report parts as sound.
+    absl::flat_hash_map<prompt_part, instant> replies_;
+};
+
+} // namespace ospreystage
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/serving/gateway.hpp>
 
 #include <fmt/format.h>
@@ -35,6 +36,15 @@
 constexpr milliseconds default_time_left{30'000};
 /// Time after a request's deadline at which the call's own timeout ends it.
 constexpr milliseconds call_timeout_margin{1000};
+/// Retry delay for callers whose prompt crashes engines.
+constexpr milliseconds quarantine_retry_after{30'000};
+/// An engine that crashes does so within a few events of the answer that causes
+/// it; an answer that has gone on for longer is sound.
+constexpr std::uint32_t max_crash_events = 1;
+constexpr milliseconds min_sound_time{500};
+/// Time after a broken answer at which the other calls to its server show
+/// whether it has ended.
+constexpr milliseconds crash_check_delay{20};
 /// Retry delay when this entry is stopping: the caller should use another one.
 constexpr milliseconds stopping_retry_after{50};
 /// Interval between two checks for idle and outdated attempts.
@@ -79,14 +89,14 @@
 gateway::gateway(kernel& core, web_client& client, const route_table& routes,
                  const backend_registry& servers, backend_load& load,
                  backend_availability& availability, limit_exchange& limits,
-                 metrics& request_metrics, caller_protocol protocol,
-                 gateway_context context,
+                 prompt_quarantine& quarantine, metrics& request_metrics,
+                 caller_protocol protocol, gateway_context context,
                  const retry_window::options& retry_limits)
     : core_(core), client_(client), routes_(routes), servers_(servers),
       load_(load), availability_(availability), limits_(limits),
-      metrics_(request_metrics), protocol_(std::move(protocol)),
-      context_(std::move(context)), retry_limits_(retry_limits),
-      random_(std::random_device{}()) {}
+      quarantine_(quarantine), metrics_(request_metrics),
+      protocol_(std::move(protocol)), context_(std::move(context)),
+      retry_limits_(retry_limits), random_(std::random_device{}()) {}
 
 void gateway::attach(web_server& server) {
     server_ = &server;
@@ -94,7 +104,7 @@
 
 void gateway::start() {
     core_.every(service_name, attempt_check_interval, [this] {
-        withdraw_outdated_attempts();
+        withdraw_attempts();
         check_idle_attempts();
     });
 }
@@ -196,6 +206,8 @@
         core_.after(service_name, record->deadline - now,
                     [this, exchange] { on_deadline(exchange); });
     retry_window_of(record->service).on_request(now);
+    record->is_probe = quarantine_.admit(record->caller.prompt_parts, now) ==
+                       prompt_verdict::probe;
     requests_.emplace(static_cast<std::uint64_t>(exchange), std::move(record));
     place(exchange);
 }
@@ -204,6 +216,10 @@
 
 void gateway::place(exchange_id exchange) {
     request_record& record = *find(exchange);
+    if (is_quarantined(record)) {
+        refuse(exchange, "prompt is quarantined", quarantine_retry_after);
+        return;
+    }
     const service_description* service = routes_.service(record.service);
     if (service == nullptr) {
         refuse(exchange, "service is not described", default_retry_after);
@@ -356,7 +372,13 @@
     const bool is_current =
         chosen.version == 0 ||
         chosen.version >= context_.min_version(record.service);
-    return is_current && availability_.may_send(chosen.server, steady::now());
+    return is_current && !is_quarantined(record) &&
+           availability_.may_send(chosen.server, steady::now());
+}
+
+bool gateway::is_quarantined(const request_record& record) const {
+    return !record.is_probe &&
+           quarantine_.is_quarantined(record.caller.prompt_parts);
 }
 
 void gateway::send(exchange_id exchange, const placement& chosen) {
@@ -403,7 +425,8 @@
     record.head = {};
     record.head.status = no_head_status;
     record.is_event_stream = false;
-    record.has_event = false;
+    record.events_received = 0;
+    record.is_reported_answered = false;
     record.is_paused = false;
     record.version = chosen.version;
     record.sent_at = now;
@@ -451,7 +474,7 @@
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
-    record->last_received = steady::now();
+    record->last_received = record->head_at = steady::now();
     last_received_[record->server] = record->last_received;
     const limit_statement statement = protocol_.limit_of(head);
     if (std::holds_alternative<limit_named>(statement))
@@ -494,7 +517,8 @@
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
-            record->has_event = true;
+            ++record->events_received;
+            check_answered(*record);
         }
         forward(exchange, event);
         record = find(exchange);
@@ -613,6 +637,7 @@
         return;
     }
     log_answer_end(*record, end);
+    check_crash(*record, end);
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -701,7 +726,8 @@
 const char* gateway::stream_defect(const request_record& record) {
     if (record.events.is_inside_event())
         return "stream ended inside an event";
-    if (record.head.framing == http_framing::connection && !record.has_event)
+    if (record.head.framing == http_framing::connection &&
+        record.events_received == 0)
         return "stream ended before its first event";
     return nullptr;
 }
@@ -711,6 +737,8 @@
     const char* defect =
         end == call_end::complete ? stream_defect(record) : to_string(end);
     if (defect == nullptr) {
+        quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
+                                steady::now());
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
         if (!remainder.empty())
@@ -738,6 +766,7 @@
 void gateway::on_attempt_failed(exchange_id exchange, const char* reason,
                                 bool may_have_run) {
     request_record& record = *find(exchange);
+    record.is_probe = record.is_probe && !may_have_run;
     const bool is_retryable = !may_have_run || may_run_again(record);
     const bool has_time = left_until(record.deadline) > milliseconds(50);
     log_event(log_level::warn, "attempt_failed",
@@ -810,38 +839,92 @@
     }
 }
 
-/// Withdraws the requests that still wait at an engine whose version may begin
-/// no request any more. Only event streams show that they have begun.
-void gateway::withdraw_outdated_attempts() {
+/// Withdraws the requests that still wait at an engine and must not begin
+/// there: its version has ended, or their prompt has been quarantined. Only
+/// event streams show that they have begun.
+void gateway::withdraw_attempts() {
     absl::flat_hash_map<std::string, std::uint64_t> min_versions;
-    std::vector<exchange_id> outdated;
+    std::vector<std::pair<exchange_id, const char*>> withdrawn;
     for (const auto& [id, record] : requests_) {
-        if (!record->call || record->version == 0 || record->has_event ||
+        if (!record->call || record->version == 0 ||
+            record->events_received > 0 ||
             record->kind != request_kind::streaming)
             continue;
         const auto [found, is_new] = min_versions.try_emplace(record->service);
         if (is_new)
             found->second = context_.min_begin_version(record->service);
         if (record->version < found->second)
-            outdated.push_back(exchange_id{id});
+            withdrawn.emplace_back(exchange_id{id}, "version ended");
+        else if (is_quarantined(*record))
+            withdrawn.emplace_back(exchange_id{id}, "prompt is quarantined");
     }
-    for (const exchange_id exchange : outdated)
-        withdraw(exchange, min_versions.at(find(exchange)->service));
+    for (const auto& [exchange, reason] : withdrawn)
+        withdraw(exchange, reason);
 }
 
-void gateway::withdraw(exchange_id exchange, std::uint64_t min_version) {
+void gateway::withdraw(exchange_id exchange, const char* reason) {
     request_record& record = *find(exchange);
     const auto waited = steady::now() - record.sent_at;
     log_event(log_level::warn, "attempt_withdrawn",
               {{"request", record.caller.id},
                {"server", record.server},
+               {"reason", reason},
                {"version", record.version},
-               {"min_version", min_version},
                {"waited_ms", waited / milliseconds(1)}});
-    metrics_.count("ospreystage_withdrawn_attempts_total");
+    metrics_.count(fmt::format(
+        "ospreystage_withdrawn_attempts_total{{reason=\"{}\"}}", reason));
     cancel_call(record);
     record.head.body.clear();
-    on_attempt_failed(exchange, "version ended", true);
+    on_attempt_failed(exchange, reason, true);
+}
+
+// ---- Prompts that crash engines --------------------------------------------
+
+/// Records that an answer was written on the parts of its prompt, once it has
+/// gone on for longer than an engine takes to crash.
+void gateway::check_answered(request_record& record) {
+    const instant now = steady::now();
+    if (record.is_reported_answered || record.caller.prompt_parts.empty() ||
+        record.events_received <= max_crash_events ||
+        now - record.head_at < min_sound_time)
+        return;
+    record.is_reported_answered = true;
+    quarantine_.on_answered(record.caller.prompt_parts, record.head_at, now);
+}
+
+/// Takes an answer that was broken off just after it had begun for a sign that
+/// its server has crashed, unless other calls to the server go on.
+void gateway::check_crash(const request_record& record, call_end end) {
+    const bool is_broken = end == call_end::truncated || end == call_end::reset;
+    if (!is_broken || !record.is_event_stream || record.version == 0 ||
+        record.events_received > max_crash_events ||
+        record.caller.prompt_parts.empty())
+        return;
+    core_.after(service_name, crash_check_delay,
+                [this, server = record.server, at = steady::now(),
+                 request = record.caller.id,
+                 parts = record.caller.prompt_parts] {
+                    report_crash(server, at, request, parts);
+                });
+}
+
+void gateway::report_crash(const std::string& server, instant at,
+                           const std::string& request,
+                           const std::vector<prompt_part>& parts) {
+    const bool goes_on =
+        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
+            const request_record& other = *item.second;
+            return other.call && other.server == server &&
+                   other.head.status != no_head_status && other.head_at < at;
+        });
+    if (goes_on)
+        return;
+    log_event(
+        log_level::warn, "engine_crash_suspected",
+        {{"request", request}, {"server", server}, {"parts", parts.size()}});
+    metrics_.count("ospreystage_crash_suspects_total");
+    quarantine_.on_crash(stable_hash(server), stable_hash(request), parts,
+                         steady::now());
 }
 
 void gateway::on_deadline(exchange_id exchange) {
--- /dev/null
+++ b/src/serving/prompt_quarantine.cpp
@@ -0,0 +1,369 @@
+#include <ospreystage/core/log.hpp>
+#include <ospreystage/serving/prompt_quarantine.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ospreystage {
+
+namespace {
+
+/// Reports of one server within this time are of the same crash.
+constexpr milliseconds same_crash_time{1000};
+/// A crash is reported a second time after this delay.
+constexpr milliseconds repeat_delay{150};
+/// What was reported as sound is not reported again within this time.
+constexpr milliseconds reply_interval{1000};
+constexpr std::size_t max_crashes = 256;
+constexpr std::size_t max_suspects = 32;
+/// Parts of one request that are considered, more than any honest one has.
+constexpr std::size_t max_parts = 64;
+constexpr std::size_t max_quarantined = 64;
+constexpr std::size_t max_answered = 4096;
+constexpr std::size_t max_reported_sound = 4096;
+/// Items of each kind in one report, so that it fits into a datagram.
+constexpr std::size_t max_report_items = 16;
+
+std::uint32_t age_ms(instant at, instant now) {
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, (now - at) / milliseconds(1)));
+}
+
+bool has_part(const crash_suspect& suspect, prompt_part part) {
+    return std::find(suspect.parts.begin(), suspect.parts.end(), part) !=
+           suspect.parts.end();
+}
+
+} // namespace
+
+prompt_quarantine::prompt_quarantine(options configuration, std::uint64_t seed)
+    : options_(std::move(configuration)), random_(seed),
+      answered_(max_answered) {}
+
+// ---- Observers -------------------------------------------------------------
+
+bool prompt_quarantine::is_quarantined(
+    const std::vector<prompt_part>& parts) const {
+    return !quarantined_.empty() &&
+           std::any_of(parts.begin(), parts.end(), [&](prompt_part part) {
+               return quarantined_.contains(part);
+           });
+}
+
+std::optional<prompt_report> prompt_quarantine::take_summary(instant now) {
+    drop_old(now);
+    if (quarantined_.empty())
+        return std::nullopt;
+    prompt_report report;
+    for (const auto& [part, record] : quarantined_)
+        report.quarantined.push_back(
+            {part, age_ms(record.since, now), record.probes});
+    return report;
+}
+
+std::optional<instant> prompt_quarantine::last_begun(prompt_part part) const {
+    std::optional<instant> result = answered_.last_begun(part);
+    const auto reported = reported_sound_.find(part);
+    if (reported != reported_sound_.end() &&
+        (!result || *result < reported->second))
+        result = reported->second;
+    return result;
+}
+
+/// Returns true if an answer on the part was written shortly before `at`, or
+/// later.
+bool prompt_quarantine::is_sound(prompt_part part, instant at) const {
+    const auto begun = last_begun(part);
+    return begun && at - *begun < options_.sound_time;
+}
+
+// ---- Judgement -------------------------------------------------------------
+
+bool prompt_quarantine::counts_against(prompt_part part,
+                                       const crash_suspect& suspect, instant at,
+                                       bool blames_sound) const {
+    if (!is_sound(part, at))
+        return true;
+    const bool are_all_sound =
+        std::all_of(suspect.parts.begin(), suspect.parts.end(),
+                    [&](prompt_part other) { return is_sound(other, at); });
+    return blames_sound && are_all_sound && *last_begun(part) < at;
+}
+
+/// Returns true if a quarantined part other than `part` explains the crash.
+bool prompt_quarantine::is_explained(const crash_record& crash,
+                                     prompt_part part) const {
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                       [&](const crash_suspect& suspect) {
+                           return std::any_of(
+                               suspect.parts.begin(), suspect.parts.end(),
+                               [&](prompt_part other) {
+                                   return other != part &&
+                                          quarantined_.contains(other);
+                               });
+                       });
+}
+
+/// Returns the number of crashes, apart in time and with different requests,
+/// that count against a part.
+std::size_t prompt_quarantine::crashes_against(prompt_part part,
+                                               bool blames_sound) const {
+    std::vector<std::uint64_t> requests;
+    std::optional<instant> last_counted;
+    for (const crash_record& crash : crashes_) {
+        const bool is_apart =
+            !last_counted || crash.at - *last_counted >= options_.crash_spacing;
+        if (!is_apart || is_explained(crash, part))
+            continue;
+        const auto found = std::find_if(
+            crash.suspects.begin(), crash.suspects.end(),
+            [&](const crash_suspect& suspect) {
+                return has_part(suspect, part) &&
+                       counts_against(part, suspect, crash.at, blames_sound) &&
+                       std::find(requests.begin(), requests.end(),
+                                 suspect.request) == requests.end();
+            });
+        if (found == crash.suspects.end())
+            continue;
+        requests.push_back(found->request);
+        last_counted = crash.at;
+    }
+    return requests.size();
+}
+
+bool prompt_quarantine::is_guilty(prompt_part part) const {
+    return crashes_against(part, false) >= options_.min_crashes ||
+           crashes_against(part, true) >= options_.min_crashes_if_sound;
+}
+
+/// Quarantines the guilty ones of `parts`, the one with most crashes first: it
+/// may explain those that count against the others.
+void prompt_quarantine::judge(const std::vector<prompt_part>& parts,
+                              instant now) {
+    std::vector<std::pair<std::size_t, prompt_part>> candidates;
+    for (const prompt_part part : parts)
+        if (!quarantined_.contains(part) && is_guilty(part))
+            candidates.emplace_back(crashes_against(part, false), part);
+    std::sort(candidates.rbegin(), candidates.rend());
+    for (const auto& [crashes, part] : candidates)
+        if (is_guilty(part))
+            quarantine(part, now, 0, "crashes");
+}
+
+void prompt_quarantine::quarantine(prompt_part part, instant since,
+                                   std::uint32_t probes, const char* source) {
+    const auto [found, is_new] = quarantined_.try_emplace(part);
+    quarantine_record& record = found->second;
+    if (!is_new) {
+        record.probes = std::max(record.probes, probes);
+        return;
+    }
+    record = {since, probes, false};
+    log_event(log_level::warn, "prompt_part_quarantined",
+              {{"part", fmt::format("{:016x}", part)},
+               {"source", source},
+               {"crashes", crashes_against(part, false)}});
+    if (quarantined_.size() <= max_quarantined)
+        return;
+    const auto oldest =
+        std::min_element(quarantined_.begin(), quarantined_.end(),
+                         [](const auto& left, const auto& right) {
+                             return left.second.since < right.second.since;
+                         });
+    quarantined_.erase(oldest);
+}
+
+// ---- Requests of this entry ------------------------------------------------
+
+prompt_verdict prompt_quarantine::admit(const std::vector<prompt_part>& parts,
+                                        instant now) {
+    quarantine_record* probed = nullptr;
+    for (const prompt_part part : parts) {
+        const auto found = quarantined_.find(part);
+        if (found == quarantined_.end())
+            continue;
+        quarantine_record& record = found->second;
+        const bool is_probe_due =
+            record.probes < options_.probe_times.size() &&
+            now - record.since >= options_.probe_times[record.probes] &&
+            options_.is_prober && options_.is_prober(part);
+        if (!is_probe_due || probed != nullptr)
+            return prompt_verdict::quarantined;
+        probed = &record;
+    }
+    if (probed == nullptr)
+        return prompt_verdict::admitted;
+    ++probed->probes;
+    probed->is_probe_unreported = true;
+    return prompt_verdict::probe;
+}
+
+void prompt_quarantine::on_answered(const std::vector<prompt_part>& parts,
+                                    instant begun, instant now) {
+    for (const prompt_part part : parts) {
+        answered_.record(part, begun);
+        if (!suspected_.contains(part) && !quarantined_.contains(part))
+            continue;
+        clear(part, begun);
+        schedule_reply(part, now);
+    }
+}
+
+void prompt_quarantine::on_crash(std::uint64_t server, std::uint64_t request,
+                                 const std::vector<prompt_part>& parts,
+                                 instant now) {
+    crash_suspect suspect{request, parts};
+    suspect.parts.resize(std::min(suspect.parts.size(), max_parts));
+    if (suspect.parts.empty())
+        return;
+    outgoing_.push_back({server, suspect, now, now, false});
+    add_suspect(server, suspect, now, now);
+    judge(suspect.parts, now);
+}
+
+void prompt_quarantine::add_suspect(std::uint64_t server,
+                                    const crash_suspect& suspect, instant at,
+                                    instant now) {
+    drop_old(now);
+    const auto same =
+        std::find_if(crashes_.begin(), crashes_.end(), [&](const auto& crash) {
+            return crash.server == server && at - crash.at < same_crash_time &&
+                   crash.at - at < same_crash_time;
+        });
+    auto position = same;
+    if (same == crashes_.end()) {
+        position = std::upper_bound(
+            crashes_.begin(), crashes_.end(), at,
+            [](instant time, const auto& crash) { return time < crash.at; });
+        position = crashes_.insert(position, {server, at, {}});
+    }
+    std::vector<crash_suspect>& suspects = position->suspects;
+    const bool is_known = std::any_of(
+        suspects.begin(), suspects.end(), [&](const crash_suspect& other) {
+            return other.request == suspect.request;
+        });
+    if (!is_known && suspects.size() < max_suspects)
+        suspects.push_back(suspect);
+    for (const prompt_part part : suspect.parts) {
+        instant& latest = suspected_[part];
+        latest = std::max(latest, at);
+        schedule_reply(part, now);
+    }
+    if (crashes_.size() > max_crashes)
+        crashes_.pop_front();
+}
+
+// ---- Exchange with the other entries ---------------------------------------
+
+void prompt_quarantine::on_report(const prompt_report& report, instant now) {
+    for (const sound_part& sound : report.sound)
+        clear(sound.part, now - milliseconds(sound.age_ms));
+    for (const engine_crash& crash : report.crashes) {
+        const instant at = now - milliseconds(crash.age_ms);
+        for (const crash_suspect& suspect : crash.suspects) {
+            if (suspect.parts.size() > max_parts)
+                continue;
+            add_suspect(crash.server, suspect, at, now);
+            judge(suspect.parts, now);
+        }
+    }
+    for (const quarantined_part& item : report.quarantined) {
+        const instant since = now - milliseconds(item.age_ms);
+        // The other entry may not know yet that the part is sound.
+        if (is_sound(item.part, since))
+            schedule_reply(item.part, now);
+        else
+            quarantine(item.part, since, item.probes, "entry");
+    }
+}
+
+/// Records that an answer on the part was written, and ends its quarantine.
+void prompt_quarantine::clear(prompt_part part, instant begun) {
+    const auto suspected = suspected_.find(part);
+    const auto quarantined = quarantined_.find(part);
+    if (suspected == suspected_.end() && quarantined == quarantined_.end())
+        return;
+    if (reported_sound_.size() < max_reported_sound ||
+        reported_sound_.contains(part)) {
+        instant& latest = reported_sound_[part];
+        latest = std::max(latest, begun);
+    }
+    if (quarantined == quarantined_.end() ||
+        begun < quarantined->second.since - options_.sound_time ||
+        is_guilty(part))
+        return;
+    log_event(log_level::info, "prompt_part_released",
+              {{"part", fmt::format("{:016x}", part)}});
+    quarantined_.erase(quarantined);
+}
+
+/// Schedules a report that a suspected part is sound, if this entry knows it
+/// and the others may not.
+void prompt_quarantine::schedule_reply(prompt_part part, instant now) {
+    const auto own = answered_.last_begun(part);
+    if (!own || now - *own >= options_.sound_time)
+        return;
+    std::uniform_int_distribution<std::int64_t> delay(
+        0, options_.max_reply_delay.count());
+    replies_.try_emplace(part, now + milliseconds(delay(random_)));
+}
+
+std::optional<prompt_report> prompt_quarantine::take_report(instant now) {
+    prompt_report report;
+    std::size_t kept = 0;
+    for (outgoing_crash& item : outgoing_) {
+        const bool is_due =
+            item.due <= now && report.crashes.size() < max_report_items;
+        if (is_due)
+            report.crashes.push_back(
+                {item.server, age_ms(item.at, now), {item.suspect}});
+        if (is_due && item.is_repeated)
+            continue;
+        if (is_due) {
+            item.is_repeated = true;
+            item.due = now + repeat_delay;
+        }
+        std::swap(outgoing_[kept++], item);
+    }
+    outgoing_.resize(kept);
+    absl::erase_if(replies_, [&](const auto& reply) {
+        const auto& [part, due] = reply;
+        if (due > now || report.sound.size() >= max_report_items)
+            return false;
+        const auto own = answered_.last_begun(part);
+        const auto reported = reported_sound_.find(part);
+        const bool is_known = reported != reported_sound_.end() && own &&
+                              *own < reported->second + reply_interval;
+        if (own && !is_known)
+            report.sound.push_back({part, age_ms(*own, now)});
+        return true;
+    });
+    for (const sound_part& sound : report.sound)
+        clear(sound.part, now - milliseconds(sound.age_ms));
+    for (auto& [part, record] : quarantined_)
+        if (std::exchange(record.is_probe_unreported, false))
+            report.quarantined.push_back(
+                {part, age_ms(record.since, now), record.probes});
+    if (report.crashes.empty() && report.sound.empty() &&
+        report.quarantined.empty())
+        return std::nullopt;
+    return report;
+}
+
+void prompt_quarantine::drop_old(instant now) {
+    while (!crashes_.empty() &&
+           now - crashes_.front().at > options_.crash_retention)
+        crashes_.pop_front();
+    const auto is_old = [&](const auto& item) {
+        return now - item.second > options_.crash_retention;
+    };
+    absl::erase_if(suspected_, is_old);
+    absl::erase_if(reported_sound_, is_old);
+    absl::erase_if(quarantined_, [&](const auto& item) {
+        return now - item.second.since > options_.max_quarantine;
+    });
+}
+
+} // namespace ospreystage
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -42,18 +42,18 @@
                  datagrams.push_back(datagram.value);
              }),
       client(core),
-      tested_gateway(core, client, routes, servers, load, availability, limits,
-                     gateway_metrics, platform::make_caller_protocol(),
-                     {[] { return 1U; },
-                      [this](const std::string&) {
-                          return versions.min_version(model, steady::now());
-                      },
-                      [this](const std::string&) {
-                          return versions.min_begin_version(model,
-                                                            steady::now());
-                      },
-                      [](const backend_server&, microseconds) {}},
-                     {0.2, 100, seconds(10)}),
+      tested_gateway(
+          core, client, routes, servers, load, availability, limits, quarantine,
+          gateway_metrics, platform::make_caller_protocol(),
+          {[] { return 1U; },
+           [this](const std::string&) {
+               return versions.min_version(model, steady::now());
+           },
+           [this](const std::string&) {
+               return versions.min_begin_version(model, steady::now());
+           },
+           [](const backend_server&, microseconds) {}},
+          {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
                               tested_gateway.on_request(exchange,
                                                         std::move(request));
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -68,6 +68,7 @@
     backend_availability availability;
     published_versions versions{version_limit};
     limit_exchange limits;
+    prompt_quarantine quarantine{{}, 1};
     web_client client;
     gateway tested_gateway;
     web_server front_server;
