Recognise a crash by an answer that ends with its connection

Found while the crash check was read again: an engine that crashes within an answer that has neither a length nor chunks leaves a plain close, which the check did not count, as it looked at cut chunks and resets only; a stream of one event that ends that way even cleared its parts.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -637,7 +637,6 @@
         return;
     }
     log_answer_end(*record, end);
-    check_crash(*record, end);
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -737,8 +736,11 @@
     const char* defect =
         end == call_end::complete ? stream_defect(record) : to_string(end);
     if (defect == nullptr) {
-        quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
-                                steady::now());
+        // An answer that ends with its connection may have been broken off.
+        if (record.head.framing != http_framing::connection ||
+            record.events_received > max_crash_events)
+            quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
+                                    steady::now());
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
         if (!remainder.empty())
@@ -748,6 +750,7 @@
         erase(exchange, "answered");
         return;
     }
+    check_crash(record, end);
     end_call(record, attempt_result::failed);
     on_attempt_failed(exchange, defect, true);
 }
@@ -895,8 +898,10 @@
 /// Takes an answer that was broken off just after it had begun for a sign that
 /// its server has crashed, unless other calls to the server go on.
 void gateway::check_crash(const request_record& record, call_end end) {
-    const bool is_broken = end == call_end::truncated || end == call_end::reset;
-    if (!is_broken || !record.is_event_stream || record.version == 0 ||
+    // Without a length or chunks, a connection that closes ends the answer.
+    const bool is_closed = end == call_end::truncated ||
+                           end == call_end::reset || end == call_end::complete;
+    if (!is_closed || record.version == 0 ||
         record.events_received > max_crash_events ||
         record.caller.prompt_parts.empty())
         return;
--- a/tests/poisoned_prompts.cpp
+++ b/tests/poisoned_prompts.cpp
@@ -25,10 +25,13 @@
 constexpr int recognised_crashes = 5;
 constexpr int allowed_requests = 3;
 
+/// How the answer of an engine that crashes ends for the entry.
+enum class crash_framing : std::uint8_t { chunked, connection };
+
 /// Engines of which each crashes if it begins a request with the poisoned part.
 class poisonable_engines {
   public:
-    explicit poisonable_engines(int count) {
+    poisonable_engines(int count, crash_framing framing) : framing_(framing) {
         for (int index = 0; index < count; ++index)
             servers_.push_back(std::make_unique<scripted_server>(
                 [this](const std::string& request) {
@@ -52,9 +55,14 @@
             return sound;
         }
         ++poisoned_arrivals_;
-        return {make_event_stream(1, 0, false), true};
+        if (framing_ == crash_framing::chunked)
+            return {make_event_stream(1, 0, false), true};
+        return {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                "Connection: close\r\n\r\n",
+                true};
     }
 
+    crash_framing framing_;
     std::atomic<int> poisoned_arrivals_{0};
     std::vector<std::unique_ptr<scripted_server>> servers_;
 };
@@ -69,8 +77,10 @@
 
 TEST_CASE("poisoned prompts - requests with a part that crashes engines stop "
           "reaching them, sound ones with the same other parts are served") {
+    const crash_framing framing =
+        GENERATE(crash_framing::chunked, crash_framing::connection);
     gateway_fixture fixture;
-    poisonable_engines engines(12);
+    poisonable_engines engines(12, framing);
     fixture.add_engine_route(true);
     fixture.add_engines(engines.list());
     std::vector<http_fields> requests;
