--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -69,6 +69,7 @@
 
     [[nodiscard]] bool
     is_quarantined(const std::vector<prompt_part>& parts) const;
+    [[nodiscard]] std::vector<quarantined_part> quarantined(instant now) const;
     [[nodiscard]] std::size_t size() const noexcept {
         return quarantined_.size();
     }
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -52,15 +52,13 @@
            });
 }
 
-std::optional<prompt_report> prompt_quarantine::take_summary(instant now) {
-    drop_old(now);
-    if (quarantined_.empty())
-        return std::nullopt;
-    prompt_report report;
+std::vector<quarantined_part>
+prompt_quarantine::quarantined(instant now) const {
+    std::vector<quarantined_part> result;
+    result.reserve(quarantined_.size());
     for (const auto& [part, record] : quarantined_)
-        report.quarantined.push_back(
-            {part, age_ms(record.since, now), record.probes});
-    return report;
+        result.push_back({part, age_ms(record.since, now), record.probes});
+    return result;
 }
 
 std::optional<instant> prompt_quarantine::last_begun(prompt_part part) const {
@@ -352,6 +350,15 @@
     return report;
 }
 
+std::optional<prompt_report> prompt_quarantine::take_summary(instant now) {
+    drop_old(now);
+    if (quarantined_.empty())
+        return std::nullopt;
+    prompt_report report;
+    report.quarantined = quarantined(now);
+    return report;
+}
+
 void prompt_quarantine::drop_old(instant now) {
     while (!crashes_.empty() &&
            now - crashes_.front().at > options_.crash_retention)
