Recognise the crash of an engine by plain answers too

A plain answer shows nothing before it is written, so an engine that crashes under it leaves a connection without a head, which the check for crashes took for a request that had not begun. A call whose caller does not read no longer counts as one that goes on.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -645,6 +645,7 @@
         (end == call_end::complete || end == call_end::too_large) &&
         protocol_.is_not_run(record->head);
     if (!is_refused && end != call_end::complete) {
+        check_crash(*record, end);
         end_call(*record, attempt_result::failed);
         record->head.body.clear();
         on_attempt_failed(exchange, to_string(end), true);
@@ -670,6 +671,9 @@
         return;
     }
     const bool is_server_error = record->head.status >= first_server_error;
+    if (!is_server_error)
+        quarantine_.on_answered(record->caller.prompt_parts, record->head_at,
+                                steady::now());
     end_call(*record, is_server_error ? attempt_result::failed
                                       : attempt_result::answered);
     if (is_server_error)
@@ -898,10 +902,14 @@
 /// Takes an answer that was broken off just after it had begun for a sign that
 /// its server has crashed, unless other calls to the server go on.
 void gateway::check_crash(const request_record& record, call_end end) {
-    // Without a length or chunks, a connection that closes ends the answer.
-    const bool is_closed = end == call_end::truncated ||
-                           end == call_end::reset || end == call_end::complete;
-    if (!is_closed || record.version == 0 ||
+    // Without a length or chunks, a connection that closes ends the answer; a
+    // plain answer has no head before it is written.
+    const bool has_begun = record.head.status != no_head_status ||
+                           record.kind != request_kind::streaming;
+    const bool is_closed =
+        end == call_end::truncated || end == call_end::reset ||
+        end == call_end::no_answer || end == call_end::complete;
+    if (!has_begun || !is_closed || record.version == 0 ||
         record.events_received > max_crash_events ||
         record.caller.prompt_parts.empty())
         return;
@@ -919,7 +927,7 @@
     const bool goes_on =
         std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
             const request_record& other = *item.second;
-            return other.call && other.server == server &&
+            return other.call && other.server == server && !other.is_paused &&
                    other.head.status != no_head_status && other.head_at < at;
         });
     if (goes_on)
--- a/tests/poisoned_prompts.cpp
+++ b/tests/poisoned_prompts.cpp
@@ -13,6 +13,7 @@
 using testing::event_text;
 using testing::gateway_fixture;
 using testing::make_event_stream;
+using testing::make_response;
 using testing::scripted_answer;
 using testing::scripted_server;
 
@@ -24,9 +25,10 @@
 /// that may reach servers afterwards.
 constexpr int recognised_crashes = 5;
 constexpr int allowed_requests = 3;
+const std::string sound_body = event_text(1, 3);
 
 /// How the answer of an engine that crashes ends for the entry.
-enum class crash_framing : std::uint8_t { chunked, connection };
+enum class crash_framing : std::uint8_t { chunked, connection, no_head };
 
 /// Engines of which each crashes if it begins a request with the poisoned part.
 class poisonable_engines {
@@ -51,10 +53,14 @@
     scripted_answer answer(const std::string& request) {
         if (request.find(poisoned_part) == std::string::npos) {
             scripted_answer sound;
-            sound.delayed_bytes = make_event_stream(1, 3, true);
+            sound.delayed_bytes = framing_ == crash_framing::no_head
+                                      ? make_response(200, "", sound_body)
+                                      : make_event_stream(1, 3, true);
             return sound;
         }
         ++poisoned_arrivals_;
+        if (framing_ == crash_framing::no_head)
+            return {"", true};
         if (framing_ == crash_framing::chunked)
             return {make_event_stream(1, 0, false), true};
         return {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -78,10 +84,13 @@
 TEST_CASE("poisoned prompts - requests with a part that crashes engines stop "
           "reaching them, sound ones with the same other parts are served") {
     const crash_framing framing =
-        GENERATE(crash_framing::chunked, crash_framing::connection);
+        GENERATE(crash_framing::chunked, crash_framing::connection,
+                 crash_framing::no_head);
     gateway_fixture fixture;
     poisonable_engines engines(12, framing);
-    fixture.add_engine_route(true);
+    fixture.add_engine_route(true, framing == crash_framing::no_head
+                                       ? request_kind::idempotent
+                                       : request_kind::streaming);
     fixture.add_engines(engines.list());
     std::vector<http_fields> requests;
     std::vector<bool> is_poisoned;
@@ -95,7 +104,7 @@
     for (std::size_t number = 0; number < results.size(); ++number) {
         CAPTURE(number);
         if (!is_poisoned[number])
-            CHECK(results[number].response.body == event_text(1, 3));
+            CHECK(results[number].response.body == sound_body);
     }
     CHECK(engines.poisoned_arrivals() <= recognised_crashes + allowed_requests);
     // A request that is refused has not run and says when to come back.
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -91,9 +91,9 @@
     add_route(std::move(added_route), std::nullopt);
 }
 
-void gateway_fixture::add_engine_route(bool is_resumable) {
+void gateway_fixture::add_engine_route(bool is_resumable, request_kind kind) {
     route added_route;
-    added_route.kind = request_kind::streaming;
+    added_route.kind = kind;
     added_route.is_resumable = is_resumable;
     added_route.timeout = version_limit * 2;
     // The request then stays at its engine for that long.
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -29,7 +29,8 @@
                    milliseconds timeout = milliseconds(3000));
     /// Adds a route of event streams to a service of engines, whose responses
     /// may take longer than their version lasts.
-    void add_engine_route(bool is_resumable);
+    void add_engine_route(bool is_resumable,
+                          request_kind kind = request_kind::streaming);
     void add_servers(const std::vector<address>& endpoints);
     /// Lists engines by their addresses and the versions that they hold.
     void
