--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -448,3 +448,30 @@
     running.stop();
     running_store.stop();
 }
+
+TEST_CASE("site watch - a version that was named while this entry stood still "
+          "ends no later than its limit") {
+    platform_store store;
+    store.put("op/config", configuration_text(3));
+    store.put("op/version/m", R"({"model":"m","version":1})");
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until(
+        [&] { return entry.versions.find("m").has_value(); }, seconds(1)));
+    std::atomic<bool> is_frozen{false};
+    entry.core.post("test", [&] {
+        is_frozen = true;
+        std::this_thread::sleep_for(milliseconds(3500));
+    });
+    while (!is_frozen)
+        std::this_thread::yield();
+    const instant acknowledged = steady::now();
+    store.put("op/version/m", R"({"model":"m","version":2})");
+    REQUIRE(running.until(
+        [&] { return entry.versions.find("m")->version == 2; }, seconds(6)));
+    const auto late = entry.versions.find("m")->received_at - acknowledged;
+    CAPTURE(late / milliseconds(1), entry.versions.find("m")->is_observed);
+    const instant limit = acknowledged + seconds(8);
+    CHECK(entry.versions.min_version("m", limit) == 2);
+    CHECK(entry.versions.min_begin_version("m", limit) == 2);
+}
