Take the earliest observed publication of a version at an agent

The earliest observation counts now; an observation still replaces an estimate. The new test fails without the change.

--- a/include/ospreystage/weights/version_plan.hpp
+++ b/include/ospreystage/weights/version_plan.hpp
@@ -31,7 +31,8 @@
 
     /// Records a version that was published at `published_at`; if the
     /// publication was not observed, the time is an estimate that a later call
-    /// replaces. Returns true if the version is new.
+    /// replaces. Of several observations the earliest counts: the others were
+    /// late. Returns true if the version is new.
     bool on_published(std::uint64_t number, instant published_at,
                       bool is_observed);
 
@@ -66,7 +67,13 @@
 
   private:
     std::map<std::uint64_t, version_record> versions_;
-    std::map<std::uint64_t, instant> published_; ///< Newer than the one in use.
+    struct publication {
+        instant at{};
+        bool is_observed = false; ///< Otherwise `at` is an estimate.
+    };
+
+    /// Newer than the version in use.
+    std::map<std::uint64_t, publication> published_;
     std::uint64_t in_use_ = 0;
 };
 
--- a/src/weights/version_plan.cpp
+++ b/src/weights/version_plan.cpp
@@ -9,9 +9,12 @@
                                 bool is_observed) {
     if (number > in_use_) {
         const auto [found, is_new] =
-            published_.try_emplace(number, published_at);
+            published_.try_emplace(number, published_at, is_observed);
+        publication& known = found->second;
         if (!is_new && is_observed)
-            found->second = std::max(found->second, published_at);
+            known = {known.is_observed ? std::min(known.at, published_at)
+                                       : published_at,
+                     true};
     }
     const auto [found, is_new] = versions_.try_emplace(number);
     found->second.number = number;
@@ -68,7 +71,7 @@
 std::optional<instant> version_plan::oldest_publication() const {
     if (published_.empty())
         return std::nullopt;
-    return published_.begin()->second;
+    return published_.begin()->second.at;
 }
 
 bool version_plan::is_complete() const {
--- a/tests/version_plan.cpp
+++ b/tests/version_plan.cpp
@@ -70,3 +70,12 @@
     CHECK_FALSE(plan.on_published(2, start, true));
     CHECK(plan.oldest_publication() == start);
 }
+
+TEST_CASE("version plan - an entry that learns late does not move the "
+          "publication that another one has observed") {
+    version_plan plan;
+    plan.on_in_use(1);
+    REQUIRE(plan.on_published(2, start, true));
+    CHECK_FALSE(plan.on_published(2, start + milliseconds(3500), true));
+    CHECK(plan.oldest_publication() == start);
+}
