Withdraw only what was sent and has not begun; check draining at sending

What is not sent is checked by may_send when it would be, now also against the list; a plain head or a part of an event counts as begun.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -97,6 +97,9 @@
     /// not called afterwards.
     void cancel(call_id call);
 
+    /// Returns true if the call's request has been passed to its connection.
+    [[nodiscard]] bool is_sent(call_id call) const;
+
     /// Pauses or resumes reading the response.
     void set_reading(call_id call, bool enabled);
 
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -173,6 +173,7 @@
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
     void withdraw_attempts();
+    [[nodiscard]] static bool has_begun(const request_record& record);
     void withdraw(exchange_id exchange, const char* reason);
     void check_answered(request_record& record);
     void check_crash(const request_record& record, call_end end);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -159,6 +159,11 @@
     finish(connection, call_end::truncated);
 }
 
+bool web_client::is_sent(call_id call) const {
+    const auto found = calls_.find(static_cast<std::uint64_t>(call));
+    return found != calls_.end() && found->second->is_sent;
+}
+
 void web_client::set_reading(call_id call, bool enabled) {
     const auto found = calls_.find(static_cast<std::uint64_t>(call));
     if (found != calls_.end())
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -315,9 +315,7 @@
     const bool is_granted = std::holds_alternative<permit_granted>(decision);
     metrics_.count(
         fmt::format("ospreystage_permits_total{{granted=\"{}\"}}", is_granted));
-    const backend_server* server = servers_.find(chosen.server);
-    if (is_granted && server != nullptr && !server->is_draining &&
-        may_send(*find(exchange), chosen)) {
+    if (is_granted && may_send(*find(exchange), chosen)) {
         send(exchange, chosen);
         return;
     }
@@ -372,7 +370,9 @@
     const bool is_current =
         chosen.version == 0 ||
         chosen.version >= context_.min_version(record.service);
-    return is_current && !is_quarantined(record) &&
+    const backend_server* server = servers_.find(chosen.server);
+    return is_current && server != nullptr && !server->is_draining &&
+           !is_quarantined(record) &&
            availability_.may_send(chosen.server, steady::now());
 }
 
@@ -853,8 +853,9 @@
     absl::flat_hash_map<std::string, std::uint64_t> min_versions;
     std::vector<std::pair<exchange_id, const char*>> withdrawn;
     for (const auto& [id, record] : requests_) {
-        if (!record->call || record->version == 0 ||
-            record->events_received > 0 ||
+        // What is not sent yet is checked again when it would be.
+        if (!record->call || !client_.is_sent(*record->call) ||
+            record->version == 0 || has_begun(*record) ||
             record->kind != request_kind::streaming)
             continue;
         const auto [found, is_new] = min_versions.try_emplace(record->service);
@@ -869,8 +870,19 @@
         withdraw(exchange, reason);
 }
 
+/// Returns true if the current attempt shows that its server works on it.
+bool gateway::has_begun(const request_record& record) {
+    const bool is_plain =
+        record.head.status != no_head_status && !record.is_event_stream;
+    return is_plain || record.events_received > 0 ||
+           record.events.is_inside_event();
+}
+
 void gateway::withdraw(exchange_id exchange, const char* reason) {
-    request_record& record = *find(exchange);
+    request_record* found = find(exchange);
+    if (found == nullptr || !found->call)
+        return;
+    request_record& record = *found;
     const auto waited = steady::now() - record.sent_at;
     log_event(log_level::warn, "attempt_withdrawn",
               {{"request", record.caller.id},
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -45,7 +45,11 @@
       tested_gateway(
           core, client, routes, servers, load, availability, limits, quarantine,
           gateway_metrics, platform::make_caller_protocol(),
-          {[] { return 1U; },
+          {[this] {
+               if (on_placing)
+                   on_placing();
+               return 1U;
+           },
            [this](const std::string&) {
                return versions.min_version(model, steady::now());
            },
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -59,6 +60,8 @@
     /// The model of the engines.
     static constexpr const char* model = "m";
 
+    /// Called while the server of a request is being chosen.
+    std::function<void()> on_placing;
     std::vector<message> datagrams; ///< To other entries.
     kernel core;
     metrics gateway_metrics;
