--- a/src/serving/sound_parts.cpp
+++ b/src/serving/sound_parts.cpp
@@ -7,12 +7,16 @@
 void sound_parts::record(prompt_part part, instant begun) {
     const auto [found, is_new] = records_.try_emplace(part);
     part_record& record = found->second;
+    // One answer may be recorded more than once.
+    const bool is_same_answer = !is_new && begun <= record.begun;
     record.begun = is_new ? begun : std::max(record.begun, begun);
     if (is_new) {
         record.position = used_once_.insert(used_once_.end(), part);
         evict(used_once_);
         return;
     }
+    if (is_same_answer)
+        return;
     std::list<prompt_part>& group = record.is_reused ? reused_ : used_once_;
     reused_.splice(reused_.end(), group, record.position);
     record.is_reused = true;
