Report answers after a crash to all entries; settle equal evidence by place

What an entry learns for itself and what all were told are apart now. Equal evidence goes against the part that is later in the prompt, since requests share the parts before it. Tables that had no bound have one; new crashes are reported before repeats.

--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -137,6 +137,7 @@
     void quarantine(prompt_part part, instant since, std::uint32_t probes,
                     const char* source);
     void clear(prompt_part part, instant begun);
+    void release(prompt_part part, instant begun);
     void schedule_reply(prompt_part part, instant now);
     void drop_old(instant now);
 
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ospreystage {
@@ -23,6 +24,8 @@
 constexpr std::size_t max_quarantined = 64;
 constexpr std::size_t max_answered = 4096;
 constexpr std::size_t max_reported_sound = 4096;
+constexpr std::size_t max_suspected = 4096;
+constexpr std::size_t max_outgoing = 256;
 /// Items of each kind in one report, so that it fits into a datagram.
 constexpr std::size_t max_report_items = 16;
 
@@ -136,18 +139,34 @@
            crashes_against(part, true) >= options_.min_crashes_if_sound;
 }
 
-/// Quarantines the guilty ones of `parts`, the one with most crashes first: it
-/// may explain those that count against the others.
+/// Quarantines the guilty ones of `parts`, which are in the order of the
+/// prompt. The one with most crashes comes first, since it may explain those
+/// that count against the others; of equal ones the last in the prompt, since
+/// requests that share a part usually share those before it.
 void prompt_quarantine::judge(const std::vector<prompt_part>& parts,
                               instant now) {
-    std::vector<std::pair<std::size_t, prompt_part>> candidates;
-    for (const prompt_part part : parts)
+    struct candidate {
+        std::size_t crashes = 0;
+        std::size_t crashes_if_sound = 0;
+        std::size_t position = 0;
+    };
+    std::vector<candidate> candidates;
+    for (std::size_t position = 0; position < parts.size(); ++position) {
+        const prompt_part part = parts[position];
         if (!quarantined_.contains(part) && is_guilty(part))
-            candidates.emplace_back(crashes_against(part, false), part);
-    std::sort(candidates.rbegin(), candidates.rend());
-    for (const auto& [crashes, part] : candidates)
-        if (is_guilty(part))
-            quarantine(part, now, 0, "crashes");
+            candidates.push_back({crashes_against(part, false),
+                                  crashes_against(part, true), position});
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& left, const candidate& right) {
+                  return std::tie(left.crashes, left.crashes_if_sound,
+                                  left.position) >
+                         std::tie(right.crashes, right.crashes_if_sound,
+                                  right.position);
+              });
+    for (const candidate& item : candidates)
+        if (is_guilty(parts[item.position]))
+            quarantine(parts[item.position], now, 0, "crashes");
 }
 
 void prompt_quarantine::quarantine(prompt_part part, instant since,
@@ -202,10 +221,16 @@
                                     instant begun, instant now) {
     for (const prompt_part part : parts) {
         answered_.record(part, begun);
-        if (!suspected_.contains(part) && !quarantined_.contains(part))
+        const auto suspected = suspected_.find(part);
+        const bool is_quarantined = quarantined_.contains(part);
+        if (suspected == suspected_.end() && !is_quarantined)
             continue;
-        clear(part, begun);
-        schedule_reply(part, now);
+        release(part, begun);
+        const auto reported = reported_sound_.find(part);
+        // The others know of an answer that began after the last crash.
+        if (is_quarantined || reported == reported_sound_.end() ||
+            reported->second < suspected->second)
+            schedule_reply(part, now);
     }
 }
 
@@ -216,7 +241,8 @@
     suspect.parts.resize(std::min(suspect.parts.size(), max_parts));
     if (suspect.parts.empty())
         return;
-    outgoing_.push_back({server, suspect, now, now, false});
+    if (outgoing_.size() < max_outgoing)
+        outgoing_.push_back({server, suspect, now, now, false});
     add_suspect(server, suspect, now, now);
     judge(suspect.parts, now);
 }
@@ -245,6 +271,8 @@
     if (!is_known && suspects.size() < max_suspects)
         suspects.push_back(suspect);
     for (const prompt_part part : suspect.parts) {
+        if (suspected_.size() >= max_suspected && !suspected_.contains(part))
+            continue;
         instant& latest = suspected_[part];
         latest = std::max(latest, at);
         schedule_reply(part, now);
@@ -277,7 +305,7 @@
     }
 }
 
-/// Records that an answer on the part was written, and ends its quarantine.
+/// Records that all entries were told of an answer on the part.
 void prompt_quarantine::clear(prompt_part part, instant begun) {
     const auto suspected = suspected_.find(part);
     const auto quarantined = quarantined_.find(part);
@@ -288,6 +316,12 @@
         instant& latest = reported_sound_[part];
         latest = std::max(latest, begun);
     }
+    release(part, begun);
+}
+
+/// Ends the quarantine of a part on which an answer was written.
+void prompt_quarantine::release(prompt_part part, instant begun) {
+    const auto quarantined = quarantined_.find(part);
     if (quarantined == quarantined_.end() ||
         begun < quarantined->second.since - options_.sound_time ||
         is_guilty(part))
@@ -310,7 +344,11 @@
 
 std::optional<prompt_report> prompt_quarantine::take_report(instant now) {
     prompt_report report;
-    std::size_t kept = 0;
+    // New crashes go before those that are repeated.
+    std::stable_partition(
+        outgoing_.begin(), outgoing_.end(),
+        [](const outgoing_crash& item) { return !item.is_repeated; });
+    std::vector<outgoing_crash> kept;
     for (outgoing_crash& item : outgoing_) {
         const bool is_due =
             item.due <= now && report.crashes.size() < max_report_items;
@@ -323,9 +361,9 @@
             item.is_repeated = true;
             item.due = now + repeat_delay;
         }
-        std::swap(outgoing_[kept++], item);
+        kept.push_back(std::move(item));
     }
-    outgoing_.resize(kept);
+    outgoing_ = std::move(kept);
     absl::erase_if(replies_, [&](const auto& reply) {
         const auto& [part, due] = reply;
         if (due > now || report.sound.size() >= max_report_items)
