Judge more kinds of crashes, and with better evidence

An answer counts as broken until it has gone on for more than one event and 0.5 s; other calls to the server show that it goes on only by data since then, or by an idle connection that is still open; a retry after a possible crash waits 25 ms for the judgement; a probe ends with its first call.

Still red and listed: living servers that break off answers on one rare part.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -109,6 +109,9 @@
     [[nodiscard]] bool has_free_connection(const address& server,
                                            std::size_t limit) const;
 
+    /// Returns true if an open connection to `server` carries no call.
+    [[nodiscard]] bool has_idle_connection(const address& server) const;
+
     /// Returns the number of connections to `server`, including idle ones and
     /// those being established.
     [[nodiscard]] std::size_t connections(const address& server) const;
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -176,10 +176,14 @@
     [[nodiscard]] static bool has_begun(const request_record& record);
     void withdraw(exchange_id exchange, const char* reason);
     void check_answered(request_record& record);
-    void check_crash(const request_record& record, call_end end);
+    [[nodiscard]] static bool is_past_crash(const request_record& record);
+    bool check_crash(const request_record& record, call_end end);
     void report_crash(const std::string& server, instant at,
-                      const std::string& request,
-                      const std::vector<prompt_part>& parts);
+                      std::uint64_t request,
+                      const std::vector<prompt_part>& parts,
+                      bool is_second_check);
+    void on_attempt_broken(exchange_id exchange, const char* reason,
+                           bool is_crash);
     void end_call(request_record& record, attempt_result result);
     void cancel_call(request_record& record);
     [[nodiscard]] bool acquire_retry(request_record& record);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -177,8 +177,11 @@
 
 bool web_client::has_free_connection(const address& server,
                                      std::size_t limit) const {
-    if (limit == 0 || connections(server) < limit)
-        return true;
+    return limit == 0 || connections(server) < limit ||
+           has_idle_connection(server);
+}
+
+bool web_client::has_idle_connection(const address& server) const {
     const auto available = idle_.find(to_string(server));
     return available != idle_.end() && !available->second.empty();
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -45,6 +45,11 @@
 /// Time after a broken answer at which the other calls to its server show
 /// whether it has ended.
 constexpr milliseconds crash_check_delay{20};
+/// Time within which calls that are still open must receive data to show that
+/// their server goes on; connections may go silent without a close.
+constexpr milliseconds silent_check_delay{400};
+/// Delay of a retry after a possible crash, so that the crash is judged first.
+constexpr milliseconds crash_retry_delay{25};
 /// Retry delay when this entry is stopping: the caller should use another one.
 constexpr milliseconds stopping_retry_after{50};
 /// Interval between two checks for idle and outdated attempts.
@@ -637,6 +642,8 @@
         return;
     }
     log_answer_end(*record, end);
+    // A probe reaches one server.
+    record->is_probe = false;
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -645,10 +652,10 @@
         (end == call_end::complete || end == call_end::too_large) &&
         protocol_.is_not_run(record->head);
     if (!is_refused && end != call_end::complete) {
-        check_crash(*record, end);
+        const bool is_crash = check_crash(*record, end);
         end_call(*record, attempt_result::failed);
         record->head.body.clear();
-        on_attempt_failed(exchange, to_string(end), true);
+        on_attempt_broken(exchange, to_string(end), is_crash);
         return;
     }
     if (is_refused) {
@@ -742,9 +749,10 @@
     if (defect == nullptr) {
         // An answer that ends with its connection may have been broken off.
         if (record.head.framing != http_framing::connection ||
-            record.events_received > max_crash_events)
+            is_past_crash(record))
             quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
                                     steady::now());
+        check_crash(record, end);
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
         if (!remainder.empty())
@@ -754,9 +762,9 @@
         erase(exchange, "answered");
         return;
     }
-    check_crash(record, end);
+    const bool is_crash = check_crash(record, end);
     end_call(record, attempt_result::failed);
-    on_attempt_failed(exchange, defect, true);
+    on_attempt_broken(exchange, defect, is_crash);
 }
 
 /// Returns true if another server may run a request that may have run. A plain
@@ -773,7 +781,6 @@
 void gateway::on_attempt_failed(exchange_id exchange, const char* reason,
                                 bool may_have_run) {
     request_record& record = *find(exchange);
-    record.is_probe = record.is_probe && !may_have_run;
     const bool is_retryable = !may_have_run || may_run_again(record);
     const bool has_time = left_until(record.deadline) > milliseconds(50);
     log_event(log_level::warn, "attempt_failed",
@@ -784,7 +791,8 @@
                {"last_event", record.last_event_id
                                   ? nlohmann::json(*record.last_event_id)
                                   : nlohmann::json()}});
-    if (is_retryable && has_time && acquire_retry(record)) {
+    if (is_retryable && has_time && !is_quarantined(record) &&
+        acquire_retry(record)) {
         place(exchange);
         return;
     }
@@ -796,6 +804,8 @@
 
 /// Returns when the caller of a request that has not run should return.
 milliseconds gateway::retry_delay(const request_record& record) {
+    if (is_quarantined(record))
+        return quarantine_retry_after;
     const instant now = steady::now();
     const available_servers servers =
         availability_.select(servers_.serving(record.service), now);
@@ -836,6 +846,7 @@
             continue;
         client_.cancel(*record->call);
         end_call(*record, attempt_result::timed_out);
+        record->is_probe = false;
         record->head.body.clear();
         log_event(
             log_level::warn, "attempt_silent",
@@ -902,54 +913,90 @@
 /// Records that an answer was written on the parts of its prompt, once it has
 /// gone on for longer than an engine takes to crash.
 void gateway::check_answered(request_record& record) {
-    const instant now = steady::now();
     if (record.is_reported_answered || record.caller.prompt_parts.empty() ||
-        record.events_received <= max_crash_events ||
-        now - record.head_at < min_sound_time)
+        !is_past_crash(record))
         return;
     record.is_reported_answered = true;
-    quarantine_.on_answered(record.caller.prompt_parts, record.head_at, now);
+    quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
+                            steady::now());
+}
+
+/// Returns true if the current answer has gone on for longer than an engine
+/// takes to crash under it.
+bool gateway::is_past_crash(const request_record& record) {
+    return record.events_received > max_crash_events &&
+           steady::now() - record.head_at >= min_sound_time;
 }
 
 /// Takes an answer that was broken off just after it had begun for a sign that
-/// its server has crashed, unless other calls to the server go on.
-void gateway::check_crash(const request_record& record, call_end end) {
-    // Without a length or chunks, a connection that closes ends the answer; a
-    // plain answer has no head before it is written.
-    const bool has_begun = record.head.status != no_head_status ||
-                           record.kind != request_kind::streaming;
-    const bool is_closed =
+/// its server has crashed. Returns true if it is one; other calls to the server
+/// may still show that it goes on.
+bool gateway::check_crash(const request_record& record, call_end end) {
+    // Without a length or chunks, a connection that closes ends the answer.
+    const bool is_broken =
         end == call_end::truncated || end == call_end::reset ||
-        end == call_end::no_answer || end == call_end::complete;
-    if (!has_begun || !is_closed || record.version == 0 ||
-        record.events_received > max_crash_events ||
+        end == call_end::no_answer ||
+        (end == call_end::complete && stream_defect(record) != nullptr) ||
+        (end == call_end::complete && record.is_event_stream &&
+         record.head.framing == http_framing::connection &&
+         record.events_received <= max_crash_events);
+    if (!is_broken || is_past_crash(record) || record.version == 0 ||
         record.caller.prompt_parts.empty())
-        return;
+        return false;
+    const std::uint64_t request =
+        record.caller.id.empty() ? random_() : stable_hash(record.caller.id);
     core_.after(service_name, crash_check_delay,
-                [this, server = record.server, at = steady::now(),
-                 request = record.caller.id,
+                [this, server = record.server, at = steady::now(), request,
                  parts = record.caller.prompt_parts] {
-                    report_crash(server, at, request, parts);
+                    report_crash(server, at, request, parts, false);
                 });
+    return true;
 }
 
 void gateway::report_crash(const std::string& server, instant at,
-                           const std::string& request,
-                           const std::vector<prompt_part>& parts) {
-    const bool goes_on =
-        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
-            const request_record& other = *item.second;
-            return other.call && other.server == server && !other.is_paused &&
-                   other.head.status != no_head_status && other.head_at < at;
-        });
-    if (goes_on)
+                           std::uint64_t request,
+                           const std::vector<prompt_part>& parts,
+                           bool is_second_check) {
+    const backend_server* listed = servers_.find(server);
+    if (listed != nullptr && client_.has_idle_connection(listed->endpoint))
+        return; // Its end would have closed the connection.
+    bool has_others = false;
+    for (const auto& [id, other] : requests_) {
+        if (!other->call || other->server != server || other->is_paused ||
+            other->head.status == no_head_status || other->head_at >= at)
+            continue;
+        if (other->last_received > at)
+            return; // The server goes on.
+        has_others = true;
+    }
+    if (has_others && !is_second_check) {
+        core_.after(service_name, silent_check_delay,
+                    [this, server, at, request, parts] {
+                        report_crash(server, at, request, parts, true);
+                    });
         return;
-    log_event(
-        log_level::warn, "engine_crash_suspected",
-        {{"request", request}, {"server", server}, {"parts", parts.size()}});
+    }
+    log_event(log_level::warn, "engine_crash_suspected",
+              {{"request_hash", fmt::format("{:016x}", request)},
+               {"server", server},
+               {"parts", parts.size()}});
     metrics_.count("ospreystage_crash_suspects_total");
-    quarantine_.on_crash(stable_hash(server), stable_hash(request), parts,
-                         steady::now());
+    quarantine_.on_crash(stable_hash(server), request, parts, at);
+}
+
+/// Handles an attempt that failed and may have run. If its server may have
+/// crashed under it, the crash is judged before a retry.
+void gateway::on_attempt_broken(exchange_id exchange, const char* reason,
+                                bool is_crash) {
+    if (!is_crash) {
+        on_attempt_failed(exchange, reason, true);
+        return;
+    }
+    core_.after(service_name, crash_retry_delay, [this, exchange, reason] {
+        const request_record* record = find(exchange);
+        if (record != nullptr && !record->call)
+            on_attempt_failed(exchange, reason, true);
+    });
 }
 
 void gateway::on_deadline(exchange_id exchange) {
