--- a/tests/prompt_quarantine.cpp
+++ b/tests/prompt_quarantine.cpp
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <array>
 #include <cmath>
 #include <random>
 
@@ -240,9 +240,8 @@
 // ---- Exchange --------------------------------------------------------------
 
 TEST_CASE("prompt quarantine - crashes at different entries are put together") {
-    std::vector<prompt_quarantine> entries;
-    for (int number = 0; number < 3; ++number)
-        entries.push_back(make_quarantine());
+    std::array<prompt_quarantine, 3> entries{
+        make_quarantine(), make_quarantine(), make_quarantine()};
     instant now = start;
     for (std::size_t from = 0; from < entries.size(); ++from) {
         now += seconds(1);
--- a/tests/sound_parts.cpp
+++ b/tests/sound_parts.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <random>
+#include <vector>
 
 using namespace ospreystage;
 
@@ -42,7 +43,7 @@
 
 TEST_CASE("sound parts - among parts used again the one used last stays") {
     sound_parts parts(2);
-    for (const prompt_part part : {1, 1, 2, 2, 1, 3, 3})
+    for (const prompt_part part : std::vector<prompt_part>{1, 1, 2, 2, 1, 3, 3})
         parts.record(part, start);
     CHECK(parts.last_begun(1));
     CHECK_FALSE(parts.last_begun(2));
--- a/tests/support/poison_site.cpp
+++ b/tests/support/poison_site.cpp
@@ -502,7 +502,9 @@
 
 std::size_t poison_site::count_blamed() const {
     std::size_t blamed = 0;
-    for (const auto& [part, times] : traffic_) {
+    for (const auto& known : traffic_) {
+        const prompt_part part = known.first;
+        const std::vector<instant>& times = known.second;
         const auto recent =
             std::count_if(times.begin(), times.end(), [&](instant at) {
                 return at >= last_crash_ + probe_age;
