Tell poisoned requests by entries that have just started apart

The simulation counts the late poisoned requests that entries sent within 5 s after they started, and the tests with late datagrams and unrelated crashes also run without restarts.

--- a/tests/prompt_quarantine.cpp
+++ b/tests/prompt_quarantine.cpp
@@ -82,10 +82,14 @@
     return site;
 }
 
-void add_faults(poison_site::options& site, std::mt19937_64& random) {
+void add_late_datagrams(poison_site::options& site, std::mt19937_64& random) {
     site.loss = draw(random, 0, 0.1);
     site.max_delay =
         milliseconds(static_cast<std::int64_t>(draw(random, 1, 200)));
+}
+
+void add_faults(poison_site::options& site, std::mt19937_64& random) {
+    add_late_datagrams(site, random);
     site.restarts = static_cast<int>(draw(random, 0, 6));
     site.joins = static_cast<int>(draw(random, 0, 4));
 }
@@ -95,8 +99,8 @@
     CAPTURE(site.seed, site.poisoned_per_second, site.loss,
             site.max_delay.count(), site.restarts, site.joins,
             site.single_crashes_per_second, site.mass_crashes);
-    CAPTURE(result.crashes, result.unrelated_crashes, result.probes,
-            result.last_arrival.count(), result.sound_before,
+    CAPTURE(result.late_from_started, result.crashes, result.unrelated_crashes,
+            result.probes, result.last_arrival.count(), result.sound_before,
             result.sound_after, result.refused_sound, result.datagrams);
     CHECK(result.late_arrivals <= late_budget);
     CHECK(result.sound_before > 0);
@@ -352,8 +356,20 @@
         check_attack(random_site(random));
 }
 
-TEST_CASE("prompt quarantine - lost and late datagrams, restarts and joining "
-          "entries do not let a poisoned part through at 8 entries") {
+TEST_CASE("prompt quarantine - lost and late datagrams and engines that end "
+          "for other reasons hide no poisoned part at 8 entries") {
+    std::mt19937_64 random(42);
+    for (int round = 0; round < 60; ++round) {
+        auto site = random_site(random);
+        add_late_datagrams(site, random);
+        site.single_crashes_per_second = draw(random, 0, 0.2);
+        site.mass_crashes = static_cast<int>(draw(random, 0, 3));
+        check_attack(site);
+    }
+}
+
+TEST_CASE("prompt quarantine - entries that start let no poisoned part through "
+          "at 8 entries") {
     std::mt19937_64 random(42);
     for (int round = 0; round < 60; ++round) {
         auto site = random_site(random);
@@ -362,8 +378,8 @@
     }
 }
 
-TEST_CASE("prompt quarantine - engines that end for other reasons hide no "
-          "poisoned part at 8 entries") {
+TEST_CASE("prompt quarantine - entries that start and engines that end for "
+          "other reasons hide no poisoned part at 8 entries") {
     std::mt19937_64 random(43);
     for (int round = 0; round < 60; ++round) {
         auto site = random_site(random);
@@ -377,7 +393,7 @@
 TEST_CASE("prompt quarantine - 200 entries stop a part that crashes engines "
           "and serve sound requests") {
     std::mt19937_64 random(44);
-    for (int round = 0; round < 2; ++round)
+    for (int round = 0; round < 3; ++round)
         check_attack(large_site(random));
     for (int round = 0; round < 2; ++round) {
         auto site = large_site(random);
@@ -390,6 +406,17 @@
 
 TEST_CASE("prompt quarantine - two probes at most reach engines in a long "
           "attack") {
+    std::mt19937_64 random(48);
+    for (int round = 0; round < 10; ++round) {
+        auto site = random_site(random);
+        add_late_datagrams(site, random);
+        site.duration = milliseconds(400'000);
+        check_attack(site);
+    }
+}
+
+TEST_CASE("prompt quarantine - entries that start in a long attack let no "
+          "poisoned part through") {
     std::mt19937_64 random(45);
     for (int round = 0; round < 6; ++round) {
         auto site = random_site(random);
--- a/tests/support/poison_site.cpp
+++ b/tests/support/poison_site.cpp
@@ -41,6 +41,7 @@
 /// that enough sound requests have it to measure their share.
 constexpr int poisoned_first_parts = 10;
 constexpr std::size_t bounding_crash = 5;
+constexpr milliseconds newly_started{5000};
 /// Age of a quarantine after which a request with the part is let through, and
 /// requests at each entry, on average, that make one at the prober certain.
 constexpr milliseconds probe_age{35'000};
@@ -125,6 +126,7 @@
     entry.quarantine =
         std::make_unique<prompt_quarantine>(configuration, random_());
     entry.is_running = true;
+    entry.began = now_;
     ++entry.life;
     entry.listed.assign(listed_.begin(), listed_.end());
     const std::uint64_t life = entry.life;
@@ -301,7 +303,7 @@
     request.begun.reset();
     ++request.attempts;
     if (request.is_poisoned)
-        poisoned_arrivals_.push_back(now_);
+        poisoned_arrivals_.push_back({now_, entries_[request.entry].began});
     engines_[*chosen].waiting.push_back(id);
     fill_slots(*chosen);
 }
@@ -467,12 +469,16 @@
     const instant fifth = poisoned_crashes_[bounding_crash - 1];
     counted.fifth_crash = std::chrono::duration_cast<milliseconds>(
         fifth - started_ - options_.poisoned_from);
-    for (const instant arrival : poisoned_arrivals_) {
-        if (arrival <= fifth + options_.contact)
+    for (const poisoned_arrival& arrival : poisoned_arrivals_) {
+        if (arrival.at <= fifth + options_.contact)
             continue;
         ++counted.late_arrivals;
         counted.last_arrival =
-            std::chrono::duration_cast<milliseconds>(arrival - fifth);
+            std::chrono::duration_cast<milliseconds>(arrival.at - fifth);
+        const bool has_started =
+            arrival.entry_began > started_ &&
+            arrival.at - arrival.entry_began < newly_started;
+        counted.late_from_started += has_started ? 1U : 0U;
     }
 }
 
--- a/tests/support/poison_site.hpp
+++ b/tests/support/poison_site.hpp
@@ -72,6 +72,9 @@
         std::size_t late_arrivals = 0;
         /// From the fifth crash to the last such arrival.
         milliseconds last_arrival{0};
+        /// Those of them sent by entries that had started less than 5 s before,
+        /// after the attack began.
+        std::size_t late_from_started = 0;
         std::size_t probes = 0; ///< Requests let through by quarantines.
         /// Sound requests with a first part of poisoned ones that began at the
         /// first attempt: before the attack, and from 2 x `contact` after the
@@ -102,6 +105,7 @@
         std::unique_ptr<prompt_quarantine> quarantine;
         std::uint64_t life = 0; ///< Counts the processes of this entry.
         bool is_running = false;
+        instant began{};
         std::vector<std::size_t> listed; ///< Entries that this one knows.
     };
     struct engine_state {
@@ -128,6 +132,10 @@
         prompt_part first = 0;
         bool is_served = false; ///< Began at the first attempt.
     };
+    struct poisoned_arrival {
+        instant at{};
+        instant entry_began{}; ///< Start of the entry that sent it.
+    };
     struct event {
         instant at{};
         std::uint64_t number = 0;
@@ -197,7 +205,7 @@
     std::vector<sound_sample> samples_;
     /// Times of the sound requests with each part that others have too.
     std::map<prompt_part, std::vector<instant>> traffic_;
-    std::vector<instant> poisoned_arrivals_;
+    std::vector<poisoned_arrival> poisoned_arrivals_;
     std::vector<instant> poisoned_crashes_;
     instant last_crash_{};
     std::map<std::int64_t, std::size_t> datagrams_; ///< By the second.
