Test poisoned requests that come in bursts

Requests with the same part that come within 20 ms crash their engines within one spacing of crashes, so that they count once.

The long attack runs 100 rounds instead of 10.

--- a/tests/prompt_quarantine.cpp
+++ b/tests/prompt_quarantine.cpp
@@ -96,7 +96,7 @@
 
 void check_attack(const poison_site::options& site) {
     const auto result = poison_site(site).run();
-    CAPTURE(site.seed, site.poisoned_per_second, site.loss,
+    CAPTURE(site.seed, site.poisoned_per_second, site.burst, site.loss,
             site.max_delay.count(), site.restarts, site.joins,
             site.single_crashes_per_second, site.mass_crashes);
     CAPTURE(result.late_from_started, result.crashes, result.unrelated_crashes,
@@ -368,6 +368,17 @@
     }
 }
 
+TEST_CASE("prompt quarantine - poisoned requests that come together are "
+          "stopped as others are") {
+    std::mt19937_64 random(49);
+    for (int round = 0; round < 60; ++round) {
+        auto site = random_site(random);
+        add_late_datagrams(site, random);
+        site.burst = 2 + round % 4;
+        check_attack(site);
+    }
+}
+
 TEST_CASE("prompt quarantine - entries that start let no poisoned part through "
           "at 8 entries") {
     std::mt19937_64 random(42);
@@ -407,7 +418,7 @@
 TEST_CASE("prompt quarantine - two probes at most reach engines in a long "
           "attack") {
     std::mt19937_64 random(48);
-    for (int round = 0; round < 10; ++round) {
+    for (int round = 0; round < 100; ++round) {
         auto site = random_site(random);
         add_late_datagrams(site, random);
         site.duration = milliseconds(400'000);
--- a/tests/support/poison_site.cpp
+++ b/tests/support/poison_site.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds crash_check_delay{20};
 constexpr milliseconds max_wait{5000};
 constexpr int max_attempts = 2;
+constexpr milliseconds burst_time{20};
 
 constexpr milliseconds min_datagram_delay{1};
 constexpr milliseconds restart_time{1500};
@@ -250,17 +251,23 @@
 }
 
 void poison_site::next_poisoned() {
-    after(gap(options_.poisoned_per_second), [this] {
+    after(gap(options_.poisoned_per_second / options_.burst), [this] {
         if (now_ >= started_ + options_.poisoned_until)
             return;
-        request_state request;
-        request.is_poisoned = true;
-        request.parts = poisoned_prompt();
-        on_request(std::move(request));
+        for (int number = 1; number < options_.burst; ++number)
+            after(draw_time({}, burst_time), [this] { on_poisoned(); });
+        on_poisoned();
         next_poisoned();
     });
 }
 
+void poison_site::on_poisoned() {
+    request_state request;
+    request.is_poisoned = true;
+    request.parts = poisoned_prompt();
+    on_request(std::move(request));
+}
+
 void poison_site::on_request(request_state request) {
     do
         request.entry = draw_index(entries_.size());
--- a/tests/support/poison_site.hpp
+++ b/tests/support/poison_site.hpp
@@ -45,6 +45,7 @@
         double unique_share = 0.3;
         poison attack = one_poisoned_part{};
         double poisoned_per_second = 2; ///< At all entries together.
+        int burst = 1; ///< Poisoned requests that come within `burst_time`.
         milliseconds poisoned_from{8000};
         milliseconds poisoned_until{1'000'000};
         milliseconds recovery{3000}; ///< Mean time until an engine is back.
@@ -167,6 +168,7 @@
 
     void next_sound();
     void next_poisoned();
+    void on_poisoned();
     [[nodiscard]] std::vector<prompt_part> sound_prompt();
     [[nodiscard]] std::vector<prompt_part> poisoned_prompt();
     void on_request(request_state request);
