Count requests that crashed two engines one after the other

Two requests that each crashed two engines in turn now suffice: engines that end together cannot explain it, since the repeat began only after the first of them had ended.

--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -45,6 +45,9 @@
         /// The same for a part that had been sound, while all other parts of
         /// these requests are sound too.
         std::size_t min_crashes_if_sound = 5;
+        /// Requests that crashed two engines each, one after the other, after
+        /// which a part is quarantined.
+        std::size_t min_repeated_crashes = 2;
         /// Crashes within this time count once: several engines that end
         /// together have one cause, which is not a prompt.
         milliseconds crash_spacing{100};
@@ -130,6 +133,7 @@
                                     prompt_part part) const;
     [[nodiscard]] std::size_t crashes_against(prompt_part part,
                                               bool blames_sound) const;
+    [[nodiscard]] std::size_t repeated_crashes(prompt_part part) const;
     [[nodiscard]] bool is_guilty(prompt_part part) const;
     void add_suspect(std::uint64_t server, const crash_suspect& suspect,
                      instant at, instant now);
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -1,6 +1,7 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/serving/prompt_quarantine.hpp>
 
+#include <absl/container/flat_hash_set.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -134,8 +135,31 @@
     return requests.size();
 }
 
+/// Returns the number of requests with a part each of which crashed two engines
+/// one after the other. Engines that end together do not explain it, as the
+/// repeat began only after the first of them had ended.
+std::size_t prompt_quarantine::repeated_crashes(prompt_part part) const {
+    absl::flat_hash_map<std::uint64_t, std::uint64_t> first_servers;
+    absl::flat_hash_set<std::uint64_t> repeated;
+    for (const crash_record& crash : crashes_) {
+        if (is_explained(crash, part))
+            continue;
+        for (const crash_suspect& suspect : crash.suspects) {
+            if (!has_part(suspect, part) ||
+                !counts_against(part, suspect, crash.at, false))
+                continue;
+            const auto [first, is_new] =
+                first_servers.try_emplace(suspect.request, crash.server);
+            if (!is_new && first->second != crash.server)
+                repeated.insert(suspect.request);
+        }
+    }
+    return repeated.size();
+}
+
 bool prompt_quarantine::is_guilty(prompt_part part) const {
     return crashes_against(part, false) >= options_.min_crashes ||
+           repeated_crashes(part) >= options_.min_repeated_crashes ||
            crashes_against(part, true) >= options_.min_crashes_if_sound;
 }
 
