--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -135,7 +135,8 @@
                                               bool blames_sound) const;
     [[nodiscard]] std::size_t repeated_crashes(prompt_part part) const;
     [[nodiscard]] bool is_guilty(prompt_part part) const;
-    void add_suspect(std::uint64_t server, const crash_suspect& suspect,
+    /// Returns false if the suspect of this crash was known.
+    bool add_suspect(std::uint64_t server, const crash_suspect& suspect,
                      instant at, instant now);
     void judge(const std::vector<prompt_part>& parts, instant now);
     void quarantine(prompt_part part, instant since, std::uint32_t probes,
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -267,11 +267,11 @@
         return;
     if (outgoing_.size() < max_outgoing)
         outgoing_.push_back({server, suspect, now, now, false});
-    add_suspect(server, suspect, now, now);
-    judge(suspect.parts, now);
+    if (add_suspect(server, suspect, now, now))
+        judge(suspect.parts, now);
 }
 
-void prompt_quarantine::add_suspect(std::uint64_t server,
+bool prompt_quarantine::add_suspect(std::uint64_t server,
                                     const crash_suspect& suspect, instant at,
                                     instant now) {
     drop_old(now);
@@ -292,8 +292,9 @@
         suspects.begin(), suspects.end(), [&](const crash_suspect& other) {
             return other.request == suspect.request;
         });
-    if (!is_known && suspects.size() < max_suspects)
-        suspects.push_back(suspect);
+    if (is_known || suspects.size() >= max_suspects)
+        return false;
+    suspects.push_back(suspect);
     for (const prompt_part part : suspect.parts) {
         if (suspected_.size() >= max_suspected && !suspected_.contains(part))
             continue;
@@ -303,6 +304,7 @@
     }
     if (crashes_.size() > max_crashes)
         crashes_.pop_front();
+    return true;
 }
 
 // ---- Exchange with the other entries ---------------------------------------
@@ -315,8 +317,8 @@
         for (const crash_suspect& suspect : crash.suspects) {
             if (suspect.parts.size() > max_parts)
                 continue;
-            add_suspect(crash.server, suspect, at, now);
-            judge(suspect.parts, now);
+            if (add_suspect(crash.server, suspect, at, now))
+                judge(suspect.parts, now);
         }
     }
     for (const quarantined_part& item : report.quarantined) {
