--- a/src/weights/version_plan.cpp
+++ b/src/weights/version_plan.cpp
@@ -8,8 +8,8 @@
 bool version_plan::on_published(std::uint64_t number, instant published_at,
                                 bool is_observed) {
     if (number > in_use_) {
-        const auto [found, is_new] =
-            published_.try_emplace(number, published_at, is_observed);
+        const auto [found, is_new] = published_.try_emplace(
+            number, publication{published_at, is_observed});
         publication& known = found->second;
         if (!is_new && is_observed)
             known = {known.is_observed ? std::min(known.at, published_at)
--- a/tests/crash_evidence.cpp
+++ b/tests/crash_evidence.cpp
@@ -80,6 +80,7 @@
     fixture.add_engine_route(true);
     fixture.add_engines(engines.list());
     std::vector<http_fields> requests;
+    requests.reserve(60);
     for (int number = 0; number < 60; ++number)
         requests.push_back(make_prompt(
             number,
@@ -130,7 +131,6 @@
 };
 
 constexpr prompt_part part_s = 11;
-constexpr prompt_part part_p = 22;
 
 } // namespace
 
@@ -195,6 +195,7 @@
     fixture.add_engine_route(true);
     fixture.add_engines(listed);
     std::vector<http_fields> requests;
+    requests.reserve(60);
     for (int number = 0; number < 60; ++number)
         requests.push_back(make_prompt(
             number,
@@ -389,7 +390,8 @@
             answer({common});
             if (step < 30 && step % 2 == 0 &&
                 !fleet.entries[1].is_quarantined({poisoned})) {
-                const std::uint64_t number = 1000 + step;
+                const std::uint64_t number =
+                    std::uint64_t{1000} + static_cast<std::uint64_t>(step);
                 fleet.entries[1].on_crash(number, number, {common, poisoned},
                                           fleet.now);
             }
@@ -425,6 +427,7 @@
     fixture.add_engine_route(false);
     fixture.add_engines(listed);
     std::vector<http_fields> requests;
+    requests.reserve(36);
     for (int number = 0; number < 36; ++number)
         requests.push_back(
             make_prompt(number, number % 3 == 2 ? "4a4e:100," : ""));
@@ -495,6 +498,7 @@
         fixture.client.start(fixture.front_address, request, {}, {});
     }
     std::vector<http_fields> requests;
+    requests.reserve(60);
     for (int number = 0; number < 60; ++number)
         requests.push_back(make_prompt(
             number,
--- a/tests/outdated_versions.cpp
+++ b/tests/outdated_versions.cpp
@@ -201,7 +201,7 @@
     std::vector<int> fillers;
     for (int count = 0; count < 4; ++count) {
         fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(fillers.back(), name, size);
+        static_cast<void>(connect(fillers.back(), name, size));
     }
     const address full{"127.0.0.1", ntohs(local.sin_port)};
     gateway_fixture fixture;
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -456,8 +456,8 @@
     store.put("op/version/m", R"({"model":"m","version":1})");
     entry_view entry(store);
     running_kernel running(entry.core);
-    REQUIRE(running.until(
-        [&] { return entry.versions.find("m").has_value(); }, seconds(1)));
+    REQUIRE(running.until([&] { return entry.versions.find("m").has_value(); },
+                          seconds(1)));
     std::atomic<bool> is_frozen{false};
     entry.core.post("test", [&] {
         is_frozen = true;
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -124,6 +124,7 @@
 
 void gateway_fixture::add_servers(const std::vector<address>& endpoints) {
     std::vector<std::pair<address, std::uint64_t>> listed;
+    listed.reserve(endpoints.size());
     for (const address& endpoint : endpoints)
         listed.emplace_back(endpoint, 0);
     add_engines(listed);
