Wait for the whole deadline of a call in the callers of the tests

The time left was rounded down to milliseconds, so that a read could time out up to 1 ms before the deadline, and the outcome is lost only after it. It is rounded up now.

--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -56,9 +56,9 @@
     raw_answer answer;
     httplib::Client client(url);
     client.set_connection_timeout(connect_timeout);
-    const milliseconds left = std::max(
-        milliseconds(1),
-        std::chrono::duration_cast<milliseconds>(limit - steady::now()));
+    const milliseconds left =
+        std::max(milliseconds(1),
+                 std::chrono::ceil<milliseconds>(limit - steady::now()));
     client.set_read_timeout(
         call.patience.count() == 0 ? left : std::min(left, call.patience));
     client.set_tcp_nodelay(true);
