--- a/include/ospreystage/weights/distribution.hpp
+++ b/include/ospreystage/weights/distribution.hpp
@@ -85,6 +85,10 @@
     // ---- Observers (kernel thread) -----------------------------------------
 
     [[nodiscard]] const swarm_counters& counters() const noexcept;
+    /// Returns the number of chunks of a version that are held.
+    [[nodiscard]] std::uint32_t held_chunks(const digest& version) const;
+    /// Returns the number of open connections to the origin.
+    [[nodiscard]] std::size_t origin_connections() const;
     [[nodiscard]] nlohmann::json dump() const;
 
     // ---- Observers (any thread) --------------------------------------------
--- a/include/ospreystage/weights/origin_client.hpp
+++ b/include/ospreystage/weights/origin_client.hpp
@@ -60,6 +60,11 @@
     /// Cancels the calls in progress; later calls fail.
     void stop();
 
+    // ---- Observers ---------------------------------------------------------
+
+    /// Returns the number of connections that carry a call or are kept open.
+    [[nodiscard]] std::size_t connections() const;
+
   private:
     [[nodiscard]] leaf::result<std::string> read(const std::string& path,
                                                  std::size_t limit_bytes);
--- a/include/ospreystage/weights/version_plan.hpp
+++ b/include/ospreystage/weights/version_plan.hpp
@@ -60,6 +60,12 @@
     /// the one in use; its time limit ends first.
     [[nodiscard]] std::optional<instant> oldest_publication() const;
 
+    /// Returns the planned versions by their numbers.
+    [[nodiscard]] const std::map<std::uint64_t, version_record>&
+    versions() const noexcept {
+        return versions_;
+    }
+
     [[nodiscard]] std::uint64_t in_use() const noexcept { return in_use_; }
 
     /// Returns true if every planned version is held.
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -185,9 +185,18 @@
     return decisions_.counters();
 }
 
+std::uint32_t distribution::held_chunks(const digest& version) const {
+    return decisions_.held(version).count();
+}
+
+std::size_t distribution::origin_connections() const {
+    return origin_.connections();
+}
+
 nlohmann::json distribution::dump() const {
     nlohmann::json state = decisions_.dump();
     state["unsent"] = unsent_uploads_;
+    state["origin_connections"] = origin_.connections();
     return state;
 }
 
@@ -429,7 +438,8 @@
             return;
         }
         log_event(log_level::warn, "origin_failed",
-                  {{"error", to_string(failure)}});
+                  {{"error", to_string(failure)},
+                   {"connections", origin_.connections()}});
         core_.post(service_name, [this, version, index] {
             finish_fetch(origin_source{}, version, index,
                          fetch_outcome::failed);
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -77,6 +77,11 @@
         client->stop();
 }
 
+std::size_t origin_client::connections() const {
+    const absl::MutexLock lock(&mutex_);
+    return busy_.size() + idle_.size();
+}
+
 leaf::result<std::string> origin_client::read(const std::string& path,
                                               std::size_t limit_bytes) {
     const auto [client, host] = acquire();
