--- a/tests/distribution.cpp
+++ b/tests/distribution.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <tests/support/eventually.hpp>
 #include <tests/support/local_node.hpp>
+#include <tests/support/slow_link.hpp>
 #include <tests/support/standin.hpp>
 #include <tests/support/weights.hpp>
 
@@ -22,13 +23,18 @@
 const weights_spec large_model{"large", 256 * chunk_bytes, chunk_bytes, 9};
 const weights_spec successor{"successor", 48 * chunk_bytes, chunk_bytes, 8};
 
+/// Time within which a fleet that starts from nothing has to serve again.
+constexpr seconds recovery_time{12};
+
 /// Agents of three data centres in this process, with an origin in a process of
-/// its own.
+/// its own. The origin accepts `max_connections`, if that is not 0.
 class agents {
   public:
-    explicit agents(std::uint32_t count)
-        : origin(
-              {"origin", "--bytes-per-second", std::to_string(origin_rate)}) {
+    explicit agents(std::uint32_t count, std::size_t max_connections = 0)
+        : origin({"origin", "--bytes-per-second", std::to_string(origin_rate)}),
+          origin_link_(
+              *parse_address(origin.url().substr(std::size("http://") - 1)),
+              origin_rate, max_connections) {
         for (std::uint32_t index = 0; index < count; ++index)
             add("agent-" + std::to_string(index), index % 3);
     }
@@ -108,7 +114,7 @@
         settings& own = node->configuration;
         own.process.role = process_role::agent;
         own.process.data_centre = "dc-" + std::to_string(data_centre_index);
-        own.origin.url = origin.url();
+        own.origin.url = "http://" + to_string(origin_link_.endpoint());
         own.distribution.link_bytes_per_second = link_rate;
         node->link_layer->set_directory([this](const std::string& peer) {
             const auto found = ports_.find(peer);
@@ -129,6 +135,7 @@
         nodes_[name] = std::move(node);
     }
 
+    testing::slow_link origin_link_;
     std::map<std::string, std::uint16_t> ports_;
     std::vector<member> members_;
     std::map<std::string, std::unique_ptr<local_node>> nodes_;
@@ -207,3 +214,24 @@
     CHECK(eventually(completion_timeout,
                      [&] { return fleet.complete(version); }));
 }
+
+TEST_CASE("distribution - agents that have read from the origin leave its "
+          "connections to those that read the next version") {
+    constexpr std::uint32_t count = 18;
+    constexpr std::size_t max_connections = 8;
+    agents fleet(count, max_connections);
+    const std::vector<weights_spec> specs{
+        model,
+        successor,
+        {"third", model.bytes, chunk_bytes, 3},
+        {"last", model.bytes, chunk_bytes, 4}};
+    fleet.start();
+    std::uint32_t priority = 0;
+    for (const weights_spec& spec : specs) {
+        CAPTURE(spec.name);
+        const digest version = fleet.publish(spec);
+        fleet.request_versions({{version, ++priority}});
+        CHECK(
+            eventually(recovery_time, [&] { return fleet.complete(version); }));
+    }
+}
--- a/tests/support/slow_link.cpp
+++ b/tests/support/slow_link.cpp
@@ -6,6 +6,7 @@
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -19,12 +20,20 @@
 constexpr int listen_backlog = 128;
 constexpr milliseconds transfer_interval{5};
 
+void reset(int descriptor) {
+    const linger at_once{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close(descriptor);
+}
+
 } // namespace
 
-slow_link::slow_link(address server, std::uint64_t bytes_per_second)
+slow_link::slow_link(address server, std::uint64_t bytes_per_second,
+                     std::size_t max_connections)
     : server_(std::move(server)), local_{"127.0.0.1",
                                          support::free_ports(1).front()},
-      bytes_per_second_(bytes_per_second), running_(core_) {
+      bytes_per_second_(bytes_per_second), max_connections_(max_connections),
+      running_(core_) {
     error failure;
     const auto opened = value_or_error(
         [&] { return open_listener(local_, listen_backlog, "slow_link"); },
@@ -59,6 +68,10 @@
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
             return;
+        if (max_connections_ != 0 && connections_.size() >= max_connections_) {
+            reset(descriptor);
+            continue;
+        }
         const std::uint64_t id = next_connection_++;
         auto& record =
             *connections_
--- a/tests/support/slow_link.hpp
+++ b/tests/support/slow_link.hpp
@@ -5,6 +5,7 @@
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/http/stream_socket.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,10 +19,12 @@
 ///
 /// The link transfers bytes in the order in which the server sent them, over
 /// all connections. Bytes of connections that the client has closed are
-/// discarded. Bytes to the server pass at once.
+/// discarded. Bytes to the server pass at once. Connections above
+/// `max_connections`, if it is not 0, are reset.
 class slow_link {
   public:
-    slow_link(address server, std::uint64_t bytes_per_second);
+    slow_link(address server, std::uint64_t bytes_per_second,
+              std::size_t max_connections = 0);
     ~slow_link();
     slow_link(const slow_link&) = delete;
     slow_link& operator=(const slow_link&) = delete;
@@ -54,6 +57,7 @@
     address server_;
     address local_;
     std::uint64_t bytes_per_second_;
+    std::size_t max_connections_;
     std::map<std::uint64_t, std::unique_ptr<relayed_connection>> connections_;
     std::deque<queued_bytes> queue_;
     std::uint64_t next_connection_ = 1;
