Close connections to the origin that agents do not use

Cause: an agent kept up to two connections to the origin open after it had read chunks, since the clients of the reading threads run only while they read, and one after it had read a manifest, for half of the announced idle time. The origin resets connections above a limit for all agents together. Each version has other readers, so that after some versions the agents that needed nothing held all of them, and the readers of the next version got none; after the loss of power the origin still counted connections whose owners were gone. Ruled out: the origin being down (it answered 410 on kept connections while new ones were reset), the quarantine of prompts, the list of servers.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -53,6 +53,7 @@
     /// check.
     std::string echoed_field;
     bool reuse = true; ///< May use an idle connection.
+    bool keep = true;  ///< The connection may stay open after the call.
     /// Asked once a new connection is open; if it returns false, the request is
     /// not sent and the call ends with `withheld`. Empty: always sent.
     std::function<bool()> may_send;
@@ -137,6 +138,7 @@
         call_handlers handlers;
         bool is_sent = false;
         bool is_cancelled = false;
+        bool keeps_connection = true;
         std::optional<timer_id> connect_timer;
         std::optional<timer_id> timer;
         std::optional<milliseconds> idle_timeout;
--- a/include/ospreystage/weights/origin_client.hpp
+++ b/include/ospreystage/weights/origin_client.hpp
@@ -28,8 +28,8 @@
 
 /// Reads manifests and chunks from the origin over HTTP without verifying them.
 ///
-/// Calls block and may be made from several threads; connections are kept open
-/// and reused.
+/// Calls block and may be made from several threads. A connection is reused by
+/// later calls until `close_idle` closes it.
 class origin_client {
   public:
     // ---- Construction ------------------------------------------------------
@@ -57,6 +57,10 @@
     [[nodiscard]] leaf::result<std::string> chunk(const digest& version,
                                                   std::uint32_t index);
 
+    /// Closes the connections that have carried no call for `max_idle`. The
+    /// origin takes a limited number of them from all agents together.
+    void close_idle(milliseconds max_idle);
+
     /// Cancels the calls in progress; later calls fail.
     void stop();
 
@@ -66,6 +70,11 @@
     [[nodiscard]] std::size_t connections() const;
 
   private:
+    struct idle_client {
+        std::shared_ptr<blocking_client> client;
+        instant since{};
+    };
+
     [[nodiscard]] leaf::result<std::string> read(const std::string& path,
                                                  std::size_t limit_bytes);
     [[nodiscard]] std::pair<std::shared_ptr<blocking_client>, std::string>
@@ -77,7 +86,8 @@
     mutable absl::Mutex mutex_;
     std::string host_ ABSL_GUARDED_BY(mutex_); ///< Scheme, host and port.
     bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
-    std::vector<std::shared_ptr<blocking_client>> idle_ ABSL_GUARDED_BY(mutex_);
+    /// In the order in which they became idle.
+    std::vector<idle_client> idle_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::shared_ptr<blocking_client>> busy_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -94,6 +94,7 @@
     record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
     record->may_send = options.may_send;
+    record->keeps_connection = options.keep;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
     const std::uint64_t connection = acquire(server, options.reuse);
@@ -435,8 +436,9 @@
     // Pending output means that the server responded before it had read the
     // request; unread input after the response belongs to no request.
     const bool is_reusable =
-        end == call_end::complete && record.socket.is_open() &&
-        record.socket.input.empty() && record.socket.pending_bytes() == 0 &&
+        ended->keeps_connection && end == call_end::complete &&
+        record.socket.is_open() && record.socket.input.empty() &&
+        record.socket.pending_bytes() == 0 &&
         record.parser->response().keep_alive;
     if (is_reusable) {
         record.max_idle = keep_alive_timeout(record.parser->response());
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -18,6 +18,10 @@
 /// Divisor for the share of the link that is always left to distribution.
 constexpr std::uint64_t min_share_divisor = 8;
 constexpr milliseconds min_wait{1};
+/// Time for which an unused connection to the origin stays open for the next
+/// chunk.
+constexpr milliseconds max_origin_idle{500};
+constexpr milliseconds origin_idle_check_interval{250};
 
 distribution_strategy strategy_of(const settings& configuration) {
     if (configuration.distribution.baseline == "direct")
@@ -87,6 +91,8 @@
     subscribe();
     set_request_bandwidth(0);
     set_members({});
+    core_.every(service_name, origin_idle_check_interval,
+                [this] { origin_.close_idle(max_origin_idle); });
     update();
 }
 
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -70,6 +70,14 @@
     return read(layout_.chunk(version, index), max_chunk_bytes);
 }
 
+void origin_client::close_idle(milliseconds max_idle) {
+    const absl::MutexLock lock(&mutex_);
+    const instant now = steady::now();
+    std::erase_if(idle_, [&](const idle_client& entry) {
+        return now - entry.since >= max_idle;
+    });
+}
+
 void origin_client::stop() {
     const absl::MutexLock lock(&mutex_);
     stopped_ = true;
@@ -117,7 +125,7 @@
     if (idle_.empty()) {
         client = std::make_shared<blocking_client>(host_);
     } else {
-        client = std::move(idle_.back());
+        client = std::move(idle_.back().client);
         idle_.pop_back();
     }
     busy_.push_back(client);
@@ -129,7 +137,7 @@
     const absl::MutexLock lock(&mutex_);
     std::erase(busy_, client);
     if (is_reusable && url == host_)
-        idle_.push_back(client);
+        idle_.push_back({client, steady::now()});
 }
 
 } // namespace ospreystage
