Keep no connection to the origin that repeats failures

Change: a connection is kept after a success only, and for 0.2 s. Measured: the six tests of distribution pass; no play shows this part alone.

--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds min_wait{1};
 /// Time for which an unused connection to the origin stays open for the next
 /// chunk.
-constexpr milliseconds max_origin_idle{500};
-constexpr milliseconds origin_idle_check_interval{250};
+constexpr milliseconds max_origin_idle{200};
+constexpr milliseconds origin_idle_check_interval{100};
 
 distribution_strategy strategy_of(const settings& configuration) {
     if (configuration.distribution.baseline == "direct")
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -104,7 +104,10 @@
     http_request request;
     request.target = path;
     auto answer = client->fetch(request, options);
-    release(client, host, answer.end == call_end::complete);
+    // A connection that repeats failures would keep others from the origin.
+    release(client, host,
+            answer.end == call_end::complete &&
+                answer.response.status == http_ok);
     if (answer.end != call_end::complete)
         return fail(code_of(answer.end), "origin.read", host,
                     path + ": " + to_string(answer.end));
