Count each agent once among the members of a distribution

Cause: an entry names an agent for each listed start of its server. Until the earlier start has left the list (95.5 s, 2 s after the machines were back) agents were named twice. Each agent lists itself once, so that they disagreed on who reads which chunk from the origin, and some chunks had no reader.

--- a/src/weights/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -68,6 +68,13 @@
               [](const swarm_member& left, const swarm_member& right) {
                   return left.name < right.name;
               });
+    // Two starts of a server on one VM list its agent twice for a while.
+    const auto is_same = [](const swarm_member& left,
+                            const swarm_member& right) {
+        return left.name == right.name;
+    };
+    members.erase(std::unique(members.begin(), members.end(), is_same),
+                  members.end());
     if (members == members_)
         return;
     members_ = std::move(members);
--- a/tests/swarm.cpp
+++ b/tests/swarm.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -207,6 +208,35 @@
     CHECK(std::count(order.begin(), order.begin() + 4, other_version) == 4);
 }
 
+TEST_CASE("swarm - every chunk has a reader while agents are listed twice") {
+    constexpr std::uint32_t chunks = 32;
+    // Shorter than the time after which readers replace silent ones.
+    constexpr milliseconds duration{1000};
+    const auto members = one_data_centre(6);
+    std::set<std::uint32_t> read;
+    for (const swarm_member& own : members) {
+        auto listed = members;
+        for (const swarm_member& other : members)
+            if (other.name != own.name)
+                listed.push_back(other);
+        swarm decisions({}, own.name);
+        instant now(seconds(100));
+        const instant end = now + duration;
+        decisions.set_members(listed, now);
+        decisions.set_requested({{version, 1}}, now);
+        decisions.on_manifest(version, make_description(chunks), {}, now);
+        for (; now < end; now += milliseconds(10)) {
+            const auto actions = decisions.tick(now);
+            for (const auto& action : actions_of<fetch_chunk>(actions)) {
+                read.insert(action.index);
+                decisions.on_fetched(action.source, version, action.index,
+                                     fetch_outcome::stored, now);
+            }
+        }
+    }
+    CHECK(read.size() == chunks);
+}
+
 TEST_CASE("swarm - never requests more than the budget of the link") {
     fixture agent(one_data_centre(3));
     agent.decisions.set_budget({10'000, false}, agent.now);
