Give up a version that the origin no longer offers

Cause: status 410 counted as a passing failure. Agents repeated the read of a chunk of version 5 every 0.5 s (187 answers at 84 to 92 s); older versions go first, and each failure pauses all reads of the agent from the origin. Change: after 410 a version is not read from the origin any more; what peers hold of it may still complete it. A version whose manifest is gone is dropped.

--- a/include/ospreystage/weights/origin_client.hpp
+++ b/include/ospreystage/weights/origin_client.hpp
@@ -50,7 +50,8 @@
 
     /// Reads the manifest text of a version.
     ///
-    /// Errors: `unavailable`, `not_found`, `timeout`, `too_large`.
+    /// Errors: `unavailable`, `timeout`, `too_large`, and `not_found` for a
+    /// version that the origin no longer offers.
     [[nodiscard]] leaf::result<std::string> manifest(const digest& version);
 
     /// Reads the bytes of a chunk; errors as for `manifest`.
--- a/include/ospreystage/weights/swarm.hpp
+++ b/include/ospreystage/weights/swarm.hpp
@@ -153,6 +153,8 @@
         std::vector<std::string> silent_readers;
         std::vector<std::string> owners_to_notify;
         bool announce_now = false;
+        /// The origin no longer offers the version; peers may still hold it.
+        bool is_gone_from_origin = false;
         instant last_announcement{};
         instant requested_since{};
         instant last_progress{}; ///< When the last chunk was stored.
--- a/include/ospreystage/weights/swarm_types.hpp
+++ b/include/ospreystage/weights/swarm_types.hpp
@@ -62,6 +62,7 @@
     corrupt, ///< The bytes differ from the manifest.
     refused, ///< The source lacks the chunk or is overloaded.
     failed,  ///< The source is unreachable.
+    gone,    ///< The source will never have the chunk again.
 };
 
 /// Request a chunk from `source`.
--- a/include/ospreystage/weights/version_plan.hpp
+++ b/include/ospreystage/weights/version_plan.hpp
@@ -38,6 +38,10 @@
 
     void on_manifest(std::uint64_t number, manifest description);
 
+    /// Records that the manifest of a version can no longer be had; drops the
+    /// version unless its manifest is known.
+    void on_manifest_gone(std::uint64_t number);
+
     /// Records that every chunk of a version is held; drops older versions.
     /// Returns false if the version is not planned.
     bool on_held(const digest& id);
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -446,9 +446,11 @@
         log_event(log_level::warn, "origin_failed",
                   {{"error", to_string(failure)},
                    {"connections", origin_.connections()}});
-        core_.post(service_name, [this, version, index] {
-            finish_fetch(origin_source{}, version, index,
-                         fetch_outcome::failed);
+        const fetch_outcome outcome = failure.code == error_code::not_found
+                                          ? fetch_outcome::gone
+                                          : fetch_outcome::failed;
+        core_.post(service_name, [this, version, index, outcome] {
+            finish_fetch(origin_source{}, version, index, outcome);
         });
     });
 }
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds read_timeout{5000};
 constexpr milliseconds call_timeout{45'000};
 constexpr std::uint16_t http_ok = 200;
-constexpr std::uint16_t http_not_found = 404;
+constexpr std::uint16_t http_gone = 410;
 
 error_code code_of(call_end end) {
     if (end == call_end::too_large)
@@ -111,7 +111,7 @@
     if (answer.end != call_end::complete)
         return fail(code_of(answer.end), "origin.read", host,
                     path + ": " + to_string(answer.end));
-    if (answer.response.status == http_not_found)
+    if (answer.response.status == http_gone)
         return fail(error_code::not_found, "origin.read", host, path);
     if (answer.response.status != http_ok)
         return fail(error_code::unavailable, "origin.read", host,
--- a/src/weights/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -217,6 +217,11 @@
         ++counters_.refused;
     }
     if (std::holds_alternative<origin_source>(source)) {
+        if (outcome == fetch_outcome::gone) {
+            if (record != nullptr)
+                record->is_gone_from_origin = true;
+            return;
+        }
         if (outcome != fetch_outcome::stored)
             origin_backoff_until_ = now + options_.origin_backoff;
         return;
@@ -240,6 +245,7 @@
         break;
     case fetch_outcome::corrupt:
     case fetch_outcome::failed:
+    case fetch_outcome::gone:
         record_failure(id, now);
         break;
     }
--- a/src/weights/swarm_downloads.cpp
+++ b/src/weights/swarm_downloads.cpp
@@ -62,7 +62,8 @@
 }
 
 bool swarm::plan_origin(version_record& version, instant now) {
-    if (origin_requests_ >= options_.max_origin_requests ||
+    if (version.is_gone_from_origin ||
+        origin_requests_ >= options_.max_origin_requests ||
         origin_backoff_until_ > now)
         return false;
     struct choice {
--- a/src/weights/version_plan.cpp
+++ b/src/weights/version_plan.cpp
@@ -29,6 +29,12 @@
     found->second.description = std::move(description);
 }
 
+void version_plan::on_manifest_gone(std::uint64_t number) {
+    const auto found = versions_.find(number);
+    if (found != versions_.end() && found->second.id.empty())
+        versions_.erase(found);
+}
+
 bool version_plan::on_held(const digest& id) {
     const auto found =
         std::find_if(versions_.begin(), versions_.end(),
--- a/tests/swarm.cpp
+++ b/tests/swarm.cpp
@@ -237,6 +237,27 @@
     CHECK(read.size() == chunks);
 }
 
+TEST_CASE("swarm - a version that the origin no longer has does not hold back "
+          "a newer one") {
+    fixture agent(one_data_centre(1));
+    agent.decisions.set_members({{self, "dc-0"}}, agent.now);
+    agent.decisions.set_requested({{version, 9}, {other_version, 1}},
+                                  agent.now);
+    agent.receive_manifest(4);
+    agent.decisions.on_manifest(other_version, make_description(4), {},
+                                agent.now);
+    int refused = 0;
+    for (int round = 0; round < 100; ++round)
+        for (const fetch_chunk& action : agent.advance(milliseconds(20))) {
+            const bool is_gone = action.version == version;
+            refused += is_gone ? 1 : 0;
+            agent.finish(action,
+                         is_gone ? fetch_outcome::gone : fetch_outcome::stored);
+        }
+    CHECK(agent.decisions.complete(other_version));
+    CHECK(refused <= 1);
+}
+
 TEST_CASE("swarm - never requests more than the budget of the link") {
     fixture agent(one_data_centre(3));
     agent.decisions.set_budget({10'000, false}, agent.now);
--- a/tests/version_plan.cpp
+++ b/tests/version_plan.cpp
@@ -79,3 +79,15 @@
     CHECK_FALSE(plan.on_published(2, start + milliseconds(3500), true));
     CHECK(plan.oldest_publication() == start);
 }
+
+TEST_CASE("version plan - a version whose manifest is gone is not awaited") {
+    version_plan plan;
+    plan.on_in_use(1);
+    REQUIRE(plan.on_published(2, start, true));
+    REQUIRE(plan.on_published(3, start + seconds(3), true));
+    plan.on_manifest(3, make_description('3'));
+    plan.on_manifest_gone(2);
+    CHECK(plan.find(2) == nullptr);
+    REQUIRE(plan.on_held(version_of(make_description('3'))));
+    CHECK(plan.is_complete());
+}
