Read a chunk that its reader cannot get in time for a recovery

Cause: a chunk that no agent holds was read by its one reader only, until the version had made no progress for 12 s; each other chunk began that time anew. A reader that the origin resets goes on announcing, so that it is not replaced. Change: while the number of chunks without a holder does not fall by the reads of peers, the next readers of such a chunk read it in turn, 2 s apart. An agent whose own read fails begins that time anew: then the origin fails, not the reader. Readers whose peers are slow do not read their chunks ('swarm - readers whose chunks arrive one after the other …').

--- a/include/ospreystage/weights/swarm.hpp
+++ b/include/ospreystage/weights/swarm.hpp
@@ -159,6 +159,10 @@
         instant requested_since{};
         instant last_progress{}; ///< When the last chunk was stored.
         instant last_blocked_check{};
+        /// Chunks that neither this agent nor a peer holds, and when peers last
+        /// changed their number or a read of this agent last failed.
+        std::uint32_t unheld_chunks = 0;
+        instant unheld_since{};
         /// Source of the outstanding manifest request.
         std::optional<chunk_source> manifest_source;
         instant manifest_deadline{};
--- a/src/weights/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -222,8 +222,11 @@
                 record->is_gone_from_origin = true;
             return;
         }
-        if (outcome != fetch_outcome::stored)
-            origin_backoff_until_ = now + options_.origin_backoff;
+        if (outcome == fetch_outcome::stored)
+            return;
+        origin_backoff_until_ = now + options_.origin_backoff;
+        if (record != nullptr)
+            record->unheld_since = now;
         return;
     }
     const peer_id id = find_or_add_peer(std::get<peer_source>(source).name);
@@ -341,6 +344,9 @@
         return;
     }
     version.last_progress = now;
+    // Only chunks that others obtain show that the origin serves them.
+    if (version.chunks[index].holders == 0 && version.unheld_chunks > 0)
+        --version.unheld_chunks;
     if (const auto* peer = std::get_if<peer_source>(&source)) {
         ++counters_.from_peers;
         if (!at(find_or_add_peer(peer->name)).is_local)
--- a/src/weights/swarm_downloads.cpp
+++ b/src/weights/swarm_downloads.cpp
@@ -161,9 +161,13 @@
     const bool is_blocked_long =
         is_set(chunk.blocked_since) &&
         now - chunk.blocked_since > fallback * fallback_count;
+    // While the origin serves other readers, the number of such chunks falls.
+    const bool is_unread =
+        is_reader && chunk.holders == 0 && is_set(version.unheld_since) &&
+        now - version.unheld_since > fallback * role.origin_rank;
     const bool is_stagnant = now - version.last_progress >
                              fallback * (fallback_count + stagnation_fallbacks);
-    return (is_blocked_long || is_stagnant) &&
+    return (is_blocked_long || is_unread || is_stagnant) &&
            !has_trusted_holder(version, index, false, now);
 }
 
@@ -225,8 +229,11 @@
         now - version.last_blocked_check < check_interval)
         return;
     version.last_blocked_check = now;
+    std::uint32_t unheld_chunks = 0;
     for (std::uint32_t index = 0; index < version.chunks.size(); ++index) {
         chunk_record& chunk = version.chunks[index];
+        if (!version.held.test(index) && chunk.holders == 0)
+            ++unheld_chunks;
         if (version.held.test(index) || chunk.in_flight > 0)
             continue;
         const bool is_owner = version.assignment->role(index).owner_rank == 0;
@@ -238,6 +245,9 @@
         else if (!is_set(chunk.blocked_since))
             chunk.blocked_since = now;
     }
+    if (unheld_chunks != version.unheld_chunks || !is_set(version.unheld_since))
+        version.unheld_since = now;
+    version.unheld_chunks = unheld_chunks;
 }
 
 void swarm::update_silent_readers(version_record& version, instant now) {
--- a/tests/swarm.cpp
+++ b/tests/swarm.cpp
@@ -208,6 +208,59 @@
     CHECK(std::count(order.begin(), order.begin() + 4, other_version) == 4);
 }
 
+TEST_CASE("swarm - a chunk that its reader cannot read is read by another one "
+          "in time for a recovery") {
+    constexpr std::uint32_t chunks = 32;
+    constexpr seconds recovery_time{12};
+    fixture agent(one_data_centre(2));
+    agent.receive_manifest(chunks);
+    // The other reader announces itself, but gets nothing from the origin.
+    const chunk_bitmap none(chunks);
+    const instant start = agent.now;
+    while (!agent.decisions.complete(version) &&
+           agent.now - start < recovery_time) {
+        agent.decisions.on_have("agent-0", version, none, agent.now);
+        for (const fetch_chunk& action : agent.advance(milliseconds(100)))
+            agent.finish(action, fetch_outcome::stored);
+    }
+    REQUIRE(agent.decisions.complete(version));
+    // Staging and loading take the rest.
+    CHECK(agent.now - start < recovery_time / 2);
+}
+
+TEST_CASE("swarm - readers whose chunks arrive one after the other do not read "
+          "those of each other") {
+    constexpr std::uint32_t chunks = 32;
+    fixture agent(one_data_centre(2));
+    agent.receive_manifest(chunks);
+    std::uint32_t reads = 0;
+    const auto run = [&](milliseconds time) {
+        for (const fetch_chunk& action : agent.advance(time)) {
+            reads += is_from_origin(action) ? 1 : 0;
+            agent.finish(action, fetch_outcome::stored);
+        }
+    };
+    for (int round = 0; round < 100; ++round) {
+        agent.decisions.on_have("agent-0", version, chunk_bitmap(chunks),
+                                agent.now);
+        run(milliseconds(20));
+    }
+    const std::uint32_t own = reads;
+    REQUIRE(own > 0);
+    REQUIRE(own < chunks);
+    // The other reader is four times slower than this one was.
+    chunk_bitmap held(chunks);
+    for (std::uint32_t index = 0; index < chunks; ++index) {
+        if (agent.decisions.held(version).test(index))
+            continue;
+        held.set(index);
+        agent.decisions.on_have("agent-0", version, held, agent.now);
+        run(milliseconds(500));
+    }
+    CHECK(agent.decisions.complete(version));
+    CHECK(reads == own);
+}
+
 TEST_CASE("swarm - every chunk has a reader while agents are listed twice") {
     constexpr std::uint32_t chunks = 32;
     // Shorter than the time after which readers replace silent ones.
