Show what odd values of other writers do to a process

- The entry process with 49 odd items in the store's list stays up and follows later changes, but its directory answers no call while one registration of an entry holds bytes that are not UTF-8, and it lists 28 servers instead of 2.
- A body nested a million deep ends the process of a backend with SIGSEGV.

Parsing and destroying a document that is nested a million deep ends no process; only writing one does (nlohmann::json 3.11 parses and destroys iteratively and writes recursively).

--- a/tests/back_end.cpp
+++ b/tests/back_end.cpp
@@ -226,3 +226,17 @@
     order.stream = false;
     CHECK(run_call(url, order).parts() == "ok|");
 }
+
+TEST_CASE("back end - a body that is nested a million deep does not end the "
+          "process") {
+    run_order order = engine_order();
+    for (const char* field : {"messages", "more"}) {
+        constexpr std::size_t depth = 1'000'000;
+        order.body =
+            fmt::format(R"({{"model":"assistant","{}":{}{}}})", field,
+                        std::string(depth, '['), std::string(depth, ']'));
+        const call_record record =
+            run_scripted(stream_answer("data: 1\n\ndata: [DONE]\n\n"), order);
+        CHECK(record.has_ended());
+    }
+}
--- a/tests/support/platform_entry.cpp
+++ b/tests/support/platform_entry.cpp
@@ -11,11 +11,18 @@
 leaf::result<support::child_process>
 start_platform_entry(const std::string& settings_file,
                      const std::string& output) {
+    return start_platform_process("entry", settings_file, output);
+}
+
+leaf::result<support::child_process>
+start_platform_process(const std::string& role,
+                       const std::string& settings_file,
+                       const std::string& output) {
     constexpr const char* file_variable = "OSPREYSTAGE_NODE_FILE";
     setenv(file_variable, settings_file.c_str(), 1);
     auto child = support::child_process::start(
         {std::string(OSPREYSTAGE_BINARY_DIR) + "/ospreystage", "platform",
-         "entry"},
+         role},
         output);
     unsetenv(file_variable);
     return child;
--- a/tests/support/platform_entry.hpp
+++ b/tests/support/platform_entry.hpp
@@ -14,6 +14,12 @@
 start_platform_entry(const std::string& settings_file,
                      const std::string& output);
 
+/// Starts `ospreystage platform ROLE`, as above.
+[[nodiscard]] leaf::result<support::child_process>
+start_platform_process(const std::string& role,
+                       const std::string& settings_file,
+                       const std::string& output);
+
 /// Returns the whole response, with its head, to GET `target` on a connection
 /// of its own; empty if the server does not answer.
 [[nodiscard]] std::string get_raw(const address& server,
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -41,12 +42,13 @@
 /// An entry process whose output goes to a pipe that is read only by the test.
 class entry_process {
   public:
-    explicit entry_process(const platform_store& store)
+    explicit entry_process(const platform_store& store,
+                           const std::string& added_settings = "")
         : ports_(support::free_ports(3)),
           file_(std::filesystem::temp_directory_path() /
                 fmt::format("ospreystage-entry-{}.conf", getpid())),
           pipe_(file_ + ".pipe") {
-        write_settings(store, "");
+        write_settings(store, added_settings);
         REQUIRE(mkfifo(pipe_.c_str(), S_IRUSR | S_IWUSR) == 0);
         output_ = open(pipe_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
         REQUIRE(output_ >= 0);
@@ -142,6 +144,57 @@
 
 constexpr const char* entry_key = "ospreystage/entries/edge-1";
 
+std::string server_registration(int port) {
+    return fmt::format(R"({{"service":"desk","address":"10.0.0.1:{}",
+                           "zone":"hall-a","slots":4,"state":"ready"}})",
+                       port);
+}
+
+std::string nested_lists(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Returns registrations of servers that another writer may leave; none names
+/// a server to use.
+std::vector<std::string> odd_registrations() {
+    constexpr std::size_t depth = 100'000;
+    const auto with = [](const std::string& fields) {
+        return R"({"service":"desk","address":"10.0.0.7:80","state":"ready",)" +
+               fields + "}";
+    };
+    std::vector<std::string> result{
+        "",
+        "\xff\xfe",
+        "null",
+        nested_lists(depth),
+        nested_lists(10 * depth),
+        std::string(depth, '['),
+        with("\"more\":" + nested_lists(depth)),
+        with("\"layers\":" + nested_lists(depth)),
+        with(R"("zone":")" + std::string(60'000, 'z') + "\"")};
+    for (const char* number :
+         {"1e999", "-1e308", "9223372036854775808", "18446744073709551616",
+          "-1", "1.5", "NaN", "\"4\""}) {
+        result.push_back(with(fmt::format("\"slots\":{}", number)));
+        result.push_back(with(fmt::format("\"born\":{}", number)));
+        result.push_back(with(fmt::format(
+            R"("layers":{{"from":0,"to":16,"version":{}}})", number)));
+    }
+    for (const char* port : {"0", "65536", "-1", "99999999999", "80 ", "+80"})
+        result.push_back(fmt::format(
+            R"({{"service":"desk","address":"10.0.0.7:{}","state":"ready"}})",
+            port));
+    return result;
+}
+
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + part.size()))
+        ++count;
+    return count;
+}
+
 /// Memory limit of the smallest entry VM of the users' sheets.
 constexpr long small_vm_kib = 160 * 1024;
 
@@ -401,3 +454,99 @@
         CHECK_FALSE(answer.ends_with("\r\n0\r\n\r\n"));
     }
 }
+
+TEST_CASE("platform entry - odd entries of another writer end neither the "
+          "process nor its reading of the list") {
+    platform_store store;
+    put_initial_configuration(store);
+    store.put("servers/i-0", server_registration(80));
+    const std::vector<std::string> odd = odd_registrations();
+    for (std::size_t index = 0; index < odd.size(); ++index)
+        store.put(fmt::format("servers/x-{:02}", index), odd[index]);
+    for (const char* id : {"a\r\nX-Tenant: b", "a b", "\"", "a/b", "\x01"})
+        store.put(std::string("servers/") + id, server_registration(81));
+    store.put("ospreystage/entries/odd-1", "\xff\xfe:80 hall-a");
+    store.put("ospreystage/entries/odd-2", "10.0.0.8:65536 hall-a");
+    store.put("ospreystage/entries/odd-3", nested_lists(100'000));
+    store.put("ospreystage/quarantine/zz", "1");
+    store.put("ospreystage/quarantine/00000000000000ff", "1e999");
+    const address directory{"127.0.0.1", support::free_ports(1).front()};
+    entry_process entry(
+        store, fmt::format("listen.directory={}\n", to_string(directory)));
+    REQUIRE(await_ready(entry));
+    std::string output;
+    const auto await_listed = [&](const std::string& id) {
+        return eventually(timeout, [&] {
+            output += entry.read_output();
+            const std::size_t at =
+                output.find(fmt::format("\"id\":\"{}\"", id));
+            return at != std::string::npos;
+        });
+    };
+    CHECK(await_listed("i-0"));
+    CHECK(eventually(timeout, [&] {
+        return get_raw(directory, "/v1/resolve?name=a.example")
+                   .find(to_string(entry.front())) != std::string::npos;
+    }));
+    // Later changes are followed, of the list and of the documents.
+    store.put("servers/i-9", server_registration(82));
+    CHECK(await_listed("i-9"));
+    put_configuration(store, 4);
+    CHECK(await_version(entry, 4, seconds(2)));
+    std::this_thread::sleep_for(seconds(2));
+    output += entry.read_output();
+    CHECK(entry.child().running());
+    CHECK(get_raw(entry.ready(), "/v1/readyz").find(" 200 ") !=
+          std::string::npos);
+    CHECK(peak_memory_kib(entry.child().pid()) < small_vm_kib);
+    // Nothing odd is listed, and each odd item is logged once at most.
+    CHECK(count_of(output, "\"event\":\"backend_server_listed\"") == 2);
+    const std::size_t lines = count_of(output, "_unreadable\"");
+    CHECK(lines >= 1);
+    CHECK(lines <= odd.size() + 10);
+    CHECK(count_of(output, "task_failed") == 0);
+    entry.child().terminate();
+    CHECK(entry.wait() == 0);
+}
+
+TEST_CASE("platform agent - odd reports of an engine do not end the process") {
+    const std::vector<std::string> reports{
+        nested_lists(100'000),
+        R"({"layers":)" + nested_lists(1'000'000) + "}",
+        R"({"layers":{"from":-1,"to":1e300,"version":18446744073709551615}})",
+        R"({"models":[{"name":"m","version":9223372036854775808}],
+            "running":1e999})",
+        R"({"running":-1,"queued":18446744073709551615,"sequence":-1e308,
+            "born":9223372036854775808,"busy":3})",
+        "\xff\xfe",
+        R"({"models":[],"running":0,"queued":0,"busy":false,"sequence":1})"};
+    std::atomic<std::size_t> served{0};
+    const scripted_server engine([&](const std::string&) {
+        const std::string& body = reports[served++ % reports.size()];
+        return scripted_answer{
+            fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                        body.size(), body)};
+    });
+    const std::string file = std::filesystem::temp_directory_path() /
+                             fmt::format("ospreystage-agent-{}.conf", getpid());
+    const std::uint16_t port = support::free_ports(2).front();
+    REQUIRE(support::write_text_file(
+        file, fmt::format("node=side-1\nip=127.0.0.1\nzone=hall-a\n"
+                          "service=desk\ninternal_ports={},{}\napp={}\n",
+                          port, port + 1, to_string(engine.endpoint()))));
+    error failure;
+    auto agent = value_or_error(
+        [&] {
+            return testing::start_platform_process("agent", file,
+                                                   file + ".log");
+        },
+        failure);
+    REQUIRE(agent);
+    CHECK(eventually(timeout, [&] { return served >= 3 * reports.size(); }));
+    CHECK(agent->running());
+    CHECK(agent->log_text().find("task_failed") == std::string::npos);
+    agent->terminate();
+    CHECK(agent->wait(timeout) == 0);
+    std::filesystem::remove(file);
+    std::filesystem::remove(file + ".log");
+}
