Bound the nesting of JSON documents from outside

Cause: nlohmann::json 3.11 parses and destroys values iteratively, but writes and copies them recursively. `engine_body` and the admin API write bodies of callers again.

Ruled out: the documents of the platform's store. They are read field by field and neither copied nor written; the entry and agent processes stayed up with nesting of 1,000,000 before this change.

--- a/src/app/admin_api.cpp
+++ b/src/app/admin_api.cpp
@@ -2,6 +2,7 @@
 #include <ospreystage/app/console_page.hpp>
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/fleet/fleet_status.hpp>
+#include <ospreystage/impl/bounded_json.hpp>
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
@@ -260,7 +261,7 @@
 
 http_response admin_api::apply(const operator_settings& by,
                                const api_request& request) {
-    const json body = json::parse(request.message.body, nullptr, false);
+    const json body = impl::parse_json(request.message.body);
     if (!body.is_object() || !body.contains("document") ||
         !body.contains("operation_id") || !body["operation_id"].is_string())
         return error_response(
@@ -276,7 +277,7 @@
 
 http_response admin_api::roll_back(const operator_settings& by,
                                    const api_request& request) {
-    const json body = json::parse(request.message.body, nullptr, false);
+    const json body = impl::parse_json(request.message.body);
     if (!body.is_object() || !body.contains("to") ||
         !body["to"].is_number_unsigned() || !body.contains("operation_id") ||
         !body["operation_id"].is_string())
--- a/src/app/ctl.cpp
+++ b/src/app/ctl.cpp
@@ -1,5 +1,6 @@
 #include <ospreystage/app/commands.hpp>
 #include <ospreystage/http/blocking_client.hpp>
+#include <ospreystage/impl/bounded_json.hpp>
 #include <ospreystage/rollout/rollout.hpp>
 
 #include <fmt/format.h>
@@ -43,7 +44,7 @@
     }
     out.status = answer.response.status;
     out.text = answer.response.body;
-    out.body = nlohmann::json::parse(out.text, nullptr, false);
+    out.body = impl::parse_json(out.text);
     return out;
 }
 
@@ -81,7 +82,7 @@
         return std::nullopt;
     }
     text << in.rdbuf();
-    auto document = nlohmann::json::parse(text.str(), nullptr, false);
+    auto document = impl::parse_json(text.str());
     if (document.is_discarded()) {
         std::cerr << file << ": is not JSON\n";
         return std::nullopt;
--- a/src/requests/back_end.cpp
+++ b/src/requests/back_end.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/impl/bounded_json.hpp>
 #include <ospreystage/network/resolve.hpp>
 #include <ospreystage/requests/back_end.hpp>
 
@@ -24,7 +25,7 @@
 
 /// Returns the request body with the fields that the agent sets.
 std::string engine_body(const run_order& order) {
-    nlohmann::json body = nlohmann::json::parse(order.body, nullptr, false);
+    nlohmann::json body = impl::parse_json(order.body);
     if (!body.is_object())
         return order.body;
     body["model"] = order.version;
--- a/src/requests/caller_api.cpp
+++ b/src/requests/caller_api.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/impl/bounded_json.hpp>
 #include <ospreystage/impl/overloaded.hpp>
 #include <ospreystage/requests/caller_api.hpp>
 #include <ospreystage/requests/prompt_prefix.hpp>
@@ -89,8 +90,7 @@
 
 /// Parses a chat request; returns false if it is malformed.
 bool read_chat(const api_request& request, incoming_request& out) {
-    const auto body =
-        nlohmann::json::parse(request.message.body, nullptr, false);
+    const auto body = impl::parse_json(request.message.body);
     if (!body.is_object() || !body.contains("model") ||
         !body["model"].is_string() || !body.contains("messages") ||
         !body["messages"].is_array())
--- a/src/requests/prompt_prefix.cpp
+++ b/src/requests/prompt_prefix.cpp
@@ -1,3 +1,4 @@
+#include <ospreystage/impl/bounded_json.hpp>
 #include <ospreystage/requests/prompt_prefix.hpp>
 
 namespace ospreystage {
@@ -59,8 +60,7 @@
 }
 
 void prefix_map::record(const digest& version, const std::string& body) {
-    const std::string block =
-        first_prompt_block(nlohmann::json::parse(body, nullptr, false));
+    const std::string block = first_prompt_block(impl::parse_json(body));
     if (block.empty())
         return;
     const std::uint64_t number = engine_block_number(version, block);
