--- a/include/ospreystage/network/socket_address.hpp
+++ b/include/ospreystage/network/socket_address.hpp
@@ -18,6 +18,11 @@
 /// Converts from a socket address.
 [[nodiscard]] address from_socket_address(const sockaddr_in& raw);
 
+/// Parses `IP:PORT` with a numeric IPv4 address; returns nothing for any other
+/// text.
+[[nodiscard]] std::optional<address>
+parse_numeric_address(const std::string& text);
+
 /// Opens a non-blocking TCP socket that listens at `local`.
 ///
 /// Fails with `invalid_argument` if the host is not numeric and `unavailable`
--- a/src/network/socket_address.cpp
+++ b/src/network/socket_address.cpp
@@ -25,6 +25,15 @@
     return {host.data(), ntohs(raw.sin_port)};
 }
 
+std::optional<address> parse_numeric_address(const std::string& text) {
+    auto parsed = parse_address(text);
+    if (!parsed)
+        return std::nullopt;
+    // The host may hold a zero byte, after which the conversion reads nothing.
+    const auto raw = to_socket_address(*parsed);
+    return raw && from_socket_address(*raw) == *parsed ? parsed : std::nullopt;
+}
+
 leaf::result<int> open_listener(const address& local, int backlog,
                                 const std::string& step) {
     const auto raw = to_socket_address(local);
