Refuse state of another entry with an age out of range

An age near 2^63 ms overflows when it is subtracted from the time of the request; the state then counts as one of another time. It is malformed beyond 365 days now.

--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -2,6 +2,8 @@
 #include <ospreystage/fleet/site_copy.hpp>
 #include <ospreystage/impl/decode.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,10 @@
 
 namespace {
 
+/// Greatest age that another entry may state, so that the time of the read can
+/// be represented.
+constexpr milliseconds max_age = std::chrono::hours(24 * 365);
+
 /// Wire form of an optional age: -1 if there is none.
 std::int64_t encode_age(const std::optional<milliseconds>& age) {
     return age ? age->count() : -1;
@@ -84,7 +90,7 @@
 
 leaf::result<site_changes> decode_site_changes(std::string_view bytes,
                                                const std::string& peer) {
-    return impl::decode_all(bytes, "site.changes", peer, [](auto& archive) {
+    const auto decode = [](auto& archive) {
         site_changes changes;
         std::int64_t documents_age = 0;
         std::int64_t servers_age = 0;
@@ -95,7 +101,16 @@
         changes.servers_age = decode_age(servers_age);
         changes.outage_ended_ago = decode_age(outage_ended_ago);
         return changes;
-    });
+    };
+    BOOST_LEAF_AUTO(changes,
+                    impl::decode_all(bytes, "site.changes", peer, decode));
+    for (const auto& age :
+         {changes.documents_age, changes.servers_age, changes.outage_ended_ago})
+        if (age && *age > max_age)
+            return fail(error_code::malformed, "site.changes", peer,
+                        fmt::format("an age of {} ms; the limit is {} ms",
+                                    age->count(), max_age.count()));
+    return changes;
 }
 
 // ---- Observers -------------------------------------------------------------
