Bound the idle time that a server states

`Keep-Alive: timeout=` was multiplied as a double and turned into an integer out of range, which is undefined, and then overflowed the clock.

--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -26,6 +26,10 @@
 /// Total size of the bodies of responses to other requests during a call.
 constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 
+/// Longest idle time of a server that counts, so that its end can be
+/// represented.
+constexpr seconds max_idle{24 * 3600};
+
 /// Returns how long the connection may be idle and still be reused, from
 /// `Keep-Alive: timeout=N` (seconds).
 milliseconds keep_alive_timeout(const http_response& response) {
@@ -40,7 +44,8 @@
     std::int64_t timeout_s = 0;
     if (!absl::SimpleAtoi(value->substr(first, last - first), &timeout_s))
         return default_max_idle;
-    return std::chrono::duration_cast<milliseconds>(seconds(timeout_s) *
+    const seconds timeout(std::min<std::int64_t>(timeout_s, max_idle.count()));
+    return std::chrono::duration_cast<milliseconds>(timeout *
                                                     usable_idle_fraction);
 }
 
