Keep a header limit of 32 bits and more

The parser takes 32 bits: a configuration with max_header_bytes of 2^32 set a limit of 0, at which each request is refused with 431. The limit is cut to the largest one now.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace ospreystage {
@@ -122,7 +124,8 @@
     : state_(std::make_unique<state>()) {
     state_->eager(true);
     state_->max_header_bytes = max_header_bytes;
-    state_->header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    state_->header_limit(static_cast<std::uint32_t>(
+        std::min<std::size_t>(max_header_bytes, UINT32_MAX)));
     state_->body_limit(max_body_bytes);
 }
 
