Check the range of integers in answers of the key-value store

1e300 became an integer out of range, which is undefined; 2^64 - 1 became -1 and 1.5 became 1. They are malformed now.

Before: 3 checks of the test fail.

--- a/src/store/kv_json.cpp
+++ b/src/store/kv_json.cpp
@@ -1,6 +1,7 @@
 #include <ospreystage/impl/kv_json.hpp>
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 
 #include <stdexcept>
 
@@ -21,9 +22,16 @@
     const auto found = object.find(name);
     if (found == object.end())
         return 0;
-    if (found->is_string())
-        return std::stoll(found->get<std::string>());
-    return found->get<std::int64_t>();
+    std::int64_t value = 0;
+    const bool is_valid =
+        found->is_string()
+            ? absl::SimpleAtoi(found->get_ref<const std::string&>(), &value)
+            : found->is_number_integer() &&
+                  absl::SimpleAtoi(found->dump(), &value);
+    if (!is_valid)
+        throw std::runtime_error(std::string(name) +
+                                 " is not an integer of 64 bits");
+    return value;
 }
 
 kv_entry parse_kv_entry(const nlohmann::json& kv) {
