Refuse a VM list that is no list

null and {} were read as an empty list, that is as one from which all VMs have gone. A single odd item still makes the whole list malformed: the test "vm_list - a damaged list is refused with its source" asks for that.

--- a/src/fleet/vm_list.cpp
+++ b/src/fleet/vm_list.cpp
@@ -1,5 +1,6 @@
 #include <ospreystage/fleet/vm_list.hpp>
 #include <ospreystage/http/blocking_client.hpp>
+#include <ospreystage/impl/bounded_json.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -17,9 +18,13 @@
 
 leaf::result<std::vector<listed_vm>> parse_vm_list(const std::string& json,
                                                    const std::string& url) {
+    const nlohmann::json parsed = impl::parse_json(json);
+    if (!parsed.is_array())
+        return fail(error_code::malformed, "vm_list.parse", url,
+                    "not a JSON list");
     try {
         std::vector<listed_vm> list;
-        for (const auto& item : nlohmann::json::parse(json)) {
+        for (const auto& item : parsed) {
             const auto state = item.at("state").get<std::string>();
             list.push_back(
                 {item.at("vm").get<std::string>(), state == "leaving"});
