--- a/tests/backend_load.cpp
+++ b/tests/backend_load.cpp
@@ -7,6 +7,7 @@
 #include <numeric>
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace ospreystage;
@@ -297,3 +298,31 @@
     CHECK(std::get<placement>(load.place(request, pointers(servers), 1, start))
               .server == "i-1");
 }
+
+TEST_CASE("backend load - a stated prompt size that no engine can hold does "
+          "not close the engine to other requests") {
+    service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(1);
+    for (const double pairs : {1.18, 1e12}) {
+        service.engine->prefill_ms_per_m_pairs = pairs;
+        backend_load load(backend_load::options{}, 3);
+        placement_request odd = make_request(service);
+        odd.prompt_tokens = UINT32_MAX;
+        odd.is_late = true;
+        const auto decision = load.place(odd, pointers(servers), 1, start);
+        const auto* placed = std::get_if<placement>(&decision);
+        REQUIRE(placed != nullptr);
+        CHECK(placed->prefill_time > microseconds(0));
+        CHECK(placed->expected_wait > odd.target_latency);
+        // It travels to other entries as microseconds of 32 bits.
+        CHECK(placed->prefill_time / microseconds(1) <= UINT32_MAX);
+        load.on_sent("i-0", placed->prefill_time, start);
+        load.on_sent_by_peer("i-0", microseconds(UINT32_MAX), start);
+        load.on_ended("i-0", attempt_result::cancelled, start);
+        const instant later = start + seconds(30);
+        CHECK(load.backlog("i-0", later) == milliseconds(0));
+        service.engine->prefill_ms_per_m_pairs = 1.18;
+        CHECK(std::holds_alternative<placement>(
+            load.place(make_request(service), pointers(servers), 1, later)));
+    }
+}
