--- a/tests/odd_values.cpp
+++ b/tests/odd_values.cpp
@@ -9,6 +9,7 @@
 #include <ospreystage/http/message_parser.hpp>
 #include <ospreystage/http/web_client.hpp>
 #include <ospreystage/impl/kv_json.hpp>
+#include <ospreystage/network/codec.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -448,6 +449,19 @@
         decoded([&] { return decode_site_changes(encode(changes), "edge"); }));
 }
 
+TEST_CASE("odd values - a flag of a message is true or false whatever its byte "
+          "is") {
+    std::string payload = encode_payload(attempt_notice{1, 2, 3, true});
+    REQUIRE(payload.back() == 1);
+    for (const char odd : {'\x02', '\x80', '\xff'}) {
+        payload.back() = odd;
+        const auto read =
+            decoded([&] { return decode_payload(payload, "peer"); });
+        REQUIRE(read);
+        CHECK(encode_payload(*read).back() == 1);
+    }
+}
+
 // ---- Directory -------------------------------------------------------------
 
 TEST_CASE("odd values - a directory answer can be written whatever its "
