Read flags of messages as false or true

A bool was copied byte by byte, so that a message could leave 2 in it, which is undefined to read. Found by reading; nothing was seen of it outside of the test.

Before: 3 checks of the test fail. After: it passes, with "odd values*" (21), "codec*" (5), "links*" (9), "site copy*" (8) and "malformed*" (4).

--- a/include/ospreystage/impl/bounded_archive.hpp
+++ b/include/ospreystage/impl/bounded_archive.hpp
@@ -72,7 +72,14 @@
 template <typename T>
 requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive& archive, T& value) {
-    archive.read(&value, sizeof(value));
+    if constexpr (std::is_same_v<T, bool>) {
+        // Only 0 and 1 are values of a bool.
+        unsigned char byte = 0;
+        archive.read(&byte, sizeof(byte));
+        value = byte != 0;
+    } else {
+        archive.read(&value, sizeof(value));
+    }
 }
 
 template <typename T>
