--- a/tests/odd_values.cpp
+++ b/tests/odd_values.cpp
@@ -3,6 +3,7 @@
 #include "platform/wire.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/scripted_server.hpp"
+#include "tests/support/text_file.hpp"
 
 #include <ospreystage/fleet/site_copy.hpp>
 #include <ospreystage/fleet/vm_list.hpp>
@@ -14,6 +15,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <fstream>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,6 +96,16 @@
     return read;
 }
 
+/// Returns the highest resident size of this process, in KiB.
+long peak_memory_kib() {
+    std::ifstream status("/proc/self/status");
+    const std::string field = "VmHWM:";
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(field))
+            return std::stol(line.substr(field.size()));
+    return 0;
+}
+
 } // namespace
 
 // ---- Registrations ---------------------------------------------------------
@@ -462,6 +474,25 @@
     }
 }
 
+TEST_CASE("odd values - a count of elements allocates no memory before the "
+          "elements are read") {
+    // The list of servers comes last; its count is followed by the first one.
+    std::string state = encode(site_changes{});
+    constexpr std::size_t count = 1'000'000;
+    constexpr std::size_t count_bytes = 4;
+    state.resize(state.size() - count_bytes);
+    for (const unsigned shift : {0U, 8U, 16U, 24U})
+        state.push_back(static_cast<char>((count >> shift) & 0xFFU));
+    state.append(count, '\xff');
+    // Resets the highest resident size.
+    REQUIRE(support::write_text_file("/proc/self/clear_refs", "5"));
+    const long before_kib = peak_memory_kib();
+    CHECK_FALSE(decoded([&] { return decode_site_changes(state, "edge"); }));
+    const long used_kib = peak_memory_kib() - before_kib;
+    INFO("memory: " << used_kib << " KiB");
+    CHECK(used_kib < 16 * 1024);
+}
+
 // ---- Directory -------------------------------------------------------------
 
 TEST_CASE("odd values - a directory answer can be written whatever its "
