Take an answer without an id on a kept connection for another request's

What callers saw: 503, 'not run', for requests that a server ran, or a request that must not run twice ran at a second server.

Cause: a response without the echoed field passed for the answer to the call, whatever the connection had carried before. A refusal that a server wrote once more without its id was then believed.

Ruled out: a refusal with the id of another request, or within the body of the answer; both were told apart before (tests pass without the change).

Change: a response without the field belongs to the call only if it is the first on its connection. Others are discarded, and the call waits for its own answer; if the connection ends first, the request may have run (502). A connection is kept only if each response on it named its request, so a server that names none gets a connection for each request, as does a request without an id.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -48,9 +48,11 @@
     /// Longest time without received bytes once the request was sent; the call
     /// ends with `timeout` after it. Absent: not limited.
     std::optional<milliseconds> idle_timeout;
-    /// Header field that responses echo from their request; a response with
-    /// another value belongs to an earlier request and is discarded. Empty: no
-    /// check.
+    /// Header field that responses echo from their request. A response with
+    /// another value belongs to another request and is discarded, and so is one
+    /// without the field, unless it is the first on its connection. Only a
+    /// connection whose responses all have the values of their requests is used
+    /// again. Empty: no check.
     std::string echoed_field;
     bool reuse = true; ///< May use an idle connection.
     /// Asked once a new connection is open; if it returns false, the request is
@@ -124,7 +126,10 @@
         std::optional<call_id> call;
         std::unique_ptr<response_parser> parser;
         bool is_discarding = false; ///< The response is to another request.
-        milliseconds max_idle{};    ///< Longest idle time before reuse.
+        bool is_reused = false;     ///< Has carried another request before.
+        /// Each response so far names its request, if requests are named.
+        bool is_synchronized = true;
+        milliseconds max_idle{}; ///< Longest idle time before reuse.
         instant idle_until{};
     };
     struct call_record {
@@ -160,6 +165,9 @@
     void start_parser(std::uint64_t id);
     void on_body(std::uint64_t id, std::string_view data);
     void end_at_bound(std::uint64_t id, const char* bound, std::size_t value);
+    [[nodiscard]] static bool belongs_to(const connection_record& connection,
+                                         const call_record& call,
+                                         const std::string* echoed);
     void deliver_head(std::uint64_t id);
     void finish(std::uint64_t id, call_end end);
     void release(std::uint64_t id);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -96,7 +96,11 @@
     record->may_send = options.may_send;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
-    const std::uint64_t connection = acquire(server, options.reuse);
+    // Without a value to echo, only the first response on a connection is known
+    // to be to this request.
+    const bool is_named =
+        options.echoed_field.empty() || !record->echoed_value.empty();
+    const std::uint64_t connection = acquire(server, options.reuse && is_named);
     record->connection = connection;
     record->timer = core_.after(service_name, options.timeout, [this, call] {
         const auto found = calls_.find(static_cast<std::uint64_t>(call));
@@ -306,8 +310,22 @@
     finish(id, call_end::too_large);
 }
 
-/// Passes the head to its handler, once. Marks a response whose echoed field
-/// does not match the request to be discarded.
+/// Returns true if the response with this echoed field is to the call's own
+/// request.
+bool web_client::belongs_to(const connection_record& connection,
+                            const call_record& call,
+                            const std::string* echoed) {
+    if (call.echoed_field.empty())
+        return true;
+    if (echoed == nullptr)
+        // All earlier responses on a connection that is used again had the
+        // field: this one is an extra response to one of their requests.
+        return !connection.is_reused && connection.is_synchronized;
+    return *echoed == call.echoed_value;
+}
+
+/// Passes the head to its handler, once. Marks a response to another request to
+/// be discarded.
 void web_client::deliver_head(std::uint64_t id) {
     connection_record& record = *connections_.at(id);
     if (!record.call || record.is_discarding ||
@@ -319,12 +337,13 @@
         call.echoed_field.empty()
             ? nullptr
             : find_field(response.fields, call.echoed_field);
-    if (echoed != nullptr && *echoed != call.echoed_value) {
+    if (!belongs_to(record, call, echoed)) {
         record.is_discarding = true;
+        record.is_synchronized = false;
         log_event(log_level::warn, "response_of_another_request",
                   {{"server", to_string(record.server)},
                    {"expected", call.echoed_value},
-                   {"got", *echoed}});
+                   {"got", echoed == nullptr ? "" : *echoed}});
         return;
     }
     if (call.handlers.head) {
@@ -432,11 +451,15 @@
     if (ended->idle_timer)
         core_.cancel(*ended->idle_timer);
     record.call.reset();
+    const bool is_named = end == call_end::complete &&
+                          (ended->echoed_field.empty() ||
+                           find_field(record.parser->response().fields,
+                                      ended->echoed_field) != nullptr);
     // Pending output means that the server responded before it had read the
     // request; unread input after the response belongs to no request.
     const bool is_reusable =
-        end == call_end::complete && record.socket.is_open() &&
-        record.socket.input.empty() && record.socket.pending_bytes() == 0 &&
+        is_named && record.socket.is_open() && record.socket.input.empty() &&
+        record.socket.pending_bytes() == 0 && record.is_synchronized &&
         record.parser->response().keep_alive;
     if (is_reusable) {
         record.max_idle = keep_alive_timeout(record.parser->response());
@@ -456,6 +479,7 @@
         drop(id);
         return;
     }
+    record.is_reused = true;
     record.idle_until = steady::now() + record.max_idle;
     record.socket.set_reading(true);
     idle_[to_string(record.server)].push_back(id);
