Wait for the answer after another one that announces a close

What callers saw: 502 although the server answered: an earlier response came once more, with Connection: close, before the answer to the call.

Cause: the client ended the call as unanswered at the end of a discarded response that does not keep the connection. The field belongs to that response; a server that closes shows it by closing.

Change: the call ends when the connection does. A discarded response without a length still ends with its connection, and the call with it.

Before: no_answer and 502.

--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -396,10 +396,6 @@
             finish(id, call_end::complete);
             return;
         }
-        if (!record.parser->response().keep_alive) {
-            finish(id, call_end::no_answer);
-            return;
-        }
         call_record& call =
             *calls_.at(static_cast<std::uint64_t>(*record.call));
         if (++call.skipped_responses > max_skipped_responses) {
