Take an answer that names several requests for none of theirs

What callers saw: a request that must not run twice ran at a second server, after a refusal whose head named it and another request.

Cause: only the first value of the echoed field was compared.

Change: each value must be one of the request's own.

Before: 2 runs if the request's own id came first (1 of 5 forms).

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -138,7 +138,8 @@
         std::function<bool()> may_send;
         bool is_head_request = false;
         std::string echoed_field;
-        std::string echoed_value;
+        /// Values of the request's field, usually one.
+        std::vector<std::string> echoed_values;
         call_handlers handlers;
         bool is_sent = false;
         bool is_cancelled = false;
@@ -165,9 +166,9 @@
     void start_parser(std::uint64_t id);
     void on_body(std::uint64_t id, std::string_view data);
     void end_at_bound(std::uint64_t id, const char* bound, std::size_t value);
-    [[nodiscard]] static bool belongs_to(const connection_record& connection,
-                                         const call_record& call,
-                                         const std::string* echoed);
+    [[nodiscard]] static bool
+    belongs_to(const connection_record& connection, const call_record& call,
+               const std::vector<std::string>& echoed);
     void deliver_head(std::uint64_t id);
     void finish(std::uint64_t id, call_end end);
     void release(std::uint64_t id);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -2,6 +2,7 @@
 #include <ospreystage/http/web_client.hpp>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -44,6 +45,15 @@
                                                     usable_idle_fraction);
 }
 
+std::vector<std::string> field_values(const http_fields& fields,
+                                      std::string_view name) {
+    std::vector<std::string> values;
+    for (const http_field& field : fields)
+        if (is_same_field(field.name, name))
+            values.push_back(field.value);
+    return values;
+}
+
 } // namespace
 
 const char* to_string(call_end end) noexcept {
@@ -88,9 +98,7 @@
     auto record = std::make_unique<call_record>();
     record->is_head_request = request.method == "HEAD";
     record->echoed_field = options.echoed_field;
-    if (const std::string* value =
-            find_field(request.fields, options.echoed_field))
-        record->echoed_value = *value;
+    record->echoed_values = field_values(request.fields, options.echoed_field);
     record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
     record->may_send = options.may_send;
@@ -98,8 +106,8 @@
     record->max_body_bytes = max_body_bytes;
     // Without a value to echo, only the first response on a connection is known
     // to be to this request.
-    const bool is_named =
-        options.echoed_field.empty() || !record->echoed_value.empty();
+    const bool is_named = options.echoed_field.empty() ||
+                          !absl::StrJoin(record->echoed_values, "").empty();
     const std::uint64_t connection = acquire(server, options.reuse && is_named);
     record->connection = connection;
     record->timer = core_.after(service_name, options.timeout, [this, call] {
@@ -314,14 +322,17 @@
 /// request.
 bool web_client::belongs_to(const connection_record& connection,
                             const call_record& call,
-                            const std::string* echoed) {
+                            const std::vector<std::string>& echoed) {
     if (call.echoed_field.empty())
         return true;
-    if (echoed == nullptr)
+    if (echoed.empty())
         // All earlier responses on a connection that is used again had the
         // field: this one is an extra response to one of their requests.
         return !connection.is_reused && connection.is_synchronized;
-    return *echoed == call.echoed_value;
+    return std::ranges::all_of(echoed, [&](const std::string& value) {
+        return std::ranges::find(call.echoed_values, value) !=
+               call.echoed_values.end();
+    });
 }
 
 /// Passes the head to its handler, once. Marks a response to another request to
@@ -333,17 +344,15 @@
         return;
     call_record& call = *calls_.at(static_cast<std::uint64_t>(*record.call));
     const http_response& response = record.parser->response();
-    const std::string* echoed =
-        call.echoed_field.empty()
-            ? nullptr
-            : find_field(response.fields, call.echoed_field);
+    const std::vector<std::string> echoed =
+        field_values(response.fields, call.echoed_field);
     if (!belongs_to(record, call, echoed)) {
         record.is_discarding = true;
         record.is_synchronized = false;
         log_event(log_level::warn, "response_of_another_request",
                   {{"server", to_string(record.server)},
-                   {"expected", call.echoed_value},
-                   {"got", echoed == nullptr ? "" : *echoed}});
+                   {"expected", absl::StrJoin(call.echoed_values, ", ")},
+                   {"got", absl::StrJoin(echoed, ", ")}});
         return;
     }
     if (call.handlers.head) {
