Send no request again on a connection that has carried its id

What callers saw: nothing yet; found by reading. A request goes to another server id after a refusal, but two ids may share an address while a server starts anew (421, then the new id), and a caller may use an id again. A second copy of the first refusal then has the right id and passes for the answer to the second try.

Change: a connection remembers hashes of the last 64 values that its responses are to echo and is passed over for a call with one of them.

Before: the same connection was used again.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -129,6 +129,8 @@
         bool is_reused = false;     ///< Has carried another request before.
         /// Each response so far names its request, if requests are named.
         bool is_synchronized = true;
+        /// Hashes of the last values that responses are to echo.
+        std::vector<std::uint64_t> carried_values;
         milliseconds max_idle{}; ///< Longest idle time before reuse.
         instant idle_until{};
     };
@@ -157,7 +159,8 @@
     call_id start(const address& server, const http_request& request,
                   const call_options& options, call_handlers handlers,
                   std::optional<std::size_t> max_body_bytes);
-    [[nodiscard]] std::uint64_t acquire(const address& server, bool reuse);
+    [[nodiscard]] std::uint64_t acquire(const address& server, bool reuse,
+                                        const call_record& call);
     void begin(std::uint64_t connection, call_id call);
     void on_connected(std::uint64_t id);
     void on_readable(std::uint64_t id);
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -1,10 +1,12 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/http/web_client.hpp>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ospreystage {
@@ -24,6 +26,10 @@
 /// Informational responses and responses to other requests that may come before
 /// the response to a call.
 constexpr int max_skipped_responses = 32;
+/// Requests whose values a connection remembers, so that it does not carry one
+/// of them again: an extra response to the first try would pass for the answer
+/// to the second one.
+constexpr std::size_t max_carried_values = 64;
 /// Total size of the bodies of responses to other requests during a call.
 constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 
@@ -45,6 +51,16 @@
                                                     usable_idle_fraction);
 }
 
+/// Returns the hash of the values that the response to a call is to echo, if
+/// there are any.
+std::optional<std::uint64_t>
+echoed_hash(const std::vector<std::string>& values) {
+    const std::string joined = absl::StrJoin(values, ",");
+    if (joined.empty())
+        return std::nullopt;
+    return stable_hash(joined);
+}
+
 std::vector<std::string> field_values(const http_fields& fields,
                                       std::string_view name) {
     std::vector<std::string> values;
@@ -104,11 +120,7 @@
     record->may_send = options.may_send;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
-    // Without a value to echo, only the first response on a connection is known
-    // to be to this request.
-    const bool is_named = options.echoed_field.empty() ||
-                          !absl::StrJoin(record->echoed_values, "").empty();
-    const std::uint64_t connection = acquire(server, options.reuse && is_named);
+    const std::uint64_t connection = acquire(server, options.reuse, *record);
     record->connection = connection;
     record->timer = core_.after(service_name, options.timeout, [this, call] {
         const auto found = calls_.find(static_cast<std::uint64_t>(call));
@@ -200,17 +212,35 @@
 
 // ---- Connections -----------------------------------------------------------
 
-std::uint64_t web_client::acquire(const address& server, bool reuse) {
+/// Returns an idle connection to the server if there is one on which no
+/// response to another request can be taken for this call's, or else a new
+/// connection.
+std::uint64_t web_client::acquire(const address& server, bool reuse,
+                                  const call_record& call) {
     const std::string key = to_string(server);
-    if (reuse) {
+    const std::optional<std::uint64_t> value = echoed_hash(call.echoed_values);
+    // Without a value to echo, only the first response on a connection is known
+    // to be to this request.
+    const bool is_named = call.echoed_field.empty() || value;
+    if (reuse && is_named) {
         std::vector<std::uint64_t>& idle = idle_[key];
         const instant now = steady::now();
-        while (!idle.empty()) {
-            const std::uint64_t id = idle.back();
-            idle.pop_back();
-            if (connections_.at(id)->idle_until > now)
-                return id;
-            drop(id);
+        std::erase_if(idle, [&](std::uint64_t id) {
+            const bool is_expired = connections_.at(id)->idle_until <= now;
+            if (is_expired)
+                drop(id);
+            return is_expired;
+        });
+        const auto usable =
+            std::find_if(idle.rbegin(), idle.rend(), [&](std::uint64_t id) {
+                const auto& carried = connections_.at(id)->carried_values;
+                return !value ||
+                       std::ranges::find(carried, *value) == carried.end();
+            });
+        if (usable != idle.rend()) {
+            const std::uint64_t id = *usable;
+            idle.erase(std::next(usable).base());
+            return id;
         }
     }
     const std::uint64_t id = next_connection_++;
@@ -249,6 +279,11 @@
     start_parser(connection);
     record.is_sent = true;
     record.last_received = steady::now();
+    if (const auto value = echoed_hash(record.echoed_values)) {
+        target.carried_values.push_back(*value);
+        if (target.carried_values.size() > max_carried_values)
+            target.carried_values.erase(target.carried_values.begin());
+    }
     target.socket.write(record.output);
     if (record.idle_timeout)
         check_idle(call);
