Join a resumed run to a stream only where it goes on

What callers saw: a stream that ended as if it were complete although events were missing (ORDER), or with events of another run in it.

Cause: of a resumed run only events with a lower id were left out. A run that went on at a later event, had no readable ids, or ended at once was joined to the events before it.

Ruled out: an answer that is no event stream.

Change: until a resumed run has reached the event after the caller's last one, nothing of it is passed on, an event without an id or past a gap fails the attempt, and so does its end before the caller's last event. Ids that leave out numbers are accepted if those of the run before did, since an event may hold several tokens; one event alone shows neither.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -131,6 +131,14 @@
         std::optional<std::uint64_t> last_event_id;
         /// The caller has received an event without an id.
         bool has_unnumbered_event = false;
+        /// Numbered events that the caller has received, and whether each id
+        /// was one higher than the one before.
+        std::uint32_t numbered_events = 0;
+        bool has_consecutive_ids = true;
+        /// Last event of the caller when the current attempt was sent.
+        std::optional<std::uint64_t> resumed_after;
+        /// Last numbered event of the current attempt.
+        std::optional<std::uint64_t> attempt_event_id;
     };
 
     [[nodiscard]] request_record* find(exchange_id exchange);
@@ -160,7 +168,9 @@
     void on_plain_body(exchange_id exchange, std::string_view data);
     void begin_response(exchange_id exchange);
     void write(exchange_id exchange, std::string_view data);
-    void on_answer_too_large(exchange_id exchange, const char* reason);
+    void abandon_answer(exchange_id exchange, call_end end, const char* reason);
+    [[nodiscard]] static const char* event_defect(const request_record& record,
+                                                  const stream_event& event);
     void on_call_ended(exchange_id exchange, call_end end);
     void log_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -433,6 +433,8 @@
     record.events_received = 0;
     record.is_reported_answered = false;
     record.is_paused = false;
+    record.resumed_after = record.last_event_id;
+    record.attempt_event_id.reset();
     record.version = chosen.version;
     record.sent_at = now;
     ++record.sent_attempts;
@@ -519,6 +521,15 @@
         return;
     }
     for (const stream_event& event : record->events.feed(data)) {
+        if (const char* defect = event_defect(*record, event)) {
+            abandon_answer(exchange, call_end::malformed, defect);
+            return;
+        }
+        if (event.id)
+            record->attempt_event_id = event.id;
+        // Nothing of a resumed run is passed on before it has gone on.
+        if (record->resumed_after && !record->attempt_event_id)
+            continue;
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
@@ -531,7 +542,30 @@
             return;
     }
     if (record->events.is_too_large())
-        on_answer_too_large(exchange, "event too large");
+        abandon_answer(exchange, call_end::too_large, "event too large");
+}
+
+/// Returns why an event may not follow those that the caller has, or null if it
+/// may. A resumed run must show that it goes on where the run before ended.
+const char* gateway::event_defect(const request_record& record,
+                                  const stream_event& event) {
+    if (is_comment(event))
+        return nullptr;
+    const bool has_gone_on = !record.resumed_after ||
+                             (record.attempt_event_id &&
+                              *record.attempt_event_id > *record.resumed_after);
+    if (has_gone_on)
+        return nullptr;
+    if (!event.id)
+        return "resumed stream has events without ids";
+    // An event may stand for several ids, which then leave out numbers.
+    const bool are_ids_consecutive =
+        record.has_consecutive_ids && record.numbered_events > 1;
+    const bool is_later = *event.id > *record.resumed_after;
+    if (are_ids_consecutive && is_later &&
+        *event.id - *record.resumed_after > 1)
+        return "resumed stream leaves out events";
+    return nullptr;
 }
 
 void gateway::on_plain_body(exchange_id exchange, std::string_view data) {
@@ -550,7 +584,7 @@
         client_.cancel(*record.call);
         on_call_ended(exchange, call_end::too_large);
     } else if (record.has_response_begun) {
-        on_answer_too_large(exchange, "stream not resumed");
+        abandon_answer(exchange, call_end::too_large, "stream not resumed");
     } else {
         record.is_body_forwarded = true;
         const std::string first = std::exchange(body, "");
@@ -580,11 +614,13 @@
     }
 }
 
-/// Closes the connection of an answer that exceeds a bound.
-void gateway::on_answer_too_large(exchange_id exchange, const char* reason) {
+/// Closes the connection of an answer that is not passed on any further.
+void gateway::abandon_answer(exchange_id exchange, call_end end,
+                             const char* reason) {
     request_record& record = *find(exchange);
     client_.cancel(*record.call);
-    log_answer_end(record, call_end::too_large);
+    log_answer_end(record, end);
+    record.is_probe = false;
     end_call(record, attempt_result::failed);
     record.head.body.clear();
     on_attempt_failed(exchange, reason, true);
@@ -608,10 +644,14 @@
                    {"since_sent_ms", since_sent / milliseconds(1)}});
         begin_response(exchange);
     }
-    if (event.id)
+    if (event.id) {
+        if (record.last_event_id && *event.id - *record.last_event_id != 1)
+            record.has_consecutive_ids = false;
+        ++record.numbered_events;
         record.last_event_id = event.id;
-    else if (!is_comment(event))
+    } else if (!is_comment(event)) {
         record.has_unnumbered_event = true;
+    }
     write(exchange, event.text);
 }
 
@@ -746,6 +786,12 @@
     request_record& record = *find(exchange);
     const char* defect =
         end == call_end::complete ? stream_defect(record) : to_string(end);
+    const bool has_reached_caller =
+        !record.resumed_after ||
+        (record.attempt_event_id &&
+         *record.attempt_event_id >= *record.resumed_after);
+    if (defect == nullptr && !has_reached_caller)
+        defect = "resumed stream ended before it went on";
     if (defect == nullptr) {
         // An answer that ends with its connection may have been broken off.
         if (record.head.framing != http_framing::connection ||
