Fail a stream that contains text which is no event

What callers saw: the text of an error, at times its whole head, in the middle of their stream.

Cause: whatever stood between two blank lines was passed on as an event. A server that writes a response within a stream without chunks, or within its chunks, ends its head with a blank line, as an event ends.

Change: text with none of an event's fields, a status line, or header fields after a line that holds one fail the attempt; the stream goes on at another server or is cut. Events that quote a status line in their data are passed on, and so are fields that the format does not define.

Error text that has the form of an event, or lies within a plain body, can't be told apart and is passed on.

--- a/include/ospreystage/serving/event_splitter.hpp
+++ b/include/ospreystage/serving/event_splitter.hpp
@@ -24,6 +24,11 @@
 /// keep a connection open.
 [[nodiscard]] bool is_comment(const stream_event& event);
 
+/// Returns true if the text between two blank lines is not an event of its
+/// stream: it has none of an event's fields, as an error's text has none, or it
+/// contains the head of an HTTP response.
+[[nodiscard]] bool is_foreign(const stream_event& event);
+
 /// Splits a byte stream into complete events.
 class event_splitter {
   public:
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/string_view.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace ospreystage {
@@ -27,8 +28,42 @@
     return std::nullopt;
 }
 
+/// Returns true for a line `name` or `name: value` with the name of a field
+/// that the format of event streams defines.
+bool is_event_field(std::string_view line) {
+    constexpr std::array<std::string_view, 4> names{"data", "event", "id",
+                                                    "retry"};
+    const std::string_view name = line.substr(0, line.find(':'));
+    return std::ranges::find(names, name) != names.end();
+}
+
 } // namespace
 
+bool is_foreign(const stream_event& event) {
+    constexpr std::string_view status_line = "HTTP/1.";
+    bool has_field = false;
+    bool has_status_line = false;
+    std::string_view rest = event.text;
+    while (!rest.empty()) {
+        const std::size_t newline = std::min(rest.find('\n'), rest.size() - 1);
+        std::string_view line = rest.substr(0, newline);
+        rest.remove_prefix(newline + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.empty() || line.front() == ':')
+            continue;
+        const bool is_field = is_event_field(line);
+        // A head may begin within the last line of an unfinished event. An
+        // event may also quote one, but no header fields follow then.
+        if (line.starts_with(status_line) || (has_status_line && !is_field))
+            return true;
+        has_field = has_field || is_field;
+        has_status_line =
+            has_status_line || line.find(status_line) != std::string_view::npos;
+    }
+    return !has_field && !is_comment(event);
+}
+
 bool is_comment(const stream_event& event) {
     std::size_t line = 0;
     while (line < event.text.size()) {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -551,6 +551,8 @@
                                   const stream_event& event) {
     if (is_comment(event))
         return nullptr;
+    if (is_foreign(event))
+        return "text within the stream is no event";
     const bool has_gone_on = !record.resumed_after ||
                              (record.attempt_event_id &&
                               *record.attempt_event_id > *record.resumed_after);
