--- a/tests/back_end.cpp
+++ b/tests/back_end.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -215,6 +217,48 @@
     CHECK(server.connections() == 3);
 }
 
+TEST_CASE(
+    "back end - a refusal of an earlier request on a kept connection does "
+    "not say that the next one did not run") {
+    std::atomic<int> arrivals{0};
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    const scripted_server server([&](const std::string&) {
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        if (++arrivals == 1)
+            return scripted_answer{answer};
+        // The engine runs this request.
+        return scripted_answer{refusal, false, false, answer};
+    });
+    run_order order = engine_order();
+    order.stream = false;
+    kernel core;
+    int ended = 0;
+    std::optional<back_end_failed> failure;
+    back_end calls(core, url_of(server),
+                   [&](const attempt_id&, const back_end_event& event) {
+                       if (const auto* failed =
+                               std::get_if<back_end_failed>(&event))
+                           failure = *failed;
+                       else if (!std::holds_alternative<back_end_end>(event))
+                           return;
+                       if (++ended == 2)
+                           core.stop();
+                       else
+                           core.post("test", [&] {
+                               order.attempt.sequence = 8;
+                               calls.start(order, seconds(2));
+                           });
+                   });
+    core.after("test", std::chrono::nanoseconds(0),
+               [&] { calls.start(order, seconds(2)); });
+    core.after("test", test_timeout, [&core] { core.stop(); });
+    core.run();
+    CHECK(ended == 2);
+    CHECK_FALSE((failure && !failure->reached));
+}
+
 TEST_CASE("back end - a host name is resolved") {
     const scripted_server server([](const std::string&) {
         return scripted_answer{
--- a/tests/engine_client.cpp
+++ b/tests/engine_client.cpp
@@ -5,8 +5,12 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace ospreystage;
 using platform::engine_client;
@@ -59,6 +63,46 @@
     CHECK_FALSE(*is_accepted);
 }
 
+TEST_CASE("engine client - an earlier answer without its id is not taken for a "
+          "report or the answer to an order") {
+    const std::string earlier =
+        answer_to("", 200, R"({"busy":false,"sequence":0})");
+    std::atomic<int> arrivals{0};
+    const scripted_server engine([&](const std::string& request) {
+        const bool is_report = request.find("/v1/report") != std::string::npos;
+        const std::string own = answer_to(request, is_report ? 200 : 409,
+                                          R"({"busy":true,"sequence":3})");
+        // After an answer of another request, a connection is not kept.
+        if (++arrivals % 2 == 1)
+            return scripted_answer{own};
+        return scripted_answer{earlier, false, false, own};
+    });
+    kernel core;
+    web_client client(core);
+    engine_client tested(client, engine.endpoint());
+    std::vector<std::uint64_t> orders;
+    std::optional<bool> is_accepted;
+    const auto read_report = [&](const std::function<void()>& next) {
+        tested.read_report(1, [&orders, next](const auto& report) {
+            if (report)
+                orders.push_back(report->state.orders);
+            next();
+        });
+    };
+    const auto order = [&] {
+        tested.order("m", {2, 1}, [&](bool accepted) {
+            is_accepted = accepted;
+            core.stop();
+        });
+    };
+    read_report([&] { read_report([&] { read_report(order); }); });
+    core.after("test", seconds(3), [&] { core.stop(); });
+    core.run();
+    CHECK(arrivals == 4);
+    CHECK(orders == std::vector<std::uint64_t>{3, 3, 3});
+    CHECK(is_accepted == false);
+}
+
 TEST_CASE("engine client - whatever an engine answers says that it is leaving "
           "or wants a pause") {
     const int status = GENERATE(202, 409, 503);
--- a/tests/web_client.cpp
+++ b/tests/web_client.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -206,6 +207,36 @@
     CHECK(server.connections() == 2);
 }
 
+TEST_CASE("web client - bytes that arrived before a request was sent are not "
+          "its response") {
+    std::atomic<int> served{0};
+    const scripted_server server([&](const std::string&) {
+        scripted_answer answer{answer_of("", ++served == 1 ? "one" : "two")};
+        if (served == 1)
+            answer.delayed_bytes = answer_of("", "extra");
+        return answer;
+    });
+    kernel core;
+    web_client client(core);
+    outcome first;
+    outcome second;
+    const call_options unnamed;
+    fetch(client, server.endpoint(), "one", unnamed, first);
+    bool has_sent_second = false;
+    run_until(core, [&] {
+        if (first.has_ended && !has_sent_second) {
+            has_sent_second = true;
+            // The bytes arrive meanwhile and are not read.
+            std::this_thread::sleep_for(milliseconds(150));
+            fetch(client, server.endpoint(), "two", unnamed, second);
+        }
+        return second.has_ended;
+    });
+    CHECK(second.end == call_end::complete);
+    CHECK(second.response.body == "two");
+    CHECK(server.connections() == 2);
+}
+
 TEST_CASE("web client - reuses a connection after a complete response") {
     scripted_server server([&](const std::string& request) {
         const bool is_first = request.find("one") != std::string::npos;
