Read an idle connection before it is used again

Calls that name no requests (to the store, to other entries, to the product's engines) could get bytes that had arrived on the idle connection before their request was sent.

Cause: the bytes of an idle connection drop it only once the kernel's loop reads them. A request that starts first, after a slow turn or at the end of the answer before, was sent on it.

Change: what has arrived is read before a connection is used again. Bytes, or the peer's close, drop it, and another one is taken. It costs one read a request.

Ruled out: that it helps if the bytes arrive after the request was sent; then only the echoed id tells, which these calls do not have (listed for the product's path).

Before: the request got the extra bytes as its answer.

--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace ospreystage {
@@ -231,15 +230,23 @@
                 drop(id);
             return is_expired;
         });
-        const auto usable =
-            std::find_if(idle.rbegin(), idle.rend(), [&](std::uint64_t id) {
-                const auto& carried = connections_.at(id)->carried_values;
-                return !value ||
-                       std::ranges::find(carried, *value) == carried.end();
-            });
-        if (usable != idle.rend()) {
+        const auto is_usable = [&](std::uint64_t id) {
+            const auto& carried = connections_.at(id)->carried_values;
+            return !value ||
+                   std::ranges::find(carried, *value) == carried.end();
+        };
+        while (true) {
+            const auto usable =
+                std::find_if(idle.rbegin(), idle.rend(), is_usable);
+            if (usable == idle.rend())
+                break;
             const std::uint64_t id = *usable;
-            idle.erase(std::next(usable).base());
+            // Unread bytes, or an end, drop the connection: they are not the
+            // response to a request that is yet to be sent.
+            connections_.at(id)->socket.read_available();
+            if (!connections_.contains(id))
+                continue;
+            std::erase(idle, id);
             return id;
         }
     }
