--- a/tests/resumed_streams.cpp
+++ b/tests/resumed_streams.cpp
@@ -246,6 +246,23 @@
     }
 }
 
+TEST_CASE(
+    "resumed streams - the content type of a stream is known in each "
+    "letter case, so that a stream that breaks off is not taken for whole") {
+    for (const std::string type :
+         {"Text/Event-Stream", "TEXT/EVENT-STREAM; charset=utf-8"}) {
+        CAPTURE(type);
+        const std::string broken =
+            fmt::format("HTTP/1.1 200 OK\r\nContent-Type: {}\r\n\r\n{}id: 4\n",
+                        type, event_text(1, 3));
+        const received result =
+            read_stream({{broken, true}, {make_event_stream(4, 6, true)}});
+        CHECK(result.body == event_text(1, 6));
+        CHECK(result.looks_complete);
+        CHECK(result.runs == 2);
+    }
+}
+
 TEST_CASE(
     "resumed streams - events that quote an HTTP response are passed on") {
     const std::string events =
