--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -1,7 +1,9 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/http/web_client.hpp>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -23,6 +25,10 @@
 /// Informational responses and responses to other requests that may come before
 /// the response to a call.
 constexpr int max_skipped_responses = 32;
+/// Requests whose values a connection remembers, so that it does not carry one
+/// of them again: an extra response to the first try would pass for the answer
+/// to the second one.
+constexpr std::size_t max_carried_values = 64;
 /// Total size of the bodies of responses to other requests during a call.
 constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 
@@ -49,6 +55,25 @@
                                                     usable_idle_fraction);
 }
 
+/// Returns the hash of the values that the response to a call is to echo, if
+/// there are any.
+std::optional<std::uint64_t>
+echoed_hash(const std::vector<std::string>& values) {
+    const std::string joined = absl::StrJoin(values, ",");
+    if (joined.empty())
+        return std::nullopt;
+    return stable_hash(joined);
+}
+
+std::vector<std::string> field_values(const http_fields& fields,
+                                      std::string_view name) {
+    std::vector<std::string> values;
+    for (const http_field& field : fields)
+        if (is_same_field(field.name, name))
+            values.push_back(field.value);
+    return values;
+}
+
 } // namespace
 
 const char* to_string(call_end end) noexcept {
@@ -93,16 +118,14 @@
     auto record = std::make_unique<call_record>();
     record->is_head_request = request.method == "HEAD";
     record->echoed_field = options.echoed_field;
-    if (const std::string* value =
-            find_field(request.fields, options.echoed_field))
-        record->echoed_value = *value;
+    record->echoed_values = field_values(request.fields, options.echoed_field);
     record->output = encode_request(request, to_string(server));
     record->handlers = std::move(handlers);
     record->may_send = options.may_send;
     record->keeps_connection = options.keep;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
-    const std::uint64_t connection = acquire(server, options.reuse);
+    const std::uint64_t connection = acquire(server, options.reuse, *record);
     record->connection = connection;
     record->timer = core_.after(service_name, options.timeout, [this, call] {
         const auto found = calls_.find(static_cast<std::uint64_t>(call));
@@ -194,17 +217,43 @@
 
 // ---- Connections -----------------------------------------------------------
 
-std::uint64_t web_client::acquire(const address& server, bool reuse) {
+/// Returns an idle connection to the server if there is one on which no
+/// response to another request can be taken for this call's, or else a new
+/// connection.
+std::uint64_t web_client::acquire(const address& server, bool reuse,
+                                  const call_record& call) {
     const std::string key = to_string(server);
-    if (reuse) {
+    const std::optional<std::uint64_t> value = echoed_hash(call.echoed_values);
+    // Without a value to echo, only the first response on a connection is known
+    // to be to this request.
+    const bool is_named = call.echoed_field.empty() || value;
+    if (reuse && is_named) {
         std::vector<std::uint64_t>& idle = idle_[key];
         const instant now = steady::now();
-        while (!idle.empty()) {
-            const std::uint64_t id = idle.back();
-            idle.pop_back();
-            if (connections_.at(id)->idle_until > now)
-                return id;
-            drop(id);
+        std::erase_if(idle, [&](std::uint64_t id) {
+            const bool is_expired = connections_.at(id)->idle_until <= now;
+            if (is_expired)
+                drop(id);
+            return is_expired;
+        });
+        const auto is_usable = [&](std::uint64_t id) {
+            const auto& carried = connections_.at(id)->carried_values;
+            return !value ||
+                   std::ranges::find(carried, *value) == carried.end();
+        };
+        while (true) {
+            const auto usable =
+                std::find_if(idle.rbegin(), idle.rend(), is_usable);
+            if (usable == idle.rend())
+                break;
+            const std::uint64_t id = *usable;
+            // Unread bytes, or an end, drop the connection: they are not the
+            // response to a request that is yet to be sent.
+            connections_.at(id)->socket.read_available();
+            if (!connections_.contains(id))
+                continue;
+            std::erase(idle, id);
+            return id;
         }
     }
     const std::uint64_t id = next_connection_++;
@@ -243,6 +292,11 @@
     start_parser(connection);
     record.is_sent = true;
     record.last_received = steady::now();
+    if (const auto value = echoed_hash(record.echoed_values)) {
+        target.carried_values.push_back(*value);
+        if (target.carried_values.size() > max_carried_values)
+            target.carried_values.erase(target.carried_values.begin());
+    }
     target.socket.write(record.output);
     if (record.idle_timeout)
         check_idle(call);
@@ -312,8 +366,25 @@
     finish(id, call_end::too_large);
 }
 
-/// Passes the head to its handler, once. Marks a response whose echoed field
-/// does not match the request to be discarded.
+/// Returns true if the response with this echoed field is to the call's own
+/// request.
+bool web_client::belongs_to(const connection_record& connection,
+                            const call_record& call,
+                            const std::vector<std::string>& echoed) {
+    if (call.echoed_field.empty())
+        return true;
+    if (echoed.empty())
+        // All earlier responses on a connection that is used again had the
+        // field: this one is an extra response to one of their requests.
+        return !connection.is_reused && connection.is_synchronized;
+    return std::ranges::all_of(echoed, [&](const std::string& value) {
+        return std::ranges::find(call.echoed_values, value) !=
+               call.echoed_values.end();
+    });
+}
+
+/// Passes the head to its handler, once. Marks a response to another request to
+/// be discarded.
 void web_client::deliver_head(std::uint64_t id) {
     connection_record& record = *connections_.at(id);
     if (!record.call || record.is_discarding ||
@@ -321,16 +392,15 @@
         return;
     call_record& call = *calls_.at(static_cast<std::uint64_t>(*record.call));
     const http_response& response = record.parser->response();
-    const std::string* echoed =
-        call.echoed_field.empty()
-            ? nullptr
-            : find_field(response.fields, call.echoed_field);
-    if (echoed != nullptr && *echoed != call.echoed_value) {
+    const std::vector<std::string> echoed =
+        field_values(response.fields, call.echoed_field);
+    if (!belongs_to(record, call, echoed)) {
         record.is_discarding = true;
+        record.is_synchronized = false;
         log_event(log_level::warn, "response_of_another_request",
                   {{"server", to_string(record.server)},
-                   {"expected", call.echoed_value},
-                   {"got", *echoed}});
+                   {"expected", absl::StrJoin(call.echoed_values, ", ")},
+                   {"got", absl::StrJoin(echoed, ", ")}});
         return;
     }
     if (call.handlers.head) {
@@ -383,10 +453,6 @@
             finish(id, call_end::complete);
             return;
         }
-        if (!record.parser->response().keep_alive) {
-            finish(id, call_end::no_answer);
-            return;
-        }
         call_record& call =
             *calls_.at(static_cast<std::uint64_t>(*record.call));
         if (++call.skipped_responses > max_skipped_responses) {
@@ -438,13 +504,16 @@
     if (ended->idle_timer)
         core_.cancel(*ended->idle_timer);
     record.call.reset();
+    const bool is_named = end == call_end::complete &&
+                          (ended->echoed_field.empty() ||
+                           find_field(record.parser->response().fields,
+                                      ended->echoed_field) != nullptr);
     // Pending output means that the server responded before it had read the
     // request; unread input after the response belongs to no request.
     const bool is_reusable =
-        ended->keeps_connection && end == call_end::complete &&
-        record.socket.is_open() && record.socket.input.empty() &&
-        record.socket.pending_bytes() == 0 &&
-        record.parser->response().keep_alive;
+        is_named && ended->keeps_connection && record.socket.is_open() &&
+        record.socket.input.empty() && record.socket.pending_bytes() == 0 &&
+        record.is_synchronized && record.parser->response().keep_alive;
     if (is_reusable) {
         record.max_idle = keep_alive_timeout(record.parser->response());
         release(id);
@@ -463,6 +532,7 @@
         drop(id);
         return;
     }
+    record.is_reused = true;
     record.idle_until = steady::now() + record.max_idle;
     record.socket.set_reading(true);
     idle_[to_string(record.server)].push_back(id);
