Show that connections end with a request unread, or by limits of before

A caller reuses a connection just as its idle time ends, while this process is busy or was paused: the timer runs before the socket is read, and the connection is reset with the whole request in it. A request whose rest has arrived in the same way gets 408. Longer times of a new configuration do not reach connections that are open, while callers go by them at once.

--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -271,3 +271,90 @@
     CHECK(eventually(seconds(2), drained));
     CHECK(kept.await_end(seconds(1)));
 }
+
+namespace {
+
+/// Keeps the kernel's thread busy while `caller` sends `bytes`, so that they
+/// have arrived unread when the timers run that are due after `duration`.
+void send_while_busy(running_kernel& running, raw_connection& caller,
+                     std::string_view bytes, milliseconds duration) {
+    running.ask([&] {
+        caller.send(bytes);
+        std::this_thread::sleep_for(duration);
+        return true;
+    });
+}
+
+} // namespace
+
+TEST_CASE("web server - a request that has arrived when its connection's idle "
+          "time ends is answered and not cut off") {
+    echo_server echo({.idle_timeout = milliseconds(300)});
+    running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send(get_request);
+    REQUIRE(contains(caller.read_until("/a:"), "200 OK"));
+    send_while_busy(running, caller, get_request, milliseconds(600));
+    CHECK(contains(caller.read_until("/a:"), "200 OK"));
+    CHECK_FALSE(caller.was_reset());
+}
+
+TEST_CASE("web server - a request whose rest has arrived when its time ends is "
+          "answered and not refused") {
+    echo_server echo({.header_timeout = milliseconds(300)});
+    running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(milliseconds(50));
+    send_while_busy(running, caller, "dy", milliseconds(600));
+    CHECK(contains(caller.read_until("/b:body"), "200 OK"));
+}
+
+TEST_CASE("web server - longer idle and header times hold for connections that "
+          "are open, so that a caller who knows them is not cut off") {
+    const server_limits before{.header_timeout = milliseconds(300),
+                               .idle_timeout = milliseconds(300)};
+    echo_server echo(before);
+    running_kernel running(echo.core);
+    raw_connection idle(echo.local);
+    idle.send(get_request);
+    REQUIRE(contains(idle.read_until("/a:"), "200 OK"));
+    raw_connection sending(echo.local);
+    sending.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(milliseconds(50));
+    running.ask([&] {
+        echo.server.set_limits({.header_timeout = milliseconds(1500),
+                                .idle_timeout = milliseconds(1500)});
+        return true;
+    });
+    std::this_thread::sleep_for(milliseconds(700));
+    idle.send(get_request);
+    sending.send("dy");
+    CHECK(contains(idle.read_until("/a:"), "200 OK"));
+    CHECK(contains(sending.read_until("/b:body"), "200 OK"));
+}
+
+TEST_CASE("web server - smaller limits do not end a request that is being read "
+          "or a connection whose caller knows the longer idle time") {
+    echo_server echo({.max_body_bytes = 100,
+                      .header_timeout = milliseconds(1500),
+                      .idle_timeout = milliseconds(1500)});
+    running_kernel running(echo.core);
+    raw_connection idle(echo.local);
+    idle.send(get_request);
+    REQUIRE(contains(idle.read_until("/a:"), "200 OK"));
+    raw_connection sending(echo.local);
+    sending.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(milliseconds(50));
+    running.ask([&] {
+        echo.server.set_limits({.max_body_bytes = 1,
+                                .header_timeout = milliseconds(100),
+                                .idle_timeout = milliseconds(100)});
+        return true;
+    });
+    std::this_thread::sleep_for(milliseconds(700));
+    idle.send(get_request);
+    sending.send("dy");
+    CHECK(contains(idle.read_until("/a:"), "200 OK"));
+    CHECK(contains(sending.read_until("/b:body"), "200 OK"));
+}
