Read a connection before its idle or header time ends it

Callers saw: a connection that was reset with a whole request sent on it, or 408 for a request that had been sent in time. Cause: the timer that ends connections judged them by what had been read. It runs before the sockets are read when a turn of the kernel was long, as on a busy VM. Ruled out: draining, which reads first since it was written.

Change: a connection whose time has passed is read once more before it is closed or refused.

--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -138,6 +138,7 @@
     void drop(std::uint64_t id);
     void drain(std::uint64_t id);
     void sweep();
+    void expire(std::uint64_t id, instant now);
     [[nodiscard]] connection_record* find(exchange_id exchange);
 
     kernel& core_;
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -265,14 +265,32 @@
     for (const auto& [id, record] : connections_)
         if (!record->is_busy && record->deadline <= now)
             expired.push_back(id);
-    for (const std::uint64_t id : expired) {
-        const connection_record& record = *connections_.at(id);
-        if (record.parser)
-            refuse(id, 408, "request not received in time",
-                   record.parser->request().target);
-        else
-            drop(id);
-    }
+    for (const std::uint64_t id : expired)
+        expire(id, now);
+}
+
+/// Ends a connection whose deadline has passed, unless the request that it
+/// waits for has arrived meanwhile and lies unread in the socket.
+void web_server::expire(std::uint64_t id, instant now) {
+    const auto find_expired = [&]() -> connection_record* {
+        const auto found = connections_.find(id);
+        if (found == connections_.end() || found->second->is_busy ||
+            found->second->deadline > now)
+            return nullptr;
+        return found->second.get();
+    };
+    connection_record* record = find_expired();
+    if (record == nullptr)
+        return;
+    record->socket.read_available();
+    record = find_expired();
+    if (record == nullptr)
+        return;
+    if (record->parser)
+        refuse(id, 408, "request not received in time",
+               record->parser->request().target);
+    else
+        drop(id);
 }
 
 // ---- Responses -------------------------------------------------------------
