Apply longer idle and header times to connections that are open

Callers saw: a connection that was closed as they used it, or 408, after the idle or header time of the configuration before, while they went by the longer one of the new configuration. Cause: a connection's deadline was fixed when its wait began. Ruled out: shorter times, larger and smaller sizes; a request that is being read keeps its limits, as a test shows.

Change: a connection records since when it waits, and new limits extend its deadline. A shorter time holds from the next wait on.

--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -67,7 +67,9 @@
 
     // ---- Modifiers ---------------------------------------------------------
 
-    /// Sets the limits that apply from now on; deadlines already set stay.
+    /// Sets the limits that apply from now on. Longer times hold for open
+    /// connections at once, shorter ones from their next request on, since
+    /// callers may know either value.
     void set_limits(const server_limits& limits);
 
     /// Closes every connection after its next response; still accepts new ones.
@@ -124,10 +126,12 @@
         bool awaits_drain = false; ///< `write` returned false.
         /// Stays open for a while, so that the caller can read the refusal.
         bool is_refused = false;
+        instant waiting_since{};
         instant deadline{}; ///< For the next request, or the rest of it.
     };
 
     void accept_all();
+    static void await_input(connection_record& record, milliseconds timeout);
     void on_readable(std::uint64_t id);
     void on_ended(std::uint64_t id);
     void on_drained(std::uint64_t id);
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -69,6 +69,20 @@
 
 void web_server::set_limits(const server_limits& limits) {
     limits_ = limits;
+    for (const auto& [id, record] : connections_) {
+        if (record->is_busy || record->is_refused)
+            continue;
+        const milliseconds timeout =
+            record->parser ? limits_.header_timeout : limits_.idle_timeout;
+        record->deadline =
+            std::max(record->deadline, record->waiting_since + timeout);
+    }
+}
+
+/// Sets the time until which a connection waits for what comes next.
+void web_server::await_input(connection_record& record, milliseconds timeout) {
+    record.waiting_since = steady::now();
+    record.deadline = record.waiting_since + timeout;
 }
 
 void web_server::close_after_responses() {
@@ -132,7 +146,7 @@
         const std::uint64_t id = next_connection_++;
         auto record = std::make_unique<connection_record>(core_);
         record->accepted_at = steady::now();
-        record->deadline = record->accepted_at + limits_.idle_timeout;
+        await_input(*record, limits_.idle_timeout);
         record->socket.set_handlers(
             {nullptr, [this, id] { on_readable(id); },
              [this, id](stream_socket::end_kind) { on_ended(id); },
@@ -170,7 +184,7 @@
     if (!record.parser) {
         record.parser = std::make_unique<request_parser>(
             limits_.max_header_bytes, limits_.max_body_bytes);
-        record.deadline = steady::now() + limits_.header_timeout;
+        await_input(record, limits_.header_timeout);
     }
     const parse_progress progress = record.parser->feed(input);
     input.erase(0, progress.consumed);
@@ -222,7 +236,7 @@
     record.socket.input.clear();
     record.parser.reset();
     record.is_refused = true;
-    record.deadline = steady::now() + refusal_linger;
+    await_input(record, refusal_linger);
 }
 
 void web_server::on_ended(std::uint64_t id) {
@@ -379,7 +393,7 @@
         record.socket.close_after_output();
         return;
     }
-    record.deadline = steady::now() + limits_.idle_timeout;
+    await_input(record, limits_.idle_timeout);
     record.socket.set_reading(true);
     if (record.socket.input.empty())
         return;
