Show that a server's silence ends requests that it would have answered

A server that is silent for 1.5 s and goes on loses its requests after 0.7 to 1.2 s: they are cancelled there, and what then keeps a second attempt from succeeding ends them.

The scripted server takes the delay of delayed bytes as a parameter.

--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -33,6 +33,21 @@
     fields.push_back(field);
 }
 
+http_request make_request(const std::string& method,
+                          const http_fields& more_fields) {
+    http_request request;
+    request.method = method;
+    request.target = "/x/1";
+    request.fields = {{"Host", "a.example"},
+                      {"X-Request-Id", "r1"},
+                      {"X-Request-Deadline", "3000"},
+                      {"Api-Key", "secret"},
+                      {"X-Tenant", "forged"}};
+    for (const http_field& field : more_fields)
+        replace_field(request.fields, field);
+    return request;
+}
+
 } // namespace
 
 gateway_fixture::gateway_fixture()
@@ -122,6 +137,13 @@
     REQUIRE(is_applied);
 }
 
+void gateway_fixture::drop_configuration() {
+    routing_configuration empty;
+    empty.version = routes.current().version + 1;
+    const bool is_applied = routes.apply(std::move(empty));
+    REQUIRE(is_applied);
+}
+
 void gateway_fixture::add_servers(const std::vector<address>& endpoints) {
     std::vector<std::pair<address, std::uint64_t>> listed;
     listed.reserve(endpoints.size());
@@ -168,30 +190,42 @@
                                const std::string& method) {
     const std::size_t count = more_fields.size();
     std::vector<outcome> results;
-    http_request request;
-    request.method = method;
-    request.target = "/x/1";
-    request.fields = {{"Host", "a.example"},
-                      {"X-Request-Id", "r1"},
-                      {"X-Request-Deadline", "3000"},
-                      {"Api-Key", "secret"},
-                      {"X-Tenant", "forged"}};
     std::function<void()> send_next = [&] {
         const instant started = steady::now();
-        http_request next = request;
-        for (const http_field& field : more_fields[results.size()])
-            replace_field(next.fields, field);
-        client.fetch(front_address, next, {},
-                     [&, started](call_end end, http_response response) {
+        client.fetch(
+            front_address, make_request(method, more_fields[results.size()]),
+            {}, [&, started](call_end end, http_response response) {
+                results.push_back({end, std::move(response),
+                                   std::chrono::duration_cast<milliseconds>(
+                                       steady::now() - started)});
+                if (results.size() < count)
+                    send_next();
+            });
+    };
+    send_next();
+    run_until_answered(results, count);
+    return results;
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_at_once(const std::vector<http_fields>& more_fields,
+                              const std::string& method) {
+    std::vector<outcome> results;
+    const instant started = steady::now();
+    for (const http_fields& fields : more_fields)
+        client.fetch(front_address, make_request(method, fields), {},
+                     [&](call_end end, http_response response) {
                          results.push_back(
                              {end, std::move(response),
                               std::chrono::duration_cast<milliseconds>(
                                   steady::now() - started)});
-                         if (results.size() < count)
-                             send_next();
                      });
-    };
-    send_next();
+    run_until_answered(results, more_fields.size());
+    return results;
+}
+
+void gateway_fixture::run_until_answered(const std::vector<outcome>& results,
+                                         std::size_t count) {
     core.every("test", milliseconds(2), [&] {
         if (results.size() == count)
             core.stop();
@@ -199,7 +233,6 @@
     core.after("test", test_timeout, [this] { core.stop(); });
     core.run();
     REQUIRE(results.size() == count);
-    return results;
 }
 
 std::vector<permit_request> gateway_fixture::permit_requests() const {
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -32,6 +32,8 @@
     /// may take longer than their version lasts.
     void add_engine_route(bool is_resumable,
                           request_kind kind = request_kind::streaming);
+    /// Applies a configuration without routes, services and organisations.
+    void drop_configuration();
     void add_servers(const std::vector<address>& endpoints);
     /// Lists engines by their addresses and the versions that they hold.
     void
@@ -52,6 +54,11 @@
     send_requests(const std::vector<http_fields>& more_fields,
                   const std::string& method = "POST");
 
+    /// Sends all requests together, each with more fields; may be called once.
+    std::vector<outcome>
+    send_at_once(const std::vector<http_fields>& more_fields,
+                 const std::string& method = "POST");
+
     /// Returns the requests for permits sent so far.
     [[nodiscard]] std::vector<permit_request> permit_requests() const;
 
@@ -79,6 +86,9 @@
     address front_address;
 
   private:
+    /// Runs the kernel until there are `count` results.
+    void run_until_answered(const std::vector<outcome>& results,
+                            std::size_t count);
     void add_route(route added_route, std::optional<engine_profile> engine);
 };
 
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr int poll_ms = 20;
-constexpr std::chrono::milliseconds delayed_bytes_pause{60};
 constexpr std::chrono::milliseconds drip_interval{200};
 constexpr std::chrono::milliseconds endless_interval{5};
 
@@ -111,7 +110,7 @@
         if (!answer.endless_bytes.empty())
             send_endlessly(descriptor, answer.endless_bytes);
         if (!answer.delayed_bytes.empty()) {
-            std::this_thread::sleep_for(delayed_bytes_pause);
+            std::this_thread::sleep_for(answer.delay);
             send(descriptor, answer.delayed_bytes.data(),
                  answer.delayed_bytes.size(), MSG_NOSIGNAL);
         }
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ospreystage/core/address.hpp>
+#include <ospreystage/core/clock.hpp>
 
 #include <atomic>
 #include <functional>
@@ -15,7 +16,7 @@
     std::string bytes;           ///< Sent unchanged.
     bool closes = false;         ///< Closes in order after `bytes`.
     bool resets = false;         ///< Resets the connection after `bytes`.
-    std::string delayed_bytes{}; ///< Sent 60 ms after `bytes`.
+    std::string delayed_bytes{}; ///< Sent `delay` after `bytes`.
     /// Sent again and again after `bytes`, every 200 ms, while the connection
     /// lasts.
     std::string dripped_bytes{};
@@ -24,6 +25,7 @@
     std::string endless_bytes{};
     /// Ends the sending side after `bytes`; the other side stays open.
     bool half_closes = false;
+    milliseconds delay{60}; ///< Before `delayed_bytes`.
 };
 
 /// Server on the loopback interface that responds with the bytes of a script.
