Keep the attempt at a silent server until another one answers

Callers saw: a stream that was cut, or 502 and 504, although the server was sound and had only been silent for a second or so. Cause: after 0.7 to 1.2 s without data an attempt was cancelled before another server was chosen. What then failed ended the request: no place, a limit or a permit, a refusal, a connection that was not opened, an error, a second server that hung. A change of the configuration or a version that ends makes a refusal likelier. Ruled out: a spent budget, which was checked before the cancellation.

Change: a server is chosen and permitted first, within the budget; with none, the request stays where it is and the next check tries again. The silent attempt is kept beside the new one until that one begins its answer: its first event, or a head that is neither a refusal nor a server error. If the silent server goes on first, its attempt becomes the current one again and the other is cancelled; so it does if the other one fails. Comments are passed on from neither meanwhile, so that a caller's head and events come from one of them. A version that ends or a quarantine withdraws a kept attempt that has not begun. The load of the silent server counts the attempt as timed out at once, as before.

A request at a server that hangs, with no other one to take it, now ends at its deadline and not after 0.7 to 1.2 s; new log line attempt_resumed.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -85,8 +85,40 @@
     }
 
   private:
-    /// A request without a final response.
-    struct request_record {
+    /// One sending of a request to a server.
+    struct attempt_record {
+        std::uint32_t number = 0; ///< Within its request, from 1.
+        std::optional<call_id> call;
+        std::string server;        ///< Server of the call, or of the last one.
+        std::uint64_t version = 0; ///< Engines: version held there when sent.
+        instant sent_at{};
+        instant head_at{}; ///< When the head was received.
+        /// Time of the call's last data; of an event stream, of its last event.
+        instant last_received{};
+        bool is_paused = false; ///< Reading waits for the caller.
+        /// The response; its body stays empty while it is forwarded.
+        http_response head;
+        bool is_event_stream = false;
+        std::uint32_t events_received = 0;
+        bool is_reported_answered = false;
+        event_splitter events;
+    };
+
+    /// Choice of a server for which a permit has been requested.
+    struct pending_permit {
+        std::uint64_t sequence = 0;
+        placement chosen;
+    };
+
+    /// Result of the search for a server, with what explains a refusal.
+    struct placement_choice {
+        placement_decision decision;
+        available_servers servers;
+        std::vector<const backend_server*> at_limit;
+    };
+
+    /// A request without a final response. Its own attempt is the current one.
+    struct request_record : attempt_record {
         http_request request;
         caller_request caller;
         std::string service;
@@ -104,30 +136,18 @@
         instant deadline{};
         timer_id deadline_timer{};
 
-        /// Choice of a server for which a permit has been requested.
-        std::optional<placement> awaiting_permit;
+        std::optional<pending_permit> awaiting_permit;
 
         std::uint32_t sent_attempts = 0; ///< Attempts sent to a server.
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
-        std::optional<call_id> call;
-        std::string server;        ///< Server of the current or last call.
-        std::uint64_t version = 0; ///< Engines: version held there when sent.
-        instant sent_at{};
-        instant head_at{}; ///< When the current attempt's head was received.
-        /// Time of the call's last data; of an event stream, of its last event.
-        instant last_received{};
-        bool is_paused = false; ///< Reading waits for the caller.
+        std::uint32_t last_attempt = 0; ///< Number of the newest attempt.
+        /// Attempt at a silent server, which is kept until the current one
+        /// begins its answer.
+        std::optional<attempt_record> silent_attempt;
 
-        /// Response of the current attempt; its body stays empty while it is
-        /// forwarded.
-        http_response head;
-        bool is_event_stream = false;
-        std::uint32_t events_received = 0; ///< Of the current attempt.
-        bool is_reported_answered = false; ///< The current attempt.
-        bool has_response_begun = false;   ///< Head sent to the caller.
-        bool is_body_forwarded = false;    ///< A plain body, as it arrives.
-        event_splitter events;
+        bool has_response_begun = false; ///< Head sent to the caller.
+        bool is_body_forwarded = false;  ///< A plain body, as it arrives.
         std::optional<std::uint64_t> last_event_id;
         /// The caller has received an event without an id.
         bool has_unnumbered_event = false;
@@ -140,10 +160,8 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
-    void refuse_placement(exchange_id exchange,
-                          const placement_decision& decision,
-                          const available_servers& servers,
-                          const std::vector<const backend_server*>& at_limit);
+    [[nodiscard]] placement_choice choose_server(const request_record& record);
+    void refuse_placement(exchange_id exchange, const placement_choice& choice);
     [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
     void on_permit(exchange_id exchange, const placement& chosen,
@@ -154,9 +172,12 @@
     [[nodiscard]] bool is_quarantined(const request_record& record) const;
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
+    void on_server_state(const std::string& server, const http_response& head);
     void on_availability(const std::string& server,
                          const availability_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
+    void on_events(exchange_id exchange,
+                   const std::vector<stream_event>& events);
     void on_plain_body(exchange_id exchange, std::string_view data);
     void begin_response(exchange_id exchange);
     void write(exchange_id exchange, std::string_view data);
@@ -164,7 +185,7 @@
     void on_call_ended(exchange_id exchange, call_end end);
     void log_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
-    stream_defect(const request_record& record);
+    stream_defect(const attempt_record& attempt);
     void on_stream_ended(exchange_id exchange, call_end end);
     void forward(exchange_id exchange, const stream_event& event);
     [[nodiscard]] static bool may_run_again(const request_record& record);
@@ -172,8 +193,21 @@
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
+    [[nodiscard]] bool is_silent(const request_record& record,
+                                 instant now) const;
+    void try_other_server(exchange_id exchange);
+    [[nodiscard]] bool set_aside(request_record& record);
+    bool resume_silent_attempt(request_record& record);
+    void drop_silent_attempt(request_record& record);
+    [[nodiscard]] bool is_set_aside(exchange_id exchange,
+                                    std::uint32_t attempt);
+    void on_silent_head(exchange_id exchange, const http_response& head);
+    void on_silent_body(exchange_id exchange, std::string_view data);
+    void on_silent_ended(exchange_id exchange, call_end end);
     void withdraw_attempts();
-    [[nodiscard]] static bool has_begun(const request_record& record);
+    [[nodiscard]] const char* withdrawal_reason(const request_record& record,
+                                                const attempt_record& attempt);
+    [[nodiscard]] static bool has_begun(const attempt_record& attempt);
     void withdraw(exchange_id exchange, const char* reason);
     void check_answered(request_record& record);
     [[nodiscard]] static bool is_past_crash(const request_record& record);
--- a/include/ospreystage/serving/retry_window.hpp
+++ b/include/ospreystage/serving/retry_window.hpp
@@ -28,6 +28,9 @@
     /// Records a request.
     void on_request(instant now);
 
+    /// Returns true if `spend` would consume a retry.
+    [[nodiscard]] bool has_budget(std::uint32_t entries, instant now);
+
     /// Consumes one retry; returns false if the budget is spent. `entries` is
     /// the number of entries that share it.
     [[nodiscard]] bool spend(std::uint32_t entries, instant now);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -225,11 +225,23 @@
         refuse(exchange, "prompt is quarantined", quarantine_retry_after);
         return;
     }
-    const service_description* service = routes_.service(record.service);
-    if (service == nullptr) {
+    if (routes_.service(record.service) == nullptr) {
         refuse(exchange, "service is not described", default_retry_after);
         return;
     }
+    const placement_choice choice = choose_server(record);
+    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+        await_permit(exchange, *chosen);
+    else
+        refuse_placement(exchange, choice);
+}
+
+/// Chooses a server that the request has not been sent to; one that is leaving
+/// only where no other can take the request.
+gateway::placement_choice gateway::choose_server(const request_record& record) {
+    const service_description* service = routes_.service(record.service);
+    if (service == nullptr)
+        return {no_server{}, {}, {}};
     placement_request placement_query;
     placement_query.service = service;
     placement_query.prompt_tokens = record.caller.prompt_tokens;
@@ -245,9 +257,9 @@
             ? 0
             : std::max<std::size_t>(1, service->max_connections / entries);
     const instant now = steady::now();
-    available_servers servers =
+    placement_choice choice;
+    choice.servers =
         availability_.select(servers_.serving(record.service), now);
-    std::vector<const backend_server*> at_limit;
     const auto choose = [&](std::vector<const backend_server*>& candidates) {
         std::erase_if(candidates, [&](const backend_server* server) {
             return !client_.has_free_connection(server->endpoint, share);
@@ -255,33 +267,29 @@
         std::erase_if(candidates, [&](const backend_server* server) {
             if (!limits_.is_closed(server->id, now))
                 return false;
-            at_limit.push_back(server);
+            choice.at_limit.push_back(server);
             return true;
         });
         return load_.place(placement_query, candidates, entries, now);
     };
-    const placement_decision decision = choose(servers.available);
-    if (const auto* chosen = std::get_if<placement>(&decision)) {
-        await_permit(exchange, *chosen);
-        return;
-    }
-    const placement_decision last_resort = choose(servers.last_resort);
-    if (const auto* chosen = std::get_if<placement>(&last_resort))
-        await_permit(exchange, *chosen);
-    else
-        refuse_placement(exchange, decision, servers, at_limit);
+    choice.decision = choose(choice.servers.available);
+    if (std::holds_alternative<placement>(choice.decision))
+        return choice;
+    const placement_decision last_resort = choose(choice.servers.last_resort);
+    if (std::holds_alternative<placement>(last_resort))
+        choice.decision = last_resort;
+    return choice;
 }
 
-void gateway::refuse_placement(
-    exchange_id exchange, const placement_decision& decision,
-    const available_servers& servers,
-    const std::vector<const backend_server*>& at_limit) {
+void gateway::refuse_placement(exchange_id exchange,
+                               const placement_choice& choice) {
     const instant now = steady::now();
-    if (const auto* refusal = std::get_if<no_capacity>(&decision))
+    const available_servers& servers = choice.servers;
+    if (const auto* refusal = std::get_if<no_capacity>(&choice.decision))
         refuse(exchange, "no server has room in time", refusal->retry_after);
-    else if (!at_limit.empty())
+    else if (!choice.at_limit.empty())
         refuse(exchange, "servers are at their limits",
-               limits_.retry_after(at_limit, context_.entries(), now));
+               limits_.retry_after(choice.at_limit, context_.entries(), now));
     else if (servers.next_available)
         refuse(exchange, "servers ask for a pause",
                availability_.retry_after(*servers.next_available, now));
@@ -308,7 +316,7 @@
         on_permit(exchange, chosen, decision);
         return;
     }
-    find(exchange)->awaiting_permit = chosen;
+    find(exchange)->awaiting_permit = {pending->sequence, chosen};
     awaiting_permits_.emplace(pending->sequence, exchange);
     core_.after(
         service_name, pending->timeout,
@@ -329,7 +337,9 @@
                   {{"request", find(exchange)->caller.id},
                    {"server", chosen.server},
                    {"wait_ms", denied->wait.count()}});
-    place(exchange);
+    // An attempt that is open goes on without another one beside it.
+    if (!find(exchange)->call)
+        place(exchange);
 }
 
 void gateway::on_permit_reply(const permit_reply& reply) {
@@ -342,11 +352,12 @@
     const exchange_id exchange = waiting.mapped();
     request_record* record = find(exchange);
     // The caller may have left, or the deadline passed, meanwhile.
-    if (record == nullptr)
+    if (record == nullptr || !record->awaiting_permit ||
+        record->awaiting_permit->sequence != reply.sequence)
         return;
-    const auto chosen = std::exchange(record->awaiting_permit, std::nullopt);
-    if (chosen)
-        on_permit(exchange, *chosen, *decision);
+    const placement chosen = std::move(record->awaiting_permit->chosen);
+    record->awaiting_permit.reset();
+    on_permit(exchange, chosen, *decision);
 }
 
 void gateway::on_permit_timeout(std::uint64_t sequence) {
@@ -356,14 +367,16 @@
     limits_.on_timeout(sequence, steady::now());
     const exchange_id exchange = waiting.mapped();
     request_record* record = find(exchange);
-    if (record == nullptr || !record->awaiting_permit)
+    if (record == nullptr || !record->awaiting_permit ||
+        record->awaiting_permit->sequence != sequence)
         return;
     metrics_.count("ospreystage_permit_timeouts_total");
     log_event(log_level::warn, "permit_not_answered",
               {{"request", record->caller.id},
-               {"server", record->awaiting_permit->server}});
+               {"server", record->awaiting_permit->chosen.server}});
     record->awaiting_permit.reset();
-    place(exchange);
+    if (!record->call)
+        place(exchange);
 }
 
 // ---- Attempts at a server --------------------------------------------------
@@ -388,6 +401,8 @@
 
 void gateway::send(exchange_id exchange, const placement& chosen) {
     request_record& record = *find(exchange);
+    if (record.call && !set_aside(record))
+        return;
     const instant now = steady::now();
     const backend_server* server = servers_.find(chosen.server);
     attempt_metadata metadata;
@@ -415,24 +430,31 @@
         return may_send(*find(exchange), chosen);
     };
     call_handlers handlers;
-    handlers.head = [this, exchange](const http_response& head) {
-        on_head(exchange, head);
+    const std::uint32_t attempt = ++record.last_attempt;
+    handlers.head = [this, exchange, attempt](const http_response& head) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_head(exchange, head);
+        else
+            on_head(exchange, head);
     };
-    handlers.body = [this, exchange](std::string_view data) {
-        on_body(exchange, data);
+    handlers.body = [this, exchange, attempt](std::string_view data) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_body(exchange, data);
+        else
+            on_body(exchange, data);
     };
-    handlers.ended = [this, exchange](call_end end) {
-        on_call_ended(exchange, end);
+    handlers.ended = [this, exchange, attempt](call_end end) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_ended(exchange, end);
+        else
+            on_call_ended(exchange, end);
     };
-    record.server = chosen.server;
     record.tried.insert(chosen.server);
+    static_cast<attempt_record&>(record) = {};
+    record.number = attempt;
+    record.server = chosen.server;
     record.last_received = now;
-    record.head = {};
     record.head.status = no_head_status;
-    record.is_event_stream = false;
-    record.events_received = 0;
-    record.is_reported_answered = false;
-    record.is_paused = false;
     record.version = chosen.version;
     record.sent_at = now;
     ++record.sent_attempts;
@@ -480,17 +502,28 @@
     if (record == nullptr)
         return;
     record->last_received = record->head_at = steady::now();
-    last_received_[record->server] = record->last_received;
-    const limit_statement statement = protocol_.limit_of(head);
-    if (std::holds_alternative<limit_named>(statement))
-        metrics_.count("ospreystage_limit_answers_total");
-    limits_.on_answer(record->server, statement, record->last_received);
-    on_availability(record->server, protocol_.availability_of(head));
+    on_server_state(record->server, head);
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
         record->kind == request_kind::streaming && head.status < 300 &&
         is_event_stream(field_value(head.fields, "Content-Type"));
+    // A stream has begun only with its first event.
+    if (!record->is_event_stream && !record->has_response_begun &&
+        head.status < first_server_error && !protocol_.is_not_run(head))
+        drop_silent_attempt(*record);
+}
+
+/// Records what the head of an answer states about its server.
+void gateway::on_server_state(const std::string& server,
+                              const http_response& head) {
+    const instant now = steady::now();
+    last_received_[server] = now;
+    const limit_statement statement = protocol_.limit_of(head);
+    if (std::holds_alternative<limit_named>(statement))
+        metrics_.count("ospreystage_limit_answers_total");
+    limits_.on_answer(server, statement, now);
+    on_availability(server, protocol_.availability_of(head));
 }
 
 void gateway::on_availability(const std::string& server,
@@ -518,12 +551,21 @@
         on_plain_body(exchange, data);
         return;
     }
-    for (const stream_event& event : record->events.feed(data)) {
+    on_events(exchange, record->events.feed(data));
+}
+
+void gateway::on_events(exchange_id exchange,
+                        const std::vector<stream_event>& events) {
+    request_record* record = find(exchange);
+    for (const stream_event& event : events) {
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
             ++record->events_received;
             check_answered(*record);
+            drop_silent_attempt(*record);
+        } else if (record->silent_attempt) {
+            continue; // The other attempt may still be the one that answers.
         }
         forward(exchange, event);
         record = find(exchange);
@@ -632,7 +674,8 @@
         --record->possible_runs;
         --record->sent_attempts;
         end_call(*record, attempt_result::cancelled);
-        place(exchange);
+        if (!resume_silent_attempt(*record))
+            place(exchange);
         return;
     }
     if (end == call_end::not_connected) {
@@ -690,6 +733,8 @@
                    {"reason", "server failed"},
                    {"status", record->head.status},
                    {"may_have_run", true}});
+    if (is_server_error && resume_silent_attempt(*record))
+        return;
     if (is_server_error && record->kind == request_kind::idempotent &&
         acquire_retry(*record)) {
         record->head.body.clear();
@@ -733,11 +778,11 @@
 /// Returns why a stream whose framing is complete was broken off, or null if it
 /// is whole. The end of a connection alone does not show that a stream is
 /// whole.
-const char* gateway::stream_defect(const request_record& record) {
-    if (record.events.is_inside_event())
+const char* gateway::stream_defect(const attempt_record& attempt) {
+    if (attempt.events.is_inside_event())
         return "stream ended inside an event";
-    if (record.head.framing == http_framing::connection &&
-        record.events_received == 0)
+    if (attempt.head.framing == http_framing::connection &&
+        attempt.events_received == 0)
         return "stream ended before its first event";
     return nullptr;
 }
@@ -791,9 +836,13 @@
                {"last_event", record.last_event_id
                                   ? nlohmann::json(*record.last_event_id)
                                   : nlohmann::json()}});
+    if (resume_silent_attempt(record))
+        return;
     if (is_retryable && has_time && !is_quarantined(record) &&
         acquire_retry(record)) {
-        place(exchange);
+        // Otherwise the reply to the permit request goes on with the request.
+        if (!record.awaiting_permit)
+            place(exchange);
         return;
     }
     if (record.possible_runs == 0)
@@ -814,79 +863,185 @@
                : default_retry_after;
 }
 
+// ---- Silent servers --------------------------------------------------------
+
 void gateway::check_idle_attempts() {
     const instant now = steady::now();
-    std::vector<exchange_id> idle_exchanges;
-    for (const auto& [id, record] : requests_) {
-        // The server cannot send while the caller does not read.
-        if (!record->call || record->is_paused)
-            continue;
-        if (!may_run_again(*record) ||
-            record->possible_runs >= record->max_attempts)
-            continue;
-        const auto expected_gap = record->has_response_begun
-                                      ? record->target_gap
-                                      : record->target_latency;
-        const auto idle_timeout = std::max<milliseconds>(
-            expected_gap * idle_timeout_gaps, min_idle_timeout);
-        const bool is_server_idle =
-            now - last_received_[record->server] > server_idle_timeout &&
-            now - record->last_received > server_idle_timeout &&
-            now - record->last_received > expected_gap;
-        if (is_server_idle || now - record->last_received > idle_timeout)
-            idle_exchanges.push_back(exchange_id{id});
+    std::vector<exchange_id> silent_exchanges;
+    for (const auto& [id, record] : requests_)
+        if (!record->awaiting_permit && is_silent(*record, now))
+            silent_exchanges.push_back(exchange_id{id});
+    for (const exchange_id exchange : silent_exchanges)
+        try_other_server(exchange);
+}
+
+/// Returns true if a request that may run again has received nothing from its
+/// server for so long that another one should be tried.
+bool gateway::is_silent(const request_record& record, instant now) const {
+    // The server cannot send while the caller does not read.
+    if (!record.call || record.is_paused || !may_run_again(record) ||
+        record.possible_runs >= record.max_attempts)
+        return false;
+    const auto expected_gap =
+        record.has_response_begun ? record.target_gap : record.target_latency;
+    const auto idle_timeout = std::max<milliseconds>(
+        expected_gap * idle_timeout_gaps, min_idle_timeout);
+    const auto idle = now - record.last_received;
+    const auto found = last_received_.find(record.server);
+    const bool is_server_idle = found != last_received_.end() &&
+                                now - found->second > server_idle_timeout &&
+                                idle > server_idle_timeout &&
+                                idle > expected_gap;
+    return is_server_idle || idle > idle_timeout;
+}
+
+/// Sends a request whose server is silent to another one, if there is one. The
+/// silent server may have paused only, so its attempt stays open meanwhile.
+void gateway::try_other_server(exchange_id exchange) {
+    const request_record* record = find(exchange);
+    // A probe reaches one server.
+    if (record == nullptr || !record->call ||
+        record->sent_attempts >= max_sent_attempts ||
+        quarantine_.is_quarantined(record->caller.prompt_parts) ||
+        !retry_window_of(record->service)
+             .has_budget(context_.entries(), steady::now()))
+        return;
+    const placement_choice choice = choose_server(*record);
+    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+        await_permit(exchange, *chosen);
+}
+
+/// Keeps the silent attempt beside the one that is about to be sent. Returns
+/// false if the request is to stay where it is.
+bool gateway::set_aside(request_record& record) {
+    const instant now = steady::now();
+    if (!is_silent(record, now) || !acquire_retry(record))
+        return false;
+    drop_silent_attempt(record);
+    // The attempt counts as ended, so that its server is avoided.
+    load_.on_ended(record.server, attempt_result::timed_out, now);
+    log_event(log_level::warn, "attempt_silent",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"silent_ms", (now - record.last_received) / milliseconds(1)}});
+    record.silent_attempt = std::move(static_cast<attempt_record&>(record));
+    return true;
+}
+
+/// Makes the attempt at a silent server the current one again and cancels the
+/// one beside it. Returns false if there is none.
+bool gateway::resume_silent_attempt(request_record& record) {
+    if (!record.silent_attempt)
+        return false;
+    cancel_call(record);
+    static_cast<attempt_record&>(record) = std::move(*record.silent_attempt);
+    record.silent_attempt.reset();
+    const instant now = steady::now();
+    load_.on_sent(record.server, microseconds(0), now);
+    log_event(log_level::info, "attempt_resumed",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"silent_ms", (now - record.last_received) / milliseconds(1)}});
+    return true;
+}
+
+void gateway::drop_silent_attempt(request_record& record) {
+    if (!record.silent_attempt)
+        return;
+    client_.cancel(*record.silent_attempt->call);
+    record.silent_attempt.reset();
+}
+
+bool gateway::is_set_aside(exchange_id exchange, std::uint32_t attempt) {
+    const request_record* record = find(exchange);
+    return record != nullptr && record->silent_attempt &&
+           record->silent_attempt->number == attempt;
+}
+
+void gateway::on_silent_head(exchange_id exchange, const http_response& head) {
+    request_record& record = *find(exchange);
+    const bool is_refused = protocol_.is_not_run(head);
+    if (!is_refused && head.status < first_server_error) {
+        resume_silent_attempt(record);
+        on_head(exchange, head);
+        return;
     }
-    for (const exchange_id exchange : idle_exchanges) {
-        request_record* record = find(exchange);
-        if (record == nullptr || !record->call)
-            continue;
-        // Checked before the cancellation: if there is no retry, the current
-        // server may still answer.
-        if (!acquire_retry(*record))
-            continue;
-        client_.cancel(*record->call);
-        end_call(*record, attempt_result::timed_out);
-        record->is_probe = false;
-        record->head.body.clear();
-        log_event(
-            log_level::warn, "attempt_silent",
-            {{"request", record->caller.id},
-             {"server", record->server},
-             {"silent_ms", (now - record->last_received) / milliseconds(1)}});
-        place(exchange);
+    on_server_state(record.silent_attempt->server, head);
+    if (is_refused)
+        --record.possible_runs;
+    drop_silent_attempt(record);
+}
+
+void gateway::on_silent_body(exchange_id exchange, std::string_view data) {
+    request_record& record = *find(exchange);
+    attempt_record& silent = *record.silent_attempt;
+    if (!silent.is_event_stream) {
+        resume_silent_attempt(record);
+        on_body(exchange, data);
+        return;
+    }
+    last_received_[silent.server] = steady::now();
+    const std::vector<stream_event> events = silent.events.feed(data);
+    if (!std::all_of(events.begin(), events.end(), is_comment)) {
+        resume_silent_attempt(record);
+        on_events(exchange, events);
+    } else if (silent.events.is_too_large()) {
+        drop_silent_attempt(record);
+    }
+}
+
+void gateway::on_silent_ended(exchange_id exchange, call_end end) {
+    request_record& record = *find(exchange);
+    if (end == call_end::complete &&
+        stream_defect(*record.silent_attempt) == nullptr) {
+        resume_silent_attempt(record);
+        on_call_ended(exchange, end);
+        return;
     }
+    attempt_record& current = record;
+    std::swap(current, *record.silent_attempt);
+    check_crash(record, end);
+    std::swap(current, *record.silent_attempt);
+    record.silent_attempt.reset();
 }
 
+// ---- Attempts that must not begin ------------------------------------------
+
 /// Withdraws the requests that still wait at an engine and must not begin
-/// there: its version has ended, or their prompt has been quarantined. Only
-/// event streams show that they have begun.
+/// there: its version has ended, or their prompt has been quarantined.
 void gateway::withdraw_attempts() {
-    absl::flat_hash_map<std::string, std::uint64_t> min_versions;
     std::vector<std::pair<exchange_id, const char*>> withdrawn;
     for (const auto& [id, record] : requests_) {
-        // What is not sent yet is checked again when it would be.
-        if (!record->call || !client_.is_sent(*record->call) ||
-            record->version == 0 || has_begun(*record) ||
-            record->kind != request_kind::streaming)
-            continue;
-        const auto [found, is_new] = min_versions.try_emplace(record->service);
-        if (is_new)
-            found->second = context_.min_begin_version(record->service);
-        if (record->version < found->second)
-            withdrawn.emplace_back(exchange_id{id}, "version ended");
-        else if (is_quarantined(*record))
-            withdrawn.emplace_back(exchange_id{id}, "prompt is quarantined");
+        if (record->silent_attempt &&
+            withdrawal_reason(*record, *record->silent_attempt) != nullptr)
+            drop_silent_attempt(*record);
+        if (const char* reason = withdrawal_reason(*record, *record))
+            withdrawn.emplace_back(exchange_id{id}, reason);
     }
     for (const auto& [exchange, reason] : withdrawn)
         withdraw(exchange, reason);
 }
 
-/// Returns true if the current attempt shows that its server works on it.
-bool gateway::has_begun(const request_record& record) {
+/// Returns why an attempt must not begin at its engine, or null. Only event
+/// streams show that they have begun.
+const char* gateway::withdrawal_reason(const request_record& record,
+                                       const attempt_record& attempt) {
+    // What is not sent yet is checked again when it would be.
+    if (!attempt.call || !client_.is_sent(*attempt.call) ||
+        attempt.version == 0 || has_begun(attempt) ||
+        record.kind != request_kind::streaming)
+        return nullptr;
+    if (attempt.version < context_.min_begin_version(record.service))
+        return "version ended";
+    return is_quarantined(record) ? "prompt is quarantined" : nullptr;
+}
+
+/// Returns true if an attempt shows that its server works on it.
+bool gateway::has_begun(const attempt_record& attempt) {
     const bool is_plain =
-        record.head.status != no_head_status && !record.is_event_stream;
-    return is_plain || record.events_received > 0 ||
-           record.events.is_inside_event();
+        attempt.head.status != no_head_status && !attempt.is_event_stream;
+    return is_plain || attempt.events_received > 0 ||
+           attempt.events.is_inside_event();
 }
 
 void gateway::withdraw(exchange_id exchange, const char* reason) {
@@ -1069,7 +1224,8 @@
 
 void gateway::erase(exchange_id exchange, const char* outcome) {
     const auto found = requests_.find(static_cast<std::uint64_t>(exchange));
-    const request_record& record = *found->second;
+    request_record& record = *found->second;
+    drop_silent_attempt(record);
     core_.cancel(record.deadline_timer);
     metrics_.count(
         fmt::format("ospreystage_requests_total{{outcome=\"{}\"}}", outcome));
--- a/src/serving/retry_window.cpp
+++ b/src/serving/retry_window.cpp
@@ -20,14 +20,18 @@
     requests_.push_back(now);
 }
 
-bool retry_window::spend(std::uint32_t entries, instant now) {
+bool retry_window::has_budget(std::uint32_t entries, instant now) {
     drop_expired(now);
     const double share =
         limits_.allowance / static_cast<double>(std::max(entries, 1U));
     const double budget =
         usable_budget_share *
         (limits_.ratio * static_cast<double>(requests_.size()) + share);
-    if (static_cast<double>(retries_.size()) + 1 > budget)
+    return static_cast<double>(retries_.size()) + 1 <= budget;
+}
+
+bool retry_window::spend(std::uint32_t entries, instant now) {
+    if (!has_budget(entries, now))
         return false;
     retries_.push_back(now);
     return true;
