Keep the service description of a request's own configuration

Callers saw: a stream that was cut, or 503, when their request needed a second attempt after a new configuration had dropped its service. Cause: each placement looked the service up in the configuration in force. Ruled out: route, key, time limit and cap of attempts, which a request already kept.

Change: a request keeps the description under which it was accepted. The bounds of versions are asked with that description, since for a service that is no longer described they were 0, which allows any version.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -33,9 +33,11 @@
     std::function<std::uint32_t()> entries;
     /// Returns the oldest version of a service's weights to which requests may
     /// be sent.
-    std::function<std::uint64_t(const std::string& service)> min_version;
+    std::function<std::uint64_t(const service_description& service)>
+        min_version;
     /// Returns the oldest version on which a request that was sent may begin.
-    std::function<std::uint64_t(const std::string& service)> min_begin_version;
+    std::function<std::uint64_t(const service_description& service)>
+        min_begin_version;
     /// Notifies the other entries of a request whose prompt takes
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
@@ -122,6 +124,9 @@
         http_request request;
         caller_request caller;
         std::string service;
+        /// Of the configuration under which the request was accepted; empty if
+        /// that did not describe the service.
+        std::optional<service_description> description;
         std::string organisation;
         request_kind kind = request_kind::non_idempotent;
         milliseconds target_latency{};
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -186,6 +186,8 @@
     std::uniform_real_distribution<double> draw(0, 1);
     record->service =
         route_table::choose_service(*routed.matched_route, draw(random_));
+    if (const auto* described = routes_.service(record->service))
+        record->description = *described;
     record->organisation =
         routed.organisation == nullptr ? "" : routed.organisation->name;
     record->kind = routed.matched_route->kind;
@@ -225,7 +227,7 @@
         refuse(exchange, "prompt is quarantined", quarantine_retry_after);
         return;
     }
-    if (routes_.service(record.service) == nullptr) {
+    if (!record.description) {
         refuse(exchange, "service is not described", default_retry_after);
         return;
     }
@@ -239,23 +241,21 @@
 /// Chooses a server that the request has not been sent to; one that is leaving
 /// only where no other can take the request.
 gateway::placement_choice gateway::choose_server(const request_record& record) {
-    const service_description* service = routes_.service(record.service);
-    if (service == nullptr)
-        return {no_server{}, {}, {}};
+    const service_description& service = *record.description;
     placement_request placement_query;
-    placement_query.service = service;
+    placement_query.service = &service;
     placement_query.prompt_tokens = record.caller.prompt_tokens;
     placement_query.target_latency = record.target_latency;
     placement_query.is_late = record.is_late;
-    placement_query.min_version = context_.min_version(record.service);
+    placement_query.min_version = context_.min_version(service);
     placement_query.tried = &record.tried;
     // All entries share a server's connection limit; it resets connections
     // above the limit.
     const std::uint32_t entries = std::max(1U, context_.entries());
     const std::size_t share =
-        service->max_connections == 0
+        service.max_connections == 0
             ? 0
-            : std::max<std::size_t>(1, service->max_connections / entries);
+            : std::max<std::size_t>(1, service.max_connections / entries);
     const instant now = steady::now();
     placement_choice choice;
     choice.servers =
@@ -387,7 +387,7 @@
                        const placement& chosen) const {
     const bool is_current =
         chosen.version == 0 ||
-        chosen.version >= context_.min_version(record.service);
+        chosen.version >= context_.min_version(*record.description);
     const backend_server* server = servers_.find(chosen.server);
     return is_current && server != nullptr && !server->is_draining &&
            !is_quarantined(record) &&
@@ -1031,7 +1031,7 @@
         attempt.version == 0 || has_begun(attempt) ||
         record.kind != request_kind::streaming)
         return nullptr;
-    if (attempt.version < context_.min_begin_version(record.service))
+    if (attempt.version < context_.min_begin_version(*record.description))
         return "version ended";
     return is_quarantined(record) ? "prompt is quarantined" : nullptr;
 }
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -65,10 +65,10 @@
                    on_placing();
                return 1U;
            },
-           [this](const std::string&) {
+           [this](const service_description&) {
                return versions.min_version(model, steady::now());
            },
-           [this](const std::string&) {
+           [this](const service_description&) {
                return versions.min_begin_version(model, steady::now());
            },
            [](const backend_server&, microseconds) {}},
