--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -166,8 +166,16 @@
 std::vector<gateway_fixture::outcome>
 gateway_fixture::send_requests(const std::vector<http_fields>& more_fields,
                                const std::string& method) {
-    const std::size_t count = more_fields.size();
-    std::vector<outcome> results;
+    std::vector<http_request> requests;
+    requests.reserve(more_fields.size());
+    for (const http_fields& fields : more_fields)
+        requests.push_back(make_request(fields, "", method));
+    return send_all(requests);
+}
+
+http_request gateway_fixture::make_request(const http_fields& more_fields,
+                                           const std::string& body,
+                                           const std::string& method) {
     http_request request;
     request.method = method;
     request.target = "/x/1";
@@ -176,12 +184,19 @@
                       {"X-Request-Deadline", "3000"},
                       {"Api-Key", "secret"},
                       {"X-Tenant", "forged"}};
+    request.body = body;
+    for (const http_field& field : more_fields)
+        replace_field(request.fields, field);
+    return request;
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_all(const std::vector<http_request>& requests) {
+    const std::size_t count = requests.size();
+    std::vector<outcome> results;
     std::function<void()> send_next = [&] {
         const instant started = steady::now();
-        http_request next = request;
-        for (const http_field& field : more_fields[results.size()])
-            replace_field(next.fields, field);
-        client.fetch(front_address, next, {},
+        client.fetch(front_address, requests[results.size()], {},
                      [&, started](call_end end, http_response response) {
                          results.push_back(
                              {end, std::move(response),
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -52,6 +52,13 @@
     send_requests(const std::vector<http_fields>& more_fields,
                   const std::string& method = "POST");
 
+    /// Returns a request of the usual caller on the added route.
+    [[nodiscard]] static http_request
+    make_request(const http_fields& more_fields, const std::string& body = "",
+                 const std::string& method = "POST");
+    /// Sends one request after the other; may be called once.
+    std::vector<outcome> send_all(const std::vector<http_request>& requests);
+
     /// Returns the requests for permits sent so far.
     [[nodiscard]] std::vector<permit_request> permit_requests() const;
 
