Quarantine whole requests that end the servers which begin them

Cause: a crash was related to parts of prompts only, and only at engines; a plain request has no parts, and its id is new at each arrival.

Its evidence is the end of the server: the answer broke off, nothing else goes on there, and no new connection is accepted. Servers count by their ids. Three put the request into quarantine, at all entries and in the store, by the reports that exist. An idempotent request is tried again after the first such end, and not once one is known and not answered since. A quarantined plain request without an answer is withdrawn.

Ruled out: blaming by broken connections alone (the test on servers that go on would refuse sound requests, which a new connection tells apart); a threshold of two, which the retry of a sound request in a series of crashes reaches; the retry alone as the cause, as non-idempotent requests crashed 15 servers with 15 arrivals.

The simulation of the attack was not seen failing before the class existed.

--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -23,6 +23,8 @@
     std::uint32_t max_answer_tokens = 0;
     /// Parts of the prompt that other requests may have too.
     std::vector<prompt_part> prompt_parts;
+    /// All parts of the prompt, as the caller sent them.
+    std::string prompt;
 };
 
 /// Metadata that an entry adds to a request to a backend server.
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -13,6 +13,7 @@
 #include <ospreystage/serving/limit_exchange.hpp>
 #include <ospreystage/serving/prompt_quarantine.hpp>
 #include <ospreystage/serving/retry_window.hpp>
+#include <ospreystage/serving/server_end_detector.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -97,9 +98,15 @@
         std::uint32_t priority = 0;
         std::uint32_t max_attempts = 1;
         bool is_resumable = false;
-        bool is_late = false; ///< Refused before, judging by the time left.
-        /// Sent once although its prompt is quarantined.
+        bool is_late = false;     ///< Refused before, judging by the time left.
+        prompt_part identity = 0; ///< See `request_identity`.
+        /// The shared parts of its prompt, and its identity.
+        std::vector<prompt_part> parts;
+        /// Sent once although one of its parts is quarantined.
         bool is_probe = false;
+        /// It may have ended the server of its last attempt, and another one
+        /// before.
+        bool is_suspect = false;
         instant arrived{};
         instant deadline{};
         timer_id deadline_timer{};
@@ -152,6 +159,9 @@
     [[nodiscard]] bool may_send(const request_record& record,
                                 const placement& chosen) const;
     [[nodiscard]] bool is_quarantined(const request_record& record) const;
+    [[nodiscard]] const char*
+    quarantine_reason(const request_record& record) const;
+    void log_quarantined(const request_record& record);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
     void on_availability(const std::string& server,
@@ -177,7 +187,15 @@
     void withdraw(exchange_id exchange, const char* reason);
     void check_answered(request_record& record);
     [[nodiscard]] static bool is_past_crash(const request_record& record);
-    bool check_crash(const request_record& record, call_end end);
+    bool check_crash(request_record& record, call_end end);
+    void check_server_end(request_record& record);
+    [[nodiscard]] static bool is_open_at(const request_record& record,
+                                         const std::string& server, instant at);
+    [[nodiscard]] bool goes_on(const std::string& server, instant at) const;
+    void
+    on_server_ended(const std::string& server, instant at,
+                    const std::vector<server_end_detector::suspect>& suspects);
+    void report_answered(const request_record& record);
     void report_crash(const std::string& server, instant at,
                       std::uint64_t request,
                       const std::vector<prompt_part>& parts,
@@ -208,6 +226,7 @@
     metrics& metrics_;
     caller_protocol protocol_;
     gateway_context context_;
+    server_end_detector server_ends_;
     retry_window::options retry_limits_;
     web_server* server_ = nullptr;
     bool is_closed_ = false;
--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/whole_request.hpp>
 #include <ospreystage/network/messages.hpp>
 #include <ospreystage/serving/sound_parts.hpp>
 
@@ -24,7 +25,9 @@
 };
 
 /// Finds parts of prompts that crash every engine which begins an answer on
-/// them, and quarantines them.
+/// them, and whole requests that end every server which begins them, and
+/// quarantines them. A whole request is one more part, which no other request
+/// has.
 ///
 /// Answers the load of callers who keep sending such requests at all entries,
 /// among sound ones that share callers and other parts with them, while engines
@@ -35,6 +38,10 @@
 /// in time and with different requests, count against it and no other part
 /// explains them. An answer that is written clears its parts.
 ///
+/// A whole request comes again with the same part, so that it is known by the
+/// servers that have ended under it, one after the other. Where several servers
+/// end together, most of them without it, it is not the cause.
+///
 /// All tables are bounded, and callers who invent parts cannot fill them: a
 /// record takes a crash, and answered parts are kept by use.
 class prompt_quarantine {
@@ -51,6 +58,13 @@
         /// Crashes within this time count once: several engines that end
         /// together have one cause, which is not a prompt.
         milliseconds crash_spacing{100};
+        /// The same for a whole request, whose repeat at the next server may
+        /// end that one sooner.
+        milliseconds request_crash_spacing{40};
+        /// A crash does not count against a whole request if this many other
+        /// servers ended without it within `mass_crash_time`.
+        std::size_t min_mass_crashes = 2;
+        milliseconds mass_crash_time{200};
         /// A part on which an answer was written counts as sound for this long.
         milliseconds sound_time{10'000};
         /// Crashes are forgotten after this time.
@@ -72,6 +86,9 @@
 
     [[nodiscard]] bool
     is_quarantined(const std::vector<prompt_part>& parts) const;
+    /// Returns true if a server has ended under the whole request, and no
+    /// answer to it is known since.
+    [[nodiscard]] bool is_suspected(prompt_part request) const;
     [[nodiscard]] std::vector<quarantined_part> quarantined(instant now) const;
     [[nodiscard]] std::size_t size() const noexcept {
         return quarantined_.size();
@@ -134,6 +151,10 @@
     [[nodiscard]] std::size_t crashes_against(prompt_part part,
                                               bool blames_sound) const;
     [[nodiscard]] std::size_t repeated_crashes(prompt_part part) const;
+    [[nodiscard]] bool is_mass_crash(const crash_record& crash,
+                                     prompt_part request) const;
+    [[nodiscard]] std::vector<std::uint64_t>
+    servers_ended_by(prompt_part request, bool blames_sound) const;
     [[nodiscard]] bool is_guilty(prompt_part part) const;
     /// Returns false if the suspect of this crash was known.
     bool add_suspect(std::uint64_t server, const crash_suspect& suspect,
@@ -151,7 +172,17 @@
     std::deque<crash_record> crashes_; ///< In the order of their times.
     /// Latest crash for which each part is suspected.
     absl::flat_hash_map<prompt_part, instant> suspected_;
-    sound_parts answered_; ///< Answers of this entry.
+    [[nodiscard]] sound_parts& answered(prompt_part part) {
+        return is_whole_request(part) ? answered_requests_ : answered_parts_;
+    }
+    [[nodiscard]] const sound_parts& answered(prompt_part part) const {
+        return is_whole_request(part) ? answered_requests_ : answered_parts_;
+    }
+
+    // Answers of this entry. Most whole requests come once and would evict the
+    // parts of prompts.
+    sound_parts answered_parts_;
+    sound_parts answered_requests_;
     /// Latest answer on each suspected part that all entries were told of.
     absl::flat_hash_map<prompt_part, instant> reported_sound_;
     absl::flat_hash_map<prompt_part, quarantine_record> quarantined_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,6 +1,7 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/serving/gateway.hpp>
+#include <ospreystage/serving/request_identity.hpp>
 
 #include <fmt/format.h>
 
@@ -65,6 +66,8 @@
 /// Largest plain answer that is passed on only once it is whole; a larger one
 /// is passed on as it arrives. It bounds the memory that one answer takes.
 constexpr std::size_t max_buffered_bytes = 64 * 1024;
+/// Characters of a request's path in a log line.
+constexpr std::size_t max_logged_path = 200;
 /// Attempts per request, including those that servers refuse.
 constexpr std::uint32_t max_sent_attempts = 4;
 /// Priorities of attempts, 0 being the highest: fresh requests by their own
@@ -73,6 +76,11 @@
 constexpr std::uint32_t lowest_fresh_priority = 7;
 constexpr std::uint32_t highest_fresh_priority = 1;
 
+/// Returns the path of a target for log lines, without its query.
+std::string path_of(const std::string& target) {
+    return target.substr(0, std::min(target.find('?'), max_logged_path));
+}
+
 /// Returns a response which states that the request never runs and when the
 /// caller may retry.
 http_response make_refusal(const char* reason, milliseconds retry_after) {
@@ -101,6 +109,14 @@
       load_(load), availability_(availability), limits_(limits),
       quarantine_(quarantine), metrics_(request_metrics),
       protocol_(std::move(protocol)), context_(std::move(context)),
+      server_ends_(
+          core, client,
+          {[this](const std::string& server, instant at) {
+               return goes_on(server, at);
+           },
+           [this](const std::string& server, instant at, const auto& suspects) {
+               on_server_ended(server, at, suspects);
+           }}),
       retry_limits_(retry_limits), random_(std::random_device{}()) {}
 
 void gateway::attach(web_server& server) {
@@ -211,8 +227,12 @@
         core_.after(service_name, record->deadline - now,
                     [this, exchange] { on_deadline(exchange); });
     retry_window_of(record->service).on_request(now);
-    record->is_probe = quarantine_.admit(record->caller.prompt_parts, now) ==
-                       prompt_verdict::probe;
+    record->identity =
+        request_identity(record->request, caller, record->organisation);
+    record->parts = record->caller.prompt_parts;
+    record->parts.push_back(record->identity);
+    record->is_probe =
+        quarantine_.admit(record->parts, now) == prompt_verdict::probe;
     requests_.emplace(static_cast<std::uint64_t>(exchange), std::move(record));
     place(exchange);
 }
@@ -222,7 +242,8 @@
 void gateway::place(exchange_id exchange) {
     request_record& record = *find(exchange);
     if (is_quarantined(record)) {
-        refuse(exchange, "prompt is quarantined", quarantine_retry_after);
+        log_quarantined(record);
+        refuse(exchange, quarantine_reason(record), quarantine_retry_after);
         return;
     }
     const service_description* service = routes_.service(record.service);
@@ -382,8 +403,24 @@
 }
 
 bool gateway::is_quarantined(const request_record& record) const {
-    return !record.is_probe &&
-           quarantine_.is_quarantined(record.caller.prompt_parts);
+    return !record.is_probe && quarantine_.is_quarantined(record.parts);
+}
+
+const char* gateway::quarantine_reason(const request_record& record) const {
+    return quarantine_.is_quarantined({record.identity})
+               ? "request is quarantined"
+               : "prompt is quarantined";
+}
+
+void gateway::log_quarantined(const request_record& record) {
+    if (!quarantine_.is_quarantined({record.identity}))
+        return;
+    metrics_.count("ospreystage_quarantined_requests_total");
+    log_event(log_level::warn, "quarantined_request_refused",
+              {{"request", record.caller.id},
+               {"identity", fmt::format("{:016x}", record.identity)},
+               {"path", path_of(record.request.target)},
+               {"organisation", record.organisation}});
 }
 
 void gateway::send(exchange_id exchange, const placement& chosen) {
@@ -666,6 +703,7 @@
         return;
     }
     if (record->is_body_forwarded) {
+        report_answered(*record);
         end_call(*record, attempt_result::answered);
         server_->finish(exchange);
         erase(exchange, "answered");
@@ -679,8 +717,7 @@
     }
     const bool is_server_error = record->head.status >= first_server_error;
     if (!is_server_error)
-        quarantine_.on_answered(record->caller.prompt_parts, record->head_at,
-                                steady::now());
+        report_answered(*record);
     end_call(*record, is_server_error ? attempt_result::failed
                                       : attempt_result::answered);
     if (is_server_error)
@@ -750,8 +787,7 @@
         // An answer that ends with its connection may have been broken off.
         if (record.head.framing != http_framing::connection ||
             is_past_crash(record))
-            quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
-                                    steady::now());
+            report_answered(record);
         check_crash(record, end);
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
@@ -788,11 +824,12 @@
                {"server", record.server},
                {"reason", reason},
                {"may_have_run", may_have_run},
+               {"is_suspect", record.is_suspect},
                {"last_event", record.last_event_id
                                   ? nlohmann::json(*record.last_event_id)
                                   : nlohmann::json()}});
     if (is_retryable && has_time && !is_quarantined(record) &&
-        acquire_retry(record)) {
+        !record.is_suspect && acquire_retry(record)) {
         place(exchange);
         return;
     }
@@ -858,24 +895,31 @@
 }
 
 /// Withdraws the requests that still wait at an engine and must not begin
-/// there: its version has ended, or their prompt has been quarantined. Only
-/// event streams show that they have begun.
+/// there: its version has ended, or their prompt or the whole request has been
+/// quarantined. Only event streams show that they have begun; a plain request
+/// is withdrawn as long as it has no answer if it is quarantined itself.
 void gateway::withdraw_attempts() {
     absl::flat_hash_map<std::string, std::uint64_t> min_versions;
     std::vector<std::pair<exchange_id, const char*>> withdrawn;
     for (const auto& [id, record] : requests_) {
         // What is not sent yet is checked again when it would be.
         if (!record->call || !client_.is_sent(*record->call) ||
-            record->version == 0 || has_begun(*record) ||
-            record->kind != request_kind::streaming)
+            has_begun(*record))
+            continue;
+        if (record->version == 0 || record->kind != request_kind::streaming) {
+            if (!record->is_probe &&
+                quarantine_.is_quarantined({record->identity}))
+                withdrawn.emplace_back(exchange_id{id},
+                                       quarantine_reason(*record));
             continue;
+        }
         const auto [found, is_new] = min_versions.try_emplace(record->service);
         if (is_new)
             found->second = context_.min_begin_version(record->service);
         if (record->version < found->second)
             withdrawn.emplace_back(exchange_id{id}, "version ended");
         else if (is_quarantined(*record))
-            withdrawn.emplace_back(exchange_id{id}, "prompt is quarantined");
+            withdrawn.emplace_back(exchange_id{id}, quarantine_reason(*record));
     }
     for (const auto& [exchange, reason] : withdrawn)
         withdraw(exchange, reason);
@@ -913,12 +957,20 @@
 /// Records that an answer was written on the parts of its prompt, once it has
 /// gone on for longer than an engine takes to crash.
 void gateway::check_answered(request_record& record) {
-    if (record.is_reported_answered || record.caller.prompt_parts.empty() ||
-        !is_past_crash(record))
+    if (record.is_reported_answered || !is_past_crash(record))
         return;
     record.is_reported_answered = true;
-    quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
-                            steady::now());
+    report_answered(record);
+}
+
+/// Records that the request did not end its server. A plain answer that ends
+/// with its connection may have been broken off.
+void gateway::report_answered(const request_record& record) {
+    const bool may_be_cut = !record.is_event_stream &&
+                            record.head.framing == http_framing::connection;
+    quarantine_.on_answered(may_be_cut ? record.caller.prompt_parts
+                                       : record.parts,
+                            record.head_at, steady::now());
 }
 
 /// Returns true if the current answer has gone on for longer than an engine
@@ -931,7 +983,7 @@
 /// Takes an answer that was broken off just after it had begun for a sign that
 /// its server has crashed. Returns true if it is one; other calls to the server
 /// may still show that it goes on.
-bool gateway::check_crash(const request_record& record, call_end end) {
+bool gateway::check_crash(request_record& record, call_end end) {
     // Without a length or chunks, a connection that closes ends the answer.
     const bool is_broken =
         end == call_end::truncated || end == call_end::reset ||
@@ -940,8 +992,10 @@
         (end == call_end::complete && record.is_event_stream &&
          record.head.framing == http_framing::connection &&
          record.events_received <= max_crash_events);
-    if (!is_broken || is_past_crash(record) || record.version == 0 ||
-        record.caller.prompt_parts.empty())
+    if (!is_broken || is_past_crash(record))
+        return false;
+    check_server_end(record);
+    if (record.version == 0 || record.caller.prompt_parts.empty())
         return false;
     const std::uint64_t request =
         record.caller.id.empty() ? random_() : stable_hash(record.caller.id);
@@ -953,22 +1007,70 @@
     return true;
 }
 
+/// Returns true if a call to the server that had a response head before `at` is
+/// open and read.
+bool gateway::is_open_at(const request_record& record,
+                         const std::string& server, instant at) {
+    return record.call && record.server == server && !record.is_paused &&
+           record.head.status != no_head_status && record.head_at < at;
+}
+
+/// Returns true if the server shows that it has not ended at `at`: by an idle
+/// connection, which its end would have closed, or by data since.
+bool gateway::goes_on(const std::string& server, instant at) const {
+    const backend_server* listed = servers_.find(server);
+    if (listed != nullptr && client_.has_idle_connection(listed->endpoint))
+        return true;
+    return std::any_of(
+        requests_.begin(), requests_.end(), [&](const auto& item) {
+            const request_record& other = *item.second;
+            return is_open_at(other, server, at) && other.last_received > at;
+        });
+}
+
+/// Has it found out whether the server of a broken attempt has ended under the
+/// request. An answer that is passed on as it arrives had gone on too long.
+void gateway::check_server_end(request_record& record) {
+    if (record.is_body_forwarded)
+        return;
+    record.is_suspect = quarantine_.is_suspected(record.identity);
+    const backend_server* listed = servers_.find(record.server);
+    server_ends_.on_broken(
+        record.server,
+        listed == nullptr ? std::nullopt : std::optional(listed->endpoint),
+        {record.caller.id, record.identity, path_of(record.request.target),
+         record.organisation},
+        steady::now());
+}
+
+void gateway::on_server_ended(
+    const std::string& server, instant at,
+    const std::vector<server_end_detector::suspect>& suspects) {
+    const std::uint64_t server_hash = stable_hash(server);
+    for (const server_end_detector::suspect& suspect : suspects) {
+        log_event(log_level::warn, "request_crash_suspected",
+                  {{"request", suspect.request},
+                   {"identity", fmt::format("{:016x}", suspect.identity)},
+                   {"path", suspect.path},
+                   {"organisation", suspect.organisation},
+                   {"server", server},
+                   {"server_hash", fmt::format("{:016x}", server_hash)}});
+        metrics_.count("ospreystage_request_crash_suspects_total");
+        quarantine_.on_crash(server_hash, suspect.identity, {suspect.identity},
+                             at);
+    }
+}
+
 void gateway::report_crash(const std::string& server, instant at,
                            std::uint64_t request,
                            const std::vector<prompt_part>& parts,
                            bool is_second_check) {
-    const backend_server* listed = servers_.find(server);
-    if (listed != nullptr && client_.has_idle_connection(listed->endpoint))
-        return; // Its end would have closed the connection.
-    bool has_others = false;
-    for (const auto& [id, other] : requests_) {
-        if (!other->call || other->server != server || other->is_paused ||
-            other->head.status == no_head_status || other->head_at >= at)
-            continue;
-        if (other->last_received > at)
-            return; // The server goes on.
-        has_others = true;
-    }
+    if (goes_on(server, at))
+        return;
+    const bool has_others =
+        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
+            return is_open_at(*item.second, server, at);
+        });
     if (has_others && !is_second_check) {
         core_.after(service_name, silent_check_delay,
                     [this, server, at, request, parts] {
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -19,7 +19,7 @@
 /// What was reported as sound is not reported again within this time.
 constexpr milliseconds reply_interval{1000};
 constexpr std::size_t max_crashes = 256;
-constexpr std::size_t max_suspects = 32;
+constexpr std::size_t max_suspects = 64;
 /// Parts of one request that are considered, more than any honest one has.
 constexpr std::size_t max_parts = 64;
 constexpr std::size_t max_quarantined = 64;
@@ -44,7 +44,7 @@
 
 prompt_quarantine::prompt_quarantine(options configuration, std::uint64_t seed)
     : options_(std::move(configuration)), random_(seed),
-      answered_(max_answered) {}
+      answered_parts_(max_answered), answered_requests_(max_answered) {}
 
 // ---- Observers -------------------------------------------------------------
 
@@ -56,6 +56,10 @@
            });
 }
 
+bool prompt_quarantine::is_suspected(prompt_part request) const {
+    return !servers_ended_by(request, false).empty();
+}
+
 std::vector<quarantined_part>
 prompt_quarantine::quarantined(instant now) const {
     std::vector<quarantined_part> result;
@@ -66,7 +70,7 @@
 }
 
 std::optional<instant> prompt_quarantine::last_begun(prompt_part part) const {
-    std::optional<instant> result = answered_.last_begun(part);
+    std::optional<instant> result = answered(part).last_begun(part);
     const auto reported = reported_sound_.find(part);
     if (reported != reported_sound_.end() &&
         (!result || *result < reported->second))
@@ -157,7 +161,56 @@
     return repeated.size();
 }
 
+/// Returns true if several other servers ended without the request at about
+/// the same time.
+bool prompt_quarantine::is_mass_crash(const crash_record& crash,
+                                      prompt_part request) const {
+    const auto others = std::count_if(
+        crashes_.begin(), crashes_.end(), [&](const crash_record& other) {
+            const auto apart =
+                std::max(crash.at, other.at) - std::min(crash.at, other.at);
+            return other.server != crash.server &&
+                   apart < options_.mass_crash_time &&
+                   std::none_of(other.suspects.begin(), other.suspects.end(),
+                                [&](const crash_suspect& suspect) {
+                                    return has_part(suspect, request);
+                                });
+        });
+    return static_cast<std::size_t>(others) >= options_.min_mass_crashes;
+}
+
+/// Returns the servers that ended, apart in time, under a whole request.
+std::vector<std::uint64_t>
+prompt_quarantine::servers_ended_by(prompt_part request,
+                                    bool blames_sound) const {
+    std::vector<std::uint64_t> servers;
+    std::optional<instant> last_counted;
+    for (const crash_record& crash : crashes_) {
+        const bool counts = std::any_of(
+            crash.suspects.begin(), crash.suspects.end(),
+            [&](const crash_suspect& suspect) {
+                return has_part(suspect, request) &&
+                       counts_against(request, suspect, crash.at, blames_sound);
+            });
+        const bool is_apart =
+            !last_counted ||
+            crash.at - *last_counted >= options_.request_crash_spacing;
+        if (!counts || !is_apart ||
+            std::find(servers.begin(), servers.end(), crash.server) !=
+                servers.end() ||
+            is_explained(crash, request) || is_mass_crash(crash, request))
+            continue;
+        servers.push_back(crash.server);
+        last_counted = crash.at;
+    }
+    return servers;
+}
+
 bool prompt_quarantine::is_guilty(prompt_part part) const {
+    if (is_whole_request(part))
+        return servers_ended_by(part, false).size() >= options_.min_crashes ||
+               servers_ended_by(part, true).size() >=
+                   options_.min_crashes_if_sound;
     return crashes_against(part, false) >= options_.min_crashes ||
            repeated_crashes(part) >= options_.min_repeated_crashes ||
            crashes_against(part, true) >= options_.min_crashes_if_sound;
@@ -177,7 +230,11 @@
     std::vector<candidate> candidates;
     for (std::size_t position = 0; position < parts.size(); ++position) {
         const prompt_part part = parts[position];
-        if (!quarantined_.contains(part) && is_guilty(part))
+        if (quarantined_.contains(part) || !is_guilty(part))
+            continue;
+        if (is_whole_request(part))
+            quarantine(part, now, 0, "crashes");
+        else
             candidates.push_back({crashes_against(part, false),
                                   crashes_against(part, true), position});
     }
@@ -202,10 +259,19 @@
         return;
     }
     record = {since, probes, false};
-    log_event(log_level::warn, "prompt_part_quarantined",
-              {{"part", fmt::format("{:016x}", part)},
-               {"source", source},
-               {"crashes", crashes_against(part, false)}});
+    if (is_whole_request(part))
+        log_event(
+            log_level::warn, "request_quarantined",
+            {{"identity", fmt::format("{:016x}", part)},
+             {"source", source},
+             {"server_hashes",
+              fmt::format("{:016x}",
+                          fmt::join(servers_ended_by(part, true), " "))}});
+    else
+        log_event(log_level::warn, "prompt_part_quarantined",
+                  {{"part", fmt::format("{:016x}", part)},
+                   {"source", source},
+                   {"crashes", crashes_against(part, false)}});
     if (quarantined_.size() <= max_quarantined)
         return;
     const auto oldest =
@@ -244,7 +310,7 @@
 void prompt_quarantine::on_answered(const std::vector<prompt_part>& parts,
                                     instant begun, instant now) {
     for (const prompt_part part : parts) {
-        answered_.record(part, begun);
+        answered(part).record(part, begun);
         const auto suspected = suspected_.find(part);
         const bool is_quarantined = quarantined_.contains(part);
         if (suspected == suspected_.end() && !is_quarantined)
@@ -352,15 +418,19 @@
         begun < quarantined->second.since - options_.sound_time ||
         is_guilty(part))
         return;
-    log_event(log_level::info, "prompt_part_released",
-              {{"part", fmt::format("{:016x}", part)}});
+    if (is_whole_request(part))
+        log_event(log_level::info, "request_released",
+                  {{"identity", fmt::format("{:016x}", part)}});
+    else
+        log_event(log_level::info, "prompt_part_released",
+                  {{"part", fmt::format("{:016x}", part)}});
     quarantined_.erase(quarantined);
 }
 
 /// Schedules a report that a suspected part is sound, if this entry knows it
 /// and the others may not.
 void prompt_quarantine::schedule_reply(prompt_part part, instant now) {
-    const auto own = answered_.last_begun(part);
+    const auto own = answered(part).last_begun(part);
     if (!own || now - *own >= options_.sound_time)
         return;
     std::uniform_int_distribution<std::int64_t> delay(
@@ -394,7 +464,7 @@
         const auto& [part, due] = reply;
         if (due > now || report.sound.size() >= max_report_items)
             return false;
-        const auto own = answered_.last_begun(part);
+        const auto own = answered(part).last_begun(part);
         const auto reported = reported_sound_.find(part);
         const bool is_known = reported != reported_sound_.end() && own &&
                               *own < reported->second + reply_interval;
--- a/tests/fatal_requests.cpp
+++ b/tests/fatal_requests.cpp
@@ -1,7 +1,10 @@
+#include "platform/wire.hpp"
 #include "tests/support/gateway_fixture.hpp"
 #include "tests/support/mortal_servers.hpp"
 #include "tests/support/scripted_server.hpp"
 
+#include <ospreystage/serving/request_identity.hpp>
+
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -95,6 +98,7 @@
         },
         sound, 1);
     std::vector<http_request> requests;
+    requests.reserve(request_count);
     for (int number = 0; number < request_count; ++number) {
         http_fields fields = make_id(number);
         fields.push_back(
@@ -123,6 +127,7 @@
     });
     fixture.add_servers({server.endpoint()});
     std::vector<http_request> requests;
+    requests.reserve(8);
     for (int number = 0; number < 8; ++number)
         requests.push_back(
             gateway_fixture::make_request(make_id(number), "sound"));
@@ -143,3 +148,29 @@
     CHECK(outcome.response.body == answer_body);
     CHECK(servers.crashes() == 1);
 }
+
+TEST_CASE("fatal requests - a request that waits at a plain server when it is "
+          "quarantined is withdrawn") {
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::idempotent, false);
+    std::atomic<int> arrivals{0};
+    const testing::scripted_server server([&](const std::string&) {
+        ++arrivals;
+        return scripted_answer{};
+    });
+    fixture.add_servers({server.endpoint()});
+    const http_request request =
+        gateway_fixture::make_request(make_id(1), fatal_body);
+    const prompt_part identity = request_identity(
+        request, platform::make_caller_protocol().read_request(request), "");
+    fixture.core.after("test", milliseconds(100), [&] {
+        prompt_report report;
+        report.quarantined.push_back({identity, 0, 0});
+        fixture.quarantine.on_report(report, steady::now());
+    });
+    const auto outcomes = fixture.send_all({request});
+    // It may have run, so that it is no refusal.
+    CHECK(outcomes.front().response.status == 502);
+    CHECK(outcomes.front().duration < milliseconds(600));
+    CHECK(arrivals == 1);
+}
--- a/tests/support/poison_site.cpp
+++ b/tests/support/poison_site.cpp
@@ -1,6 +1,8 @@
 #include "poison_site.hpp"
 
 #include <ospreystage/core/ids.hpp>
+#include <ospreystage/core/stable_hash.hpp>
+#include <ospreystage/core/whole_request.hpp>
 #include <ospreystage/impl/overloaded.hpp>
 
 #include <fmt/format.h>
@@ -41,7 +43,9 @@
 /// The poisoned requests share one of the first parts that are used most, so
 /// that enough sound requests have it to measure their share.
 constexpr int poisoned_first_parts = 10;
-constexpr std::size_t bounding_crash = 5;
+constexpr std::size_t bounding_part_crash = 5;
+constexpr std::size_t bounding_request_crash = 3;
+constexpr milliseconds store_interval{500};
 /// Age of a quarantine after which a request with the part is let through, and
 /// requests at each entry, on average, that make one at the prober certain.
 constexpr milliseconds probe_age{35'000};
@@ -138,6 +142,7 @@
         std::make_unique<prompt_quarantine>(configuration, random_());
     entry.is_running = true;
     entry.began = now_;
+    entry.has_read_store = false;
     ++entry.life;
     entry.listed.assign(listed_.begin(), listed_.end());
     const std::uint64_t life = entry.life;
@@ -145,6 +150,8 @@
           [this, index, life] { send_report(index, life); });
     after(draw_time({}, summary_interval),
           [this, index, life] { send_summary(index, life); });
+    if (attacks_with_whole_request())
+        sync_store(index, life);
 }
 
 void poison_site::list_entry(std::size_t index, bool is_listed) {
@@ -208,6 +215,41 @@
     after(summary_interval, [this, index, life] { send_summary(index, life); });
 }
 
+bool poison_site::is_store_away() const {
+    return now_ >= started_ + options_.store_away_from &&
+           now_ < started_ + options_.store_away_until;
+}
+
+/// Reads the quarantine from the store once, then writes what this entry keeps
+/// there, as `quarantine_store` does.
+void poison_site::sync_store(std::size_t index, std::uint64_t life) {
+    entry_state& entry = entries_[index];
+    if (!entry.is_running || entry.life != life)
+        return;
+    after(store_interval, [this, index, life] { sync_store(index, life); });
+    if (is_store_away())
+        return;
+    if (!entry.has_read_store) {
+        entry.has_read_store = true;
+        prompt_report report;
+        for (const auto& [part, probes] : stored_)
+            report.quarantined.push_back({part, 0, probes});
+        entry.quarantine->on_report(report, now_);
+        return;
+    }
+    const auto current = entry.quarantine->quarantined(now_);
+    for (const quarantined_part& item : current)
+        if (is_prober(index, item.part))
+            stored_[item.part] = item.probes;
+    std::erase_if(stored_, [&](const auto& stored) {
+        return std::none_of(current.begin(), current.end(),
+                            [&](const quarantined_part& item) {
+                                return item.part == stored.first;
+                            }) &&
+               is_prober(index, stored.first);
+    });
+}
+
 void poison_site::send_datagram(std::size_t to,
                                 std::shared_ptr<const prompt_report> report) {
     ++counted_.datagrams;
@@ -223,6 +265,19 @@
 
 // ---- Requests --------------------------------------------------------------
 
+bool poison_site::attacks_with_whole_request() const {
+    return std::holds_alternative<one_whole_request>(options_.attack);
+}
+
+prompt_part poison_site::sound_identity() {
+    const std::uint64_t number =
+        draw() < options_.repeated_share
+            ? draw_index(static_cast<std::size_t>(options_.repeated_requests))
+            : static_cast<std::uint64_t>(options_.repeated_requests) +
+                  next_unique_++;
+    return make_whole_request(make_part(unique_group, number));
+}
+
 std::vector<prompt_part> poison_site::sound_prompt() {
     std::vector<prompt_part> parts{
         draw_part(first_group, options_.first_parts)};
@@ -255,6 +310,11 @@
         samples_.push_back({now_, request.parts.front(), false});
         if (draw() < options_.unique_share)
             request.parts.push_back(make_part(unique_group, next_unique_++));
+        if (attacks_with_whole_request()) {
+            request.identity = sound_identity();
+            request.parts.push_back(*request.identity);
+            traffic_[*request.identity].push_back(now_);
+        }
         on_request(std::move(request));
         next_sound();
     });
@@ -274,11 +334,21 @@
 void poison_site::on_poisoned() {
     request_state request;
     request.is_poisoned = true;
-    request.parts = poisoned_prompt();
+    if (attacks_with_whole_request()) {
+        request.identity = make_whole_request(make_part(poisoned_group, 0));
+        request.parts = {poisoned_first_, *request.identity};
+    } else {
+        request.parts = poisoned_prompt();
+    }
     on_request(std::move(request));
 }
 
 void poison_site::on_request(request_state request) {
+    const bool is_any_running =
+        std::any_of(entries_.begin(), entries_.end(),
+                    [](const entry_state& entry) { return entry.is_running; });
+    if (!is_any_running)
+        return;
     do
         request.entry = draw_index(entries_.size());
     while (!entries_[request.entry].is_running);
@@ -423,8 +493,9 @@
     for (const std::uint64_t id : cut) {
         const auto& begun = requests_.at(id).begun;
         const bool is_suspect = begun && now_ - *begun < suspect_time;
-        after(cut_delay,
-              [this, id, index, is_suspect] { on_cut(id, index, is_suspect); });
+        after(cut_delay, [this, id, index, life = engine.life, is_suspect] {
+            on_cut(id, index, life, is_suspect);
+        });
     }
     after(draw_time(options_.recovery / 2, options_.recovery * 3 / 2),
           [this, index] { engines_[index].is_up = true; });
@@ -432,13 +503,26 @@
 
 /// Repeats a request whose engine has ended, and reports it if its answer had
 /// just begun.
-void poison_site::on_cut(std::uint64_t id, std::size_t index, bool is_suspect) {
+void poison_site::on_cut(std::uint64_t id, std::size_t index,
+                         std::uint64_t life, bool is_suspect) {
     request_state& request = requests_.at(id);
     if (!is_entry_alive(request)) {
         requests_.erase(id);
         return;
     }
-    if (is_suspect)
+    if (request.identity) {
+        prompt_quarantine& quarantine = *entries_[request.entry].quarantine;
+        request.is_suspect = quarantine.is_suspected(*request.identity);
+        after(crash_check_delay,
+              [this, entry = request.entry, entry_life = request.entry_life,
+               server = mix_hash(index, life), identity = *request.identity,
+               at = now_] {
+                  if (entries_[entry].is_running &&
+                      entries_[entry].life == entry_life)
+                      entries_[entry].quarantine->on_crash(server, identity,
+                                                           {identity}, at);
+              });
+    } else if (is_suspect)
         after(crash_check_delay, [this, id, index, entry = request.entry,
                                   life = request.entry_life,
                                   parts = request.parts] {
@@ -446,7 +530,8 @@
                 entries_[entry].quarantine->on_crash(index, id, parts, now_);
         });
     request.is_probe = false; // It may have run.
-    if (request.attempts < max_attempts && !is_refused(request))
+    if (request.attempts < max_attempts && !request.is_suspect &&
+        !is_refused(request))
         place(id);
     else
         requests_.erase(id);
@@ -479,15 +564,25 @@
 
 // ---- Run -------------------------------------------------------------------
 
+/// Returns the time of the crash at which the requests have to be recognised.
+std::optional<instant> poison_site::bounding_crash() const {
+    const std::size_t number = attacks_with_whole_request()
+                                   ? bounding_request_crash
+                                   : bounding_part_crash;
+    if (poisoned_crashes_.size() < number)
+        return std::nullopt;
+    return poisoned_crashes_[number - 1];
+}
+
 void poison_site::count_arrivals(result& counted) const {
     counted.crashes = poisoned_crashes_.size();
-    if (poisoned_crashes_.size() < bounding_crash)
+    const auto bound = bounding_crash();
+    if (!bound)
         return;
-    const instant fifth = poisoned_crashes_[bounding_crash - 1];
-    counted.fifth_crash = std::chrono::duration_cast<milliseconds>(
-        fifth - started_ - options_.poisoned_from);
+    counted.bounding_crash = std::chrono::duration_cast<milliseconds>(
+        *bound - started_ - options_.poisoned_from);
     for (const poisoned_arrival& arrival : poisoned_arrivals_) {
-        if (arrival.at <= fifth + options_.contact)
+        if (arrival.at <= *bound + options_.contact)
             continue;
         // The rule holds for entries that have run for the contact time.
         const bool has_just_started =
@@ -499,7 +594,7 @@
         }
         ++counted.late_arrivals;
         counted.last_arrival =
-            std::chrono::duration_cast<milliseconds>(arrival.at - fifth);
+            std::chrono::duration_cast<milliseconds>(arrival.at - *bound);
     }
 }
 
@@ -507,9 +602,9 @@
     const instant attacked = started_ + options_.poisoned_from;
     // An answer may begin up to this time after the request has come.
     const instant end = started_ + options_.duration - max_wait;
-    std::optional<instant> from;
-    if (poisoned_crashes_.size() >= bounding_crash)
-        from = poisoned_crashes_[bounding_crash - 1] + 2 * options_.contact;
+    std::optional<instant> from = bounding_crash();
+    if (from)
+        *from += 2 * options_.contact;
     std::size_t before = 0;
     std::size_t after = 0;
     for (const sound_sample& sample : samples_) {
@@ -578,6 +673,11 @@
             list_entry(index, true);
             start_entry(index);
         });
+    if (options_.restart_all_at)
+        after(*options_.restart_all_at, [this] {
+            for (std::size_t index = 0; index < entries_.size(); ++index)
+                restart_entry(index);
+        });
     while (!events_.empty() && events_.top().at < end) {
         const event next = events_.top();
         events_.pop();
--- a/tests/support/poison_site.hpp
+++ b/tests/support/poison_site.hpp
@@ -23,9 +23,13 @@
 struct one_poisoned_part {};
 /// Each poisoned request has a part of its own that crashes engines.
 struct new_poisoned_parts {};
+/// All poisoned requests are the same, which ends plain servers; requests show
+/// only that they are answered or cut, not that they have begun.
+struct one_whole_request {};
 
 /// What the poisoned requests of a `poison_site` have in common.
-using poison = std::variant<no_poison, one_poisoned_part, new_poisoned_parts>;
+using poison = std::variant<no_poison, one_poisoned_part, new_poisoned_parts,
+                            one_whole_request>;
 
 /// Simulates entries that send requests to engines which crash as they begin
 /// an answer on a poisoned part, in virtual time: datagrams are delayed and
@@ -53,12 +57,22 @@
         milliseconds max_delay{3};   ///< Of datagrams; the least is 1 ms.
         int restarts = 0;            ///< Of entries, which forget everything.
         int joins = 0;               ///< Entries that start during the run.
+        /// All entries restart at this time, and know only what the store has.
+        std::optional<milliseconds> restart_all_at;
+        /// The store answers no calls in this time.
+        milliseconds store_away_from{0};
+        milliseconds store_away_until{0};
+        /// Whole requests: sound ones that come again and again, and their
+        /// share; the others come once.
+        int repeated_requests = 20;
+        double repeated_share = 0.3;
         double single_crashes_per_second = 0; ///< For no reason in a prompt.
         int mass_crashes = 0;
         double mass_share = 0.7; ///< Engines that end in one mass crash.
         /// Time within which unrelated crashes happen.
         milliseconds crashes_until{1'000'000};
-        /// Time after the fifth crash from which poisoned requests are counted.
+        /// Time after the fifth crash (whole requests: the third) from which
+        /// poisoned requests are counted.
         milliseconds contact{3000};
         milliseconds duration{45'000};
         std::uint64_t seed = 1;
@@ -67,7 +81,8 @@
     struct result {
         std::size_t crashes = 0; ///< Due to poisoned requests.
         std::size_t unrelated_crashes = 0;
-        std::optional<milliseconds> fifth_crash; ///< Since the attack began.
+        /// Fifth or third crash, since the attack began.
+        std::optional<milliseconds> bounding_crash;
         /// Poisoned requests and repeats that reached engines later than
         /// `contact` after the fifth crash, from entries that had run for
         /// `contact`.
@@ -108,6 +123,7 @@
         bool is_running = false;
         instant began{};
         std::vector<std::size_t> listed; ///< Entries that this one knows.
+        bool has_read_store = false;
     };
     struct engine_state {
         bool is_up = true;
@@ -116,7 +132,9 @@
         std::deque<std::uint64_t> waiting;
     };
     struct request_state {
-        std::vector<prompt_part> parts;
+        std::vector<prompt_part> parts; ///< With the identity, if any.
+        std::optional<prompt_part> identity;
+        bool is_suspect = false;
         bool is_poisoned = false;
         bool is_probe = false;
         std::size_t entry = 0;
@@ -163,12 +181,16 @@
     [[nodiscard]] bool is_prober(std::size_t index, prompt_part part) const;
     void send_report(std::size_t index, std::uint64_t life);
     void send_summary(std::size_t index, std::uint64_t life);
+    void sync_store(std::size_t index, std::uint64_t life);
+    [[nodiscard]] bool is_store_away() const;
     void send_datagram(std::size_t to,
                        std::shared_ptr<const prompt_report> report);
 
     void next_sound();
     void next_poisoned();
     void on_poisoned();
+    [[nodiscard]] bool attacks_with_whole_request() const;
+    [[nodiscard]] prompt_part sound_identity();
     [[nodiscard]] std::vector<prompt_part> sound_prompt();
     [[nodiscard]] std::vector<prompt_part> poisoned_prompt();
     void on_request(request_state request);
@@ -182,11 +204,13 @@
     void begin(std::uint64_t id);
     void finish(std::uint64_t id, std::size_t index, std::uint64_t life);
     void crash(std::size_t index);
-    void on_cut(std::uint64_t id, std::size_t index, bool is_suspect);
+    void on_cut(std::uint64_t id, std::size_t index, std::uint64_t life,
+                bool is_suspect);
     void plan_unrelated_crashes();
     void next_single_crash();
 
     [[nodiscard]] result count() const;
+    [[nodiscard]] std::optional<instant> bounding_crash() const;
     void count_arrivals(result& counted) const;
     void count_served(result& counted) const;
     [[nodiscard]] std::size_t count_blamed() const;
@@ -210,6 +234,7 @@
     std::vector<poisoned_arrival> poisoned_arrivals_;
     std::vector<instant> poisoned_crashes_;
     instant last_crash_{};
+    std::map<prompt_part, std::uint32_t> stored_;   ///< Probes by part.
     std::map<std::int64_t, std::size_t> datagrams_; ///< By the second.
     result counted_;
 };
