--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -33,21 +33,6 @@
     fields.push_back(field);
 }
 
-http_request make_request(const std::string& method,
-                          const http_fields& more_fields) {
-    http_request request;
-    request.method = method;
-    request.target = "/x/1";
-    request.fields = {{"Host", "a.example"},
-                      {"X-Request-Id", "r1"},
-                      {"X-Request-Deadline", "3000"},
-                      {"Api-Key", "secret"},
-                      {"X-Tenant", "forged"}};
-    for (const http_field& field : more_fields)
-        replace_field(request.fields, field);
-    return request;
-}
-
 } // namespace
 
 gateway_fixture::gateway_fixture()
@@ -188,19 +173,45 @@
 std::vector<gateway_fixture::outcome>
 gateway_fixture::send_requests(const std::vector<http_fields>& more_fields,
                                const std::string& method) {
-    const std::size_t count = more_fields.size();
+    std::vector<http_request> requests;
+    requests.reserve(more_fields.size());
+    for (const http_fields& fields : more_fields)
+        requests.push_back(make_request(fields, "", method));
+    return send_all(requests);
+}
+
+http_request gateway_fixture::make_request(const http_fields& more_fields,
+                                           const std::string& body,
+                                           const std::string& method) {
+    http_request request;
+    request.method = method;
+    request.target = "/x/1";
+    request.fields = {{"Host", "a.example"},
+                      {"X-Request-Id", "r1"},
+                      {"X-Request-Deadline", "3000"},
+                      {"Api-Key", "secret"},
+                      {"X-Tenant", "forged"}};
+    request.body = body;
+    for (const http_field& field : more_fields)
+        replace_field(request.fields, field);
+    return request;
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_all(const std::vector<http_request>& requests) {
+    const std::size_t count = requests.size();
     std::vector<outcome> results;
     std::function<void()> send_next = [&] {
         const instant started = steady::now();
-        client.fetch(
-            front_address, make_request(method, more_fields[results.size()]),
-            {}, [&, started](call_end end, http_response response) {
-                results.push_back({end, std::move(response),
-                                   std::chrono::duration_cast<milliseconds>(
-                                       steady::now() - started)});
-                if (results.size() < count)
-                    send_next();
-            });
+        client.fetch(front_address, requests[results.size()], {},
+                     [&, started](call_end end, http_response response) {
+                         results.push_back(
+                             {end, std::move(response),
+                              std::chrono::duration_cast<milliseconds>(
+                                  steady::now() - started)});
+                         if (results.size() < count)
+                             send_next();
+                     });
     };
     send_next();
     run_until_answered(results, count);
@@ -213,7 +224,7 @@
     std::vector<outcome> results;
     const instant started = steady::now();
     for (const http_fields& fields : more_fields)
-        client.fetch(front_address, make_request(method, fields), {},
+        client.fetch(front_address, make_request(fields, "", method), {},
                      [&](call_end end, http_response response) {
                          results.push_back(
                              {end, std::move(response),
