Know an event stream by its content type in each letter case

A stream whose type is written 'Text/Event-Stream' was taken for a plain body, whose end is the connection's, and passed on as whole although it broke off inside an event.

Cause: the type was compared with its letter case, which media types do not have.

Change: it is compared without.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -64,7 +64,8 @@
 }
 
 bool is_event_stream(std::string_view content_type) noexcept {
-    return content_type.starts_with("text/event-stream");
+    return absl::StartsWithIgnoreCase(to_absl(content_type),
+                                      "text/event-stream");
 }
 
 http_response text_response(std::string content_type, std::string body) {
