--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -13,6 +13,7 @@
 #include <ospreystage/serving/limit_exchange.hpp>
 #include <ospreystage/serving/prompt_quarantine.hpp>
 #include <ospreystage/serving/retry_window.hpp>
+#include <ospreystage/serving/server_end_detector.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -33,9 +34,11 @@
     std::function<std::uint32_t()> entries;
     /// Returns the oldest version of a service's weights to which requests may
     /// be sent.
-    std::function<std::uint64_t(const std::string& service)> min_version;
+    std::function<std::uint64_t(const service_description& service)>
+        min_version;
     /// Returns the oldest version on which a request that was sent may begin.
-    std::function<std::uint64_t(const std::string& service)> min_begin_version;
+    std::function<std::uint64_t(const service_description& service)>
+        min_begin_version;
     /// Notifies the other entries of a request whose prompt takes
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
@@ -85,11 +88,50 @@
     }
 
   private:
-    /// A request without a final response.
-    struct request_record {
+    /// One sending of a request to a server.
+    struct attempt_record {
+        std::uint32_t number = 0; ///< Within its request, from 1.
+        std::optional<call_id> call;
+        std::string server;        ///< Server of the call, or of the last one.
+        std::uint64_t version = 0; ///< Engines: version held there when sent.
+        instant sent_at{};
+        instant head_at{}; ///< When the head was received.
+        /// Time of the call's last data; of an event stream, of its last event.
+        instant last_received{};
+        bool is_paused = false; ///< Reading waits for the caller.
+        /// The response; its body stays empty while it is forwarded.
+        http_response head;
+        bool is_event_stream = false;
+        std::uint32_t events_received = 0;
+        bool is_reported_answered = false;
+        event_splitter events;
+        /// Last event of the caller when the attempt was sent.
+        std::optional<std::uint64_t> resumed_after;
+        /// Last numbered event of the attempt.
+        std::optional<std::uint64_t> attempt_event_id;
+    };
+
+    /// Choice of a server for which a permit has been requested.
+    struct pending_permit {
+        std::uint64_t sequence = 0;
+        placement chosen;
+    };
+
+    /// Result of the search for a server, with what explains a refusal.
+    struct placement_choice {
+        placement_decision decision;
+        available_servers servers;
+        std::vector<const backend_server*> at_limit;
+    };
+
+    /// A request without a final response. Its own attempt is the current one.
+    struct request_record : attempt_record {
         http_request request;
         caller_request caller;
         std::string service;
+        /// Of the configuration under which the request was accepted; empty if
+        /// that did not describe the service.
+        std::optional<service_description> description;
         std::string organisation;
         request_kind kind = request_kind::non_idempotent;
         milliseconds target_latency{};
@@ -97,40 +139,38 @@
         std::uint32_t priority = 0;
         std::uint32_t max_attempts = 1;
         bool is_resumable = false;
-        bool is_late = false; ///< Refused before, judging by the time left.
-        /// Sent once although its prompt is quarantined.
+        bool is_late = false;     ///< Refused before, judging by the time left.
+        prompt_part identity = 0; ///< See `request_identity`.
+        /// The shared parts of its prompt, and its identity.
+        std::vector<prompt_part> parts;
+        /// Sent once although one of its parts is quarantined.
         bool is_probe = false;
+        /// It may have ended the server of its last attempt, and another one
+        /// before.
+        bool is_suspect = false;
         instant arrived{};
         instant deadline{};
         timer_id deadline_timer{};
 
-        /// Choice of a server for which a permit has been requested.
-        std::optional<placement> awaiting_permit;
+        std::optional<pending_permit> awaiting_permit;
 
         std::uint32_t sent_attempts = 0; ///< Attempts sent to a server.
         std::uint32_t possible_runs = 0; ///< Those that may have run.
         absl::flat_hash_set<std::string> tried;
-        std::optional<call_id> call;
-        std::string server;        ///< Server of the current or last call.
-        std::uint64_t version = 0; ///< Engines: version held there when sent.
-        instant sent_at{};
-        instant head_at{}; ///< When the current attempt's head was received.
-        /// Time of the call's last data; of an event stream, of its last event.
-        instant last_received{};
-        bool is_paused = false; ///< Reading waits for the caller.
+        std::uint32_t last_attempt = 0; ///< Number of the newest attempt.
+        /// Attempt at a silent server, which is kept until the current one
+        /// begins its answer.
+        std::optional<attempt_record> silent_attempt;
 
-        /// Response of the current attempt; its body stays empty while it is
-        /// forwarded.
-        http_response head;
-        bool is_event_stream = false;
-        std::uint32_t events_received = 0; ///< Of the current attempt.
-        bool is_reported_answered = false; ///< The current attempt.
-        bool has_response_begun = false;   ///< Head sent to the caller.
-        bool is_body_forwarded = false;    ///< A plain body, as it arrives.
-        event_splitter events;
+        bool has_response_begun = false; ///< Head sent to the caller.
+        bool is_body_forwarded = false;  ///< A plain body, as it arrives.
         std::optional<std::uint64_t> last_event_id;
         /// The caller has received an event without an id.
         bool has_unnumbered_event = false;
+        /// Numbered events that the caller has received, and whether each id
+        /// was one higher than the one before.
+        std::uint32_t numbered_events = 0;
+        bool has_consecutive_ids = true;
     };
 
     [[nodiscard]] request_record* find(exchange_id exchange);
@@ -140,10 +180,8 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
-    void refuse_placement(exchange_id exchange,
-                          const placement_decision& decision,
-                          const available_servers& servers,
-                          const std::vector<const backend_server*>& at_limit);
+    [[nodiscard]] placement_choice choose_server(const request_record& record);
+    void refuse_placement(exchange_id exchange, const placement_choice& choice);
     [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
     void on_permit(exchange_id exchange, const placement& chosen,
@@ -152,19 +190,27 @@
     [[nodiscard]] bool may_send(const request_record& record,
                                 const placement& chosen) const;
     [[nodiscard]] bool is_quarantined(const request_record& record) const;
+    [[nodiscard]] const char*
+    quarantine_reason(const request_record& record) const;
+    void log_quarantined(const request_record& record);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
+    void on_server_state(const std::string& server, const http_response& head);
     void on_availability(const std::string& server,
                          const availability_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
+    void on_events(exchange_id exchange,
+                   const std::vector<stream_event>& events);
     void on_plain_body(exchange_id exchange, std::string_view data);
     void begin_response(exchange_id exchange);
     void write(exchange_id exchange, std::string_view data);
-    void on_answer_too_large(exchange_id exchange, const char* reason);
+    void abandon_answer(exchange_id exchange, call_end end, const char* reason);
+    [[nodiscard]] static const char* event_defect(const request_record& record,
+                                                  const stream_event& event);
     void on_call_ended(exchange_id exchange, call_end end);
     void log_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
-    stream_defect(const request_record& record);
+    stream_defect(const attempt_record& attempt);
     void on_stream_ended(exchange_id exchange, call_end end);
     void forward(exchange_id exchange, const stream_event& event);
     [[nodiscard]] static bool may_run_again(const request_record& record);
@@ -172,12 +218,33 @@
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
     void check_idle_attempts();
+    [[nodiscard]] bool is_silent(const request_record& record,
+                                 instant now) const;
+    void try_other_server(exchange_id exchange);
+    [[nodiscard]] bool set_aside(request_record& record);
+    bool resume_silent_attempt(request_record& record);
+    void drop_silent_attempt(request_record& record);
+    [[nodiscard]] bool is_set_aside(exchange_id exchange,
+                                    std::uint32_t attempt);
+    void on_silent_head(exchange_id exchange, const http_response& head);
+    void on_silent_body(exchange_id exchange, std::string_view data);
+    void on_silent_ended(exchange_id exchange, call_end end);
     void withdraw_attempts();
-    [[nodiscard]] static bool has_begun(const request_record& record);
+    [[nodiscard]] const char* withdrawal_reason(const request_record& record,
+                                                const attempt_record& attempt);
+    [[nodiscard]] static bool has_begun(const attempt_record& attempt);
     void withdraw(exchange_id exchange, const char* reason);
     void check_answered(request_record& record);
     [[nodiscard]] static bool is_past_crash(const request_record& record);
-    bool check_crash(const request_record& record, call_end end);
+    bool check_crash(request_record& record, call_end end);
+    void check_server_end(request_record& record);
+    [[nodiscard]] static bool is_open_at(const request_record& record,
+                                         const std::string& server, instant at);
+    [[nodiscard]] bool goes_on(const std::string& server, instant at) const;
+    void
+    on_server_ended(const std::string& server, instant at,
+                    const std::vector<server_end_detector::suspect>& suspects);
+    void report_answered(const request_record& record);
     void report_crash(const std::string& server, instant at,
                       std::uint64_t request,
                       const std::vector<prompt_part>& parts,
@@ -208,6 +275,7 @@
     metrics& metrics_;
     caller_protocol protocol_;
     gateway_context context_;
+    server_end_detector server_ends_;
     retry_window::options retry_limits_;
     web_server* server_ = nullptr;
     bool is_closed_ = false;
--- a/include/ospreystage/weights/swarm.hpp
+++ b/include/ospreystage/weights/swarm.hpp
@@ -153,10 +153,16 @@
         std::vector<std::string> silent_readers;
         std::vector<std::string> owners_to_notify;
         bool announce_now = false;
+        /// The origin no longer offers the version; peers may still hold it.
+        bool is_gone_from_origin = false;
         instant last_announcement{};
         instant requested_since{};
         instant last_progress{}; ///< When the last chunk was stored.
         instant last_blocked_check{};
+        /// Chunks that neither this agent nor a peer holds, and when peers last
+        /// changed their number or a read of this agent last failed.
+        std::uint32_t unheld_chunks = 0;
+        instant unheld_since{};
         /// Source of the outstanding manifest request.
         std::optional<chunk_source> manifest_source;
         instant manifest_deadline{};
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -69,6 +69,20 @@
 
 void web_server::set_limits(const server_limits& limits) {
     limits_ = limits;
+    for (const auto& [id, record] : connections_) {
+        if (record->is_busy || record->is_refused)
+            continue;
+        const milliseconds timeout =
+            record->parser ? limits_.header_timeout : limits_.idle_timeout;
+        record->deadline =
+            std::max(record->deadline, record->waiting_since + timeout);
+    }
+}
+
+/// Sets the time until which a connection waits for what comes next.
+void web_server::await_input(connection_record& record, milliseconds timeout) {
+    record.waiting_since = steady::now();
+    record.deadline = record.waiting_since + timeout;
 }
 
 void web_server::close_after_responses() {
@@ -132,7 +146,7 @@
         const std::uint64_t id = next_connection_++;
         auto record = std::make_unique<connection_record>(core_);
         record->accepted_at = steady::now();
-        record->deadline = record->accepted_at + limits_.idle_timeout;
+        await_input(*record, limits_.idle_timeout);
         record->socket.set_handlers(
             {nullptr, [this, id] { on_readable(id); },
              [this, id](stream_socket::end_kind) { on_ended(id); },
@@ -170,7 +184,7 @@
     if (!record.parser) {
         record.parser = std::make_unique<request_parser>(
             limits_.max_header_bytes, limits_.max_body_bytes);
-        record.deadline = steady::now() + limits_.header_timeout;
+        await_input(record, limits_.header_timeout);
     }
     const parse_progress progress = record.parser->feed(input);
     input.erase(0, progress.consumed);
@@ -222,7 +236,7 @@
     record.socket.input.clear();
     record.parser.reset();
     record.is_refused = true;
-    record.deadline = steady::now() + refusal_linger;
+    await_input(record, refusal_linger);
 }
 
 void web_server::on_ended(std::uint64_t id) {
@@ -265,14 +279,32 @@
     for (const auto& [id, record] : connections_)
         if (!record->is_busy && record->deadline <= now)
             expired.push_back(id);
-    for (const std::uint64_t id : expired) {
-        const connection_record& record = *connections_.at(id);
-        if (record.parser)
-            refuse(id, 408, "request not received in time",
-                   record.parser->request().target);
-        else
-            drop(id);
-    }
+    for (const std::uint64_t id : expired)
+        expire(id, now);
+}
+
+/// Ends a connection whose deadline has passed, unless the request that it
+/// waits for has arrived meanwhile and lies unread in the socket.
+void web_server::expire(std::uint64_t id, instant now) {
+    const auto find_expired = [&]() -> connection_record* {
+        const auto found = connections_.find(id);
+        if (found == connections_.end() || found->second->is_busy ||
+            found->second->deadline > now)
+            return nullptr;
+        return found->second.get();
+    };
+    connection_record* record = find_expired();
+    if (record == nullptr)
+        return;
+    record->socket.read_available();
+    record = find_expired();
+    if (record == nullptr)
+        return;
+    if (record->parser)
+        refuse(id, 408, "request not received in time",
+               record->parser->request().target);
+    else
+        drop(id);
 }
 
 // ---- Responses -------------------------------------------------------------
@@ -361,7 +393,7 @@
         record.socket.close_after_output();
         return;
     }
-    record.deadline = steady::now() + limits_.idle_timeout;
+    await_input(record, limits_.idle_timeout);
     record.socket.set_reading(true);
     if (record.socket.input.empty())
         return;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,6 +1,7 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/serving/gateway.hpp>
+#include <ospreystage/serving/request_identity.hpp>
 
 #include <fmt/format.h>
 
@@ -65,6 +66,8 @@
 /// Largest plain answer that is passed on only once it is whole; a larger one
 /// is passed on as it arrives. It bounds the memory that one answer takes.
 constexpr std::size_t max_buffered_bytes = 64 * 1024;
+/// Characters of a request's path in a log line.
+constexpr std::size_t max_logged_path = 200;
 /// Attempts per request, including those that servers refuse.
 constexpr std::uint32_t max_sent_attempts = 4;
 /// Priorities of attempts, 0 being the highest: fresh requests by their own
@@ -73,6 +76,11 @@
 constexpr std::uint32_t lowest_fresh_priority = 7;
 constexpr std::uint32_t highest_fresh_priority = 1;
 
+/// Returns the path of a target for log lines, without its query.
+std::string path_of(const std::string& target) {
+    return target.substr(0, std::min(target.find('?'), max_logged_path));
+}
+
 /// Returns a response which states that the request never runs and when the
 /// caller may retry.
 http_response make_refusal(const char* reason, milliseconds retry_after) {
@@ -101,6 +109,14 @@
       load_(load), availability_(availability), limits_(limits),
       quarantine_(quarantine), metrics_(request_metrics),
       protocol_(std::move(protocol)), context_(std::move(context)),
+      server_ends_(
+          core, client,
+          {[this](const std::string& server, instant at) {
+               return goes_on(server, at);
+           },
+           [this](const std::string& server, instant at, const auto& suspects) {
+               on_server_ended(server, at, suspects);
+           }}),
       retry_limits_(retry_limits), random_(std::random_device{}()) {}
 
 void gateway::attach(web_server& server) {
@@ -186,6 +202,8 @@
     std::uniform_real_distribution<double> draw(0, 1);
     record->service =
         route_table::choose_service(*routed.matched_route, draw(random_));
+    if (const auto* described = routes_.service(record->service))
+        record->description = *described;
     record->organisation =
         routed.organisation == nullptr ? "" : routed.organisation->name;
     record->kind = routed.matched_route->kind;
@@ -211,8 +229,12 @@
         core_.after(service_name, record->deadline - now,
                     [this, exchange] { on_deadline(exchange); });
     retry_window_of(record->service).on_request(now);
-    record->is_probe = quarantine_.admit(record->caller.prompt_parts, now) ==
-                       prompt_verdict::probe;
+    record->identity =
+        request_identity(record->request, caller, record->organisation);
+    record->parts = record->caller.prompt_parts;
+    record->parts.push_back(record->identity);
+    record->is_probe =
+        quarantine_.admit(record->parts, now) == prompt_verdict::probe;
     requests_.emplace(static_cast<std::uint64_t>(exchange), std::move(record));
     place(exchange);
 }
@@ -222,32 +244,43 @@
 void gateway::place(exchange_id exchange) {
     request_record& record = *find(exchange);
     if (is_quarantined(record)) {
-        refuse(exchange, "prompt is quarantined", quarantine_retry_after);
+        log_quarantined(record);
+        refuse(exchange, quarantine_reason(record), quarantine_retry_after);
         return;
     }
-    const service_description* service = routes_.service(record.service);
-    if (service == nullptr) {
+    if (!record.description) {
         refuse(exchange, "service is not described", default_retry_after);
         return;
     }
+    const placement_choice choice = choose_server(record);
+    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+        await_permit(exchange, *chosen);
+    else
+        refuse_placement(exchange, choice);
+}
+
+/// Chooses a server that the request has not been sent to; one that is leaving
+/// only where no other can take the request.
+gateway::placement_choice gateway::choose_server(const request_record& record) {
+    const service_description& service = *record.description;
     placement_request placement_query;
-    placement_query.service = service;
+    placement_query.service = &service;
     placement_query.prompt_tokens = record.caller.prompt_tokens;
     placement_query.target_latency = record.target_latency;
     placement_query.is_late = record.is_late;
-    placement_query.min_version = context_.min_version(record.service);
+    placement_query.min_version = context_.min_version(service);
     placement_query.tried = &record.tried;
     // All entries share a server's connection limit; it resets connections
     // above the limit.
     const std::uint32_t entries = std::max(1U, context_.entries());
     const std::size_t share =
-        service->max_connections == 0
+        service.max_connections == 0
             ? 0
-            : std::max<std::size_t>(1, service->max_connections / entries);
+            : std::max<std::size_t>(1, service.max_connections / entries);
     const instant now = steady::now();
-    available_servers servers =
+    placement_choice choice;
+    choice.servers =
         availability_.select(servers_.serving(record.service), now);
-    std::vector<const backend_server*> at_limit;
     const auto choose = [&](std::vector<const backend_server*>& candidates) {
         std::erase_if(candidates, [&](const backend_server* server) {
             return !client_.has_free_connection(server->endpoint, share);
@@ -255,33 +288,29 @@
         std::erase_if(candidates, [&](const backend_server* server) {
             if (!limits_.is_closed(server->id, now))
                 return false;
-            at_limit.push_back(server);
+            choice.at_limit.push_back(server);
             return true;
         });
         return load_.place(placement_query, candidates, entries, now);
     };
-    const placement_decision decision = choose(servers.available);
-    if (const auto* chosen = std::get_if<placement>(&decision)) {
-        await_permit(exchange, *chosen);
-        return;
-    }
-    const placement_decision last_resort = choose(servers.last_resort);
-    if (const auto* chosen = std::get_if<placement>(&last_resort))
-        await_permit(exchange, *chosen);
-    else
-        refuse_placement(exchange, decision, servers, at_limit);
+    choice.decision = choose(choice.servers.available);
+    if (std::holds_alternative<placement>(choice.decision))
+        return choice;
+    const placement_decision last_resort = choose(choice.servers.last_resort);
+    if (std::holds_alternative<placement>(last_resort))
+        choice.decision = last_resort;
+    return choice;
 }
 
-void gateway::refuse_placement(
-    exchange_id exchange, const placement_decision& decision,
-    const available_servers& servers,
-    const std::vector<const backend_server*>& at_limit) {
+void gateway::refuse_placement(exchange_id exchange,
+                               const placement_choice& choice) {
     const instant now = steady::now();
-    if (const auto* refusal = std::get_if<no_capacity>(&decision))
+    const available_servers& servers = choice.servers;
+    if (const auto* refusal = std::get_if<no_capacity>(&choice.decision))
         refuse(exchange, "no server has room in time", refusal->retry_after);
-    else if (!at_limit.empty())
+    else if (!choice.at_limit.empty())
         refuse(exchange, "servers are at their limits",
-               limits_.retry_after(at_limit, context_.entries(), now));
+               limits_.retry_after(choice.at_limit, context_.entries(), now));
     else if (servers.next_available)
         refuse(exchange, "servers ask for a pause",
                availability_.retry_after(*servers.next_available, now));
@@ -308,7 +337,7 @@
         on_permit(exchange, chosen, decision);
         return;
     }
-    find(exchange)->awaiting_permit = chosen;
+    find(exchange)->awaiting_permit = {pending->sequence, chosen};
     awaiting_permits_.emplace(pending->sequence, exchange);
     core_.after(
         service_name, pending->timeout,
@@ -329,7 +358,9 @@
                   {{"request", find(exchange)->caller.id},
                    {"server", chosen.server},
                    {"wait_ms", denied->wait.count()}});
-    place(exchange);
+    // An attempt that is open goes on without another one beside it.
+    if (!find(exchange)->call)
+        place(exchange);
 }
 
 void gateway::on_permit_reply(const permit_reply& reply) {
@@ -342,11 +373,12 @@
     const exchange_id exchange = waiting.mapped();
     request_record* record = find(exchange);
     // The caller may have left, or the deadline passed, meanwhile.
-    if (record == nullptr)
+    if (record == nullptr || !record->awaiting_permit ||
+        record->awaiting_permit->sequence != reply.sequence)
         return;
-    const auto chosen = std::exchange(record->awaiting_permit, std::nullopt);
-    if (chosen)
-        on_permit(exchange, *chosen, *decision);
+    const placement chosen = std::move(record->awaiting_permit->chosen);
+    record->awaiting_permit.reset();
+    on_permit(exchange, chosen, *decision);
 }
 
 void gateway::on_permit_timeout(std::uint64_t sequence) {
@@ -356,14 +388,16 @@
     limits_.on_timeout(sequence, steady::now());
     const exchange_id exchange = waiting.mapped();
     request_record* record = find(exchange);
-    if (record == nullptr || !record->awaiting_permit)
+    if (record == nullptr || !record->awaiting_permit ||
+        record->awaiting_permit->sequence != sequence)
         return;
     metrics_.count("ospreystage_permit_timeouts_total");
     log_event(log_level::warn, "permit_not_answered",
               {{"request", record->caller.id},
-               {"server", record->awaiting_permit->server}});
+               {"server", record->awaiting_permit->chosen.server}});
     record->awaiting_permit.reset();
-    place(exchange);
+    if (!record->call)
+        place(exchange);
 }
 
 // ---- Attempts at a server --------------------------------------------------
@@ -374,7 +408,7 @@
                        const placement& chosen) const {
     const bool is_current =
         chosen.version == 0 ||
-        chosen.version >= context_.min_version(record.service);
+        chosen.version >= context_.min_version(*record.description);
     const backend_server* server = servers_.find(chosen.server);
     return is_current && server != nullptr && !server->is_draining &&
            !is_quarantined(record) &&
@@ -382,12 +416,30 @@
 }
 
 bool gateway::is_quarantined(const request_record& record) const {
-    return !record.is_probe &&
-           quarantine_.is_quarantined(record.caller.prompt_parts);
+    return !record.is_probe && quarantine_.is_quarantined(record.parts);
+}
+
+const char* gateway::quarantine_reason(const request_record& record) const {
+    return quarantine_.is_quarantined({record.identity})
+               ? "request is quarantined"
+               : "prompt is quarantined";
+}
+
+void gateway::log_quarantined(const request_record& record) {
+    if (!quarantine_.is_quarantined({record.identity}))
+        return;
+    metrics_.count("ospreystage_quarantined_requests_total");
+    log_event(log_level::warn, "quarantined_request_refused",
+              {{"request", record.caller.id},
+               {"identity", fmt::format("{:016x}", record.identity)},
+               {"path", path_of(record.request.target)},
+               {"organisation", record.organisation}});
 }
 
 void gateway::send(exchange_id exchange, const placement& chosen) {
     request_record& record = *find(exchange);
+    if (record.call && !set_aside(record))
+        return;
     const instant now = steady::now();
     const backend_server* server = servers_.find(chosen.server);
     attempt_metadata metadata;
@@ -415,24 +467,32 @@
         return may_send(*find(exchange), chosen);
     };
     call_handlers handlers;
-    handlers.head = [this, exchange](const http_response& head) {
-        on_head(exchange, head);
+    const std::uint32_t attempt = ++record.last_attempt;
+    handlers.head = [this, exchange, attempt](const http_response& head) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_head(exchange, head);
+        else
+            on_head(exchange, head);
     };
-    handlers.body = [this, exchange](std::string_view data) {
-        on_body(exchange, data);
+    handlers.body = [this, exchange, attempt](std::string_view data) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_body(exchange, data);
+        else
+            on_body(exchange, data);
     };
-    handlers.ended = [this, exchange](call_end end) {
-        on_call_ended(exchange, end);
+    handlers.ended = [this, exchange, attempt](call_end end) {
+        if (is_set_aside(exchange, attempt))
+            on_silent_ended(exchange, end);
+        else
+            on_call_ended(exchange, end);
     };
-    record.server = chosen.server;
     record.tried.insert(chosen.server);
+    static_cast<attempt_record&>(record) = {};
+    record.number = attempt;
+    record.server = chosen.server;
     record.last_received = now;
-    record.head = {};
     record.head.status = no_head_status;
-    record.is_event_stream = false;
-    record.events_received = 0;
-    record.is_reported_answered = false;
-    record.is_paused = false;
+    record.resumed_after = record.last_event_id;
     record.version = chosen.version;
     record.sent_at = now;
     ++record.sent_attempts;
@@ -480,17 +540,28 @@
     if (record == nullptr)
         return;
     record->last_received = record->head_at = steady::now();
-    last_received_[record->server] = record->last_received;
-    const limit_statement statement = protocol_.limit_of(head);
-    if (std::holds_alternative<limit_named>(statement))
-        metrics_.count("ospreystage_limit_answers_total");
-    limits_.on_answer(record->server, statement, record->last_received);
-    on_availability(record->server, protocol_.availability_of(head));
+    on_server_state(record->server, head);
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
         record->kind == request_kind::streaming && head.status < 300 &&
         is_event_stream(field_value(head.fields, "Content-Type"));
+    // A stream has begun only with its first event.
+    if (!record->is_event_stream && !record->has_response_begun &&
+        head.status < first_server_error && !protocol_.is_not_run(head))
+        drop_silent_attempt(*record);
+}
+
+/// Records what the head of an answer states about its server.
+void gateway::on_server_state(const std::string& server,
+                              const http_response& head) {
+    const instant now = steady::now();
+    last_received_[server] = now;
+    const limit_statement statement = protocol_.limit_of(head);
+    if (std::holds_alternative<limit_named>(statement))
+        metrics_.count("ospreystage_limit_answers_total");
+    limits_.on_answer(server, statement, now);
+    on_availability(server, protocol_.availability_of(head));
 }
 
 void gateway::on_availability(const std::string& server,
@@ -518,12 +589,30 @@
         on_plain_body(exchange, data);
         return;
     }
-    for (const stream_event& event : record->events.feed(data)) {
+    on_events(exchange, record->events.feed(data));
+}
+
+void gateway::on_events(exchange_id exchange,
+                        const std::vector<stream_event>& events) {
+    request_record* record = find(exchange);
+    for (const stream_event& event : events) {
+        if (const char* defect = event_defect(*record, event)) {
+            abandon_answer(exchange, call_end::malformed, defect);
+            return;
+        }
+        if (event.id)
+            record->attempt_event_id = event.id;
+        // Nothing of a resumed run is passed on before it has gone on.
+        if (record->resumed_after && !record->attempt_event_id)
+            continue;
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
             ++record->events_received;
             check_answered(*record);
+            drop_silent_attempt(*record);
+        } else if (record->silent_attempt) {
+            continue; // The other attempt may still be the one that answers.
         }
         forward(exchange, event);
         record = find(exchange);
@@ -531,7 +620,32 @@
             return;
     }
     if (record->events.is_too_large())
-        on_answer_too_large(exchange, "event too large");
+        abandon_answer(exchange, call_end::too_large, "event too large");
+}
+
+/// Returns why an event may not follow those that the caller has, or null if it
+/// may. A resumed run must show that it goes on where the run before ended.
+const char* gateway::event_defect(const request_record& record,
+                                  const stream_event& event) {
+    if (is_comment(event))
+        return nullptr;
+    if (is_foreign(event))
+        return "text within the stream is no event";
+    const bool has_gone_on = !record.resumed_after ||
+                             (record.attempt_event_id &&
+                              *record.attempt_event_id > *record.resumed_after);
+    if (has_gone_on)
+        return nullptr;
+    if (!event.id)
+        return "resumed stream has events without ids";
+    // An event may stand for several ids, which then leave out numbers.
+    const bool are_ids_consecutive =
+        record.has_consecutive_ids && record.numbered_events > 1;
+    const bool is_later = *event.id > *record.resumed_after;
+    if (are_ids_consecutive && is_later &&
+        *event.id - *record.resumed_after > 1)
+        return "resumed stream leaves out events";
+    return nullptr;
 }
 
 void gateway::on_plain_body(exchange_id exchange, std::string_view data) {
@@ -550,7 +664,7 @@
         client_.cancel(*record.call);
         on_call_ended(exchange, call_end::too_large);
     } else if (record.has_response_begun) {
-        on_answer_too_large(exchange, "stream not resumed");
+        abandon_answer(exchange, call_end::too_large, "stream not resumed");
     } else {
         record.is_body_forwarded = true;
         const std::string first = std::exchange(body, "");
@@ -580,11 +694,13 @@
     }
 }
 
-/// Closes the connection of an answer that exceeds a bound.
-void gateway::on_answer_too_large(exchange_id exchange, const char* reason) {
+/// Closes the connection of an answer that is not passed on any further.
+void gateway::abandon_answer(exchange_id exchange, call_end end,
+                             const char* reason) {
     request_record& record = *find(exchange);
     client_.cancel(*record.call);
-    log_answer_end(record, call_end::too_large);
+    log_answer_end(record, end);
+    record.is_probe = false;
     end_call(record, attempt_result::failed);
     record.head.body.clear();
     on_attempt_failed(exchange, reason, true);
@@ -608,10 +724,14 @@
                    {"since_sent_ms", since_sent / milliseconds(1)}});
         begin_response(exchange);
     }
-    if (event.id)
+    if (event.id) {
+        if (record.last_event_id && *event.id - *record.last_event_id != 1)
+            record.has_consecutive_ids = false;
+        ++record.numbered_events;
         record.last_event_id = event.id;
-    else if (!is_comment(event))
+    } else if (!is_comment(event)) {
         record.has_unnumbered_event = true;
+    }
     write(exchange, event.text);
 }
 
@@ -632,7 +752,8 @@
         --record->possible_runs;
         --record->sent_attempts;
         end_call(*record, attempt_result::cancelled);
-        place(exchange);
+        if (!resume_silent_attempt(*record))
+            place(exchange);
         return;
     }
     if (end == call_end::not_connected) {
@@ -666,6 +787,7 @@
         return;
     }
     if (record->is_body_forwarded) {
+        report_answered(*record);
         end_call(*record, attempt_result::answered);
         server_->finish(exchange);
         erase(exchange, "answered");
@@ -679,8 +801,7 @@
     }
     const bool is_server_error = record->head.status >= first_server_error;
     if (!is_server_error)
-        quarantine_.on_answered(record->caller.prompt_parts, record->head_at,
-                                steady::now());
+        report_answered(*record);
     end_call(*record, is_server_error ? attempt_result::failed
                                       : attempt_result::answered);
     if (is_server_error)
@@ -690,6 +811,8 @@
                    {"reason", "server failed"},
                    {"status", record->head.status},
                    {"may_have_run", true}});
+    if (is_server_error && resume_silent_attempt(*record))
+        return;
     if (is_server_error && record->kind == request_kind::idempotent &&
         acquire_retry(*record)) {
         record->head.body.clear();
@@ -733,11 +856,11 @@
 /// Returns why a stream whose framing is complete was broken off, or null if it
 /// is whole. The end of a connection alone does not show that a stream is
 /// whole.
-const char* gateway::stream_defect(const request_record& record) {
-    if (record.events.is_inside_event())
+const char* gateway::stream_defect(const attempt_record& attempt) {
+    if (attempt.events.is_inside_event())
         return "stream ended inside an event";
-    if (record.head.framing == http_framing::connection &&
-        record.events_received == 0)
+    if (attempt.head.framing == http_framing::connection &&
+        attempt.events_received == 0)
         return "stream ended before its first event";
     return nullptr;
 }
@@ -746,12 +869,17 @@
     request_record& record = *find(exchange);
     const char* defect =
         end == call_end::complete ? stream_defect(record) : to_string(end);
+    const bool has_reached_caller =
+        !record.resumed_after ||
+        (record.attempt_event_id &&
+         *record.attempt_event_id >= *record.resumed_after);
+    if (defect == nullptr && !has_reached_caller)
+        defect = "resumed stream ended before it went on";
     if (defect == nullptr) {
         // An answer that ends with its connection may have been broken off.
         if (record.head.framing != http_framing::connection ||
             is_past_crash(record))
-            quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
-                                    steady::now());
+            report_answered(record);
         check_crash(record, end);
         const std::string remainder = record.events.remainder();
         end_call(record, attempt_result::answered);
@@ -788,12 +916,17 @@
                {"server", record.server},
                {"reason", reason},
                {"may_have_run", may_have_run},
+               {"is_suspect", record.is_suspect},
                {"last_event", record.last_event_id
                                   ? nlohmann::json(*record.last_event_id)
                                   : nlohmann::json()}});
+    if (resume_silent_attempt(record))
+        return;
     if (is_retryable && has_time && !is_quarantined(record) &&
-        acquire_retry(record)) {
-        place(exchange);
+        !record.is_suspect && acquire_retry(record)) {
+        // Otherwise the reply to the permit request goes on with the request.
+        if (!record.awaiting_permit)
+            place(exchange);
         return;
     }
     if (record.possible_runs == 0)
@@ -814,79 +947,190 @@
                : default_retry_after;
 }
 
+// ---- Silent servers --------------------------------------------------------
+
 void gateway::check_idle_attempts() {
     const instant now = steady::now();
-    std::vector<exchange_id> idle_exchanges;
-    for (const auto& [id, record] : requests_) {
-        // The server cannot send while the caller does not read.
-        if (!record->call || record->is_paused)
-            continue;
-        if (!may_run_again(*record) ||
-            record->possible_runs >= record->max_attempts)
-            continue;
-        const auto expected_gap = record->has_response_begun
-                                      ? record->target_gap
-                                      : record->target_latency;
-        const auto idle_timeout = std::max<milliseconds>(
-            expected_gap * idle_timeout_gaps, min_idle_timeout);
-        const bool is_server_idle =
-            now - last_received_[record->server] > server_idle_timeout &&
-            now - record->last_received > server_idle_timeout &&
-            now - record->last_received > expected_gap;
-        if (is_server_idle || now - record->last_received > idle_timeout)
-            idle_exchanges.push_back(exchange_id{id});
+    std::vector<exchange_id> silent_exchanges;
+    for (const auto& [id, record] : requests_)
+        if (!record->awaiting_permit && is_silent(*record, now))
+            silent_exchanges.push_back(exchange_id{id});
+    for (const exchange_id exchange : silent_exchanges)
+        try_other_server(exchange);
+}
+
+/// Returns true if a request that may run again has received nothing from its
+/// server for so long that another one should be tried.
+bool gateway::is_silent(const request_record& record, instant now) const {
+    // The server cannot send while the caller does not read.
+    if (!record.call || record.is_paused || !may_run_again(record) ||
+        record.possible_runs >= record.max_attempts)
+        return false;
+    const auto expected_gap =
+        record.has_response_begun ? record.target_gap : record.target_latency;
+    const auto idle_timeout = std::max<milliseconds>(
+        expected_gap * idle_timeout_gaps, min_idle_timeout);
+    const auto idle = now - record.last_received;
+    const auto found = last_received_.find(record.server);
+    const bool is_server_idle = found != last_received_.end() &&
+                                now - found->second > server_idle_timeout &&
+                                idle > server_idle_timeout &&
+                                idle > expected_gap;
+    return is_server_idle || idle > idle_timeout;
+}
+
+/// Sends a request whose server is silent to another one, if there is one. The
+/// silent server may have paused only, so its attempt stays open meanwhile.
+void gateway::try_other_server(exchange_id exchange) {
+    const request_record* record = find(exchange);
+    // A probe reaches one server.
+    if (record == nullptr || !record->call ||
+        record->sent_attempts >= max_sent_attempts ||
+        quarantine_.is_quarantined(record->parts) ||
+        !retry_window_of(record->service)
+             .has_budget(context_.entries(), steady::now()))
+        return;
+    const placement_choice choice = choose_server(*record);
+    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+        await_permit(exchange, *chosen);
+}
+
+/// Keeps the silent attempt beside the one that is about to be sent. Returns
+/// false if the request is to stay where it is.
+bool gateway::set_aside(request_record& record) {
+    const instant now = steady::now();
+    if (!is_silent(record, now) || !acquire_retry(record))
+        return false;
+    drop_silent_attempt(record);
+    // The attempt counts as ended, so that its server is avoided.
+    load_.on_ended(record.server, attempt_result::timed_out, now);
+    log_event(log_level::warn, "attempt_silent",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"silent_ms", (now - record.last_received) / milliseconds(1)}});
+    record.silent_attempt = std::move(static_cast<attempt_record&>(record));
+    return true;
+}
+
+/// Makes the attempt at a silent server the current one again and cancels the
+/// one beside it. Returns false if there is none.
+bool gateway::resume_silent_attempt(request_record& record) {
+    if (!record.silent_attempt)
+        return false;
+    cancel_call(record);
+    static_cast<attempt_record&>(record) = std::move(*record.silent_attempt);
+    record.silent_attempt.reset();
+    const instant now = steady::now();
+    load_.on_sent(record.server, microseconds(0), now);
+    log_event(log_level::info, "attempt_resumed",
+              {{"request", record.caller.id},
+               {"server", record.server},
+               {"silent_ms", (now - record.last_received) / milliseconds(1)}});
+    return true;
+}
+
+void gateway::drop_silent_attempt(request_record& record) {
+    if (!record.silent_attempt)
+        return;
+    client_.cancel(*record.silent_attempt->call);
+    record.silent_attempt.reset();
+}
+
+bool gateway::is_set_aside(exchange_id exchange, std::uint32_t attempt) {
+    const request_record* record = find(exchange);
+    return record != nullptr && record->silent_attempt &&
+           record->silent_attempt->number == attempt;
+}
+
+void gateway::on_silent_head(exchange_id exchange, const http_response& head) {
+    request_record& record = *find(exchange);
+    const bool is_refused = protocol_.is_not_run(head);
+    if (!is_refused && head.status < first_server_error) {
+        resume_silent_attempt(record);
+        on_head(exchange, head);
+        return;
     }
-    for (const exchange_id exchange : idle_exchanges) {
-        request_record* record = find(exchange);
-        if (record == nullptr || !record->call)
-            continue;
-        // Checked before the cancellation: if there is no retry, the current
-        // server may still answer.
-        if (!acquire_retry(*record))
-            continue;
-        client_.cancel(*record->call);
-        end_call(*record, attempt_result::timed_out);
-        record->is_probe = false;
-        record->head.body.clear();
-        log_event(
-            log_level::warn, "attempt_silent",
-            {{"request", record->caller.id},
-             {"server", record->server},
-             {"silent_ms", (now - record->last_received) / milliseconds(1)}});
-        place(exchange);
+    on_server_state(record.silent_attempt->server, head);
+    if (is_refused)
+        --record.possible_runs;
+    drop_silent_attempt(record);
+}
+
+void gateway::on_silent_body(exchange_id exchange, std::string_view data) {
+    request_record& record = *find(exchange);
+    attempt_record& silent = *record.silent_attempt;
+    if (!silent.is_event_stream) {
+        resume_silent_attempt(record);
+        on_body(exchange, data);
+        return;
+    }
+    last_received_[silent.server] = steady::now();
+    const std::vector<stream_event> events = silent.events.feed(data);
+    if (!std::all_of(events.begin(), events.end(), is_comment)) {
+        resume_silent_attempt(record);
+        on_events(exchange, events);
+    } else if (silent.events.is_too_large()) {
+        drop_silent_attempt(record);
     }
 }
 
+void gateway::on_silent_ended(exchange_id exchange, call_end end) {
+    request_record& record = *find(exchange);
+    if (end == call_end::complete &&
+        stream_defect(*record.silent_attempt) == nullptr) {
+        resume_silent_attempt(record);
+        on_call_ended(exchange, end);
+        return;
+    }
+    attempt_record& current = record;
+    std::swap(current, *record.silent_attempt);
+    check_crash(record, end);
+    std::swap(current, *record.silent_attempt);
+    record.silent_attempt.reset();
+}
+
+// ---- Attempts that must not begin ------------------------------------------
+
 /// Withdraws the requests that still wait at an engine and must not begin
-/// there: its version has ended, or their prompt has been quarantined. Only
-/// event streams show that they have begun.
+/// there: its version has ended, or their prompt or the whole request has been
+/// quarantined.
 void gateway::withdraw_attempts() {
-    absl::flat_hash_map<std::string, std::uint64_t> min_versions;
     std::vector<std::pair<exchange_id, const char*>> withdrawn;
     for (const auto& [id, record] : requests_) {
-        // What is not sent yet is checked again when it would be.
-        if (!record->call || !client_.is_sent(*record->call) ||
-            record->version == 0 || has_begun(*record) ||
-            record->kind != request_kind::streaming)
-            continue;
-        const auto [found, is_new] = min_versions.try_emplace(record->service);
-        if (is_new)
-            found->second = context_.min_begin_version(record->service);
-        if (record->version < found->second)
-            withdrawn.emplace_back(exchange_id{id}, "version ended");
-        else if (is_quarantined(*record))
-            withdrawn.emplace_back(exchange_id{id}, "prompt is quarantined");
+        if (record->silent_attempt &&
+            withdrawal_reason(*record, *record->silent_attempt) != nullptr)
+            drop_silent_attempt(*record);
+        if (const char* reason = withdrawal_reason(*record, *record))
+            withdrawn.emplace_back(exchange_id{id}, reason);
     }
     for (const auto& [exchange, reason] : withdrawn)
         withdraw(exchange, reason);
 }
 
-/// Returns true if the current attempt shows that its server works on it.
-bool gateway::has_begun(const request_record& record) {
+/// Returns why an attempt must not begin at its server, or null. Only event
+/// streams show that they have begun; a plain request is withdrawn as long as
+/// it has no answer if it is quarantined itself.
+const char* gateway::withdrawal_reason(const request_record& record,
+                                       const attempt_record& attempt) {
+    // What is not sent yet is checked again when it would be.
+    if (!attempt.call || !client_.is_sent(*attempt.call) || has_begun(attempt))
+        return nullptr;
+    if (attempt.version == 0 || record.kind != request_kind::streaming) {
+        const bool is_blamed =
+            !record.is_probe && quarantine_.is_quarantined({record.identity});
+        return is_blamed ? quarantine_reason(record) : nullptr;
+    }
+    if (attempt.version < context_.min_begin_version(*record.description))
+        return "version ended";
+    return is_quarantined(record) ? quarantine_reason(record) : nullptr;
+}
+
+/// Returns true if an attempt shows that its server works on it.
+bool gateway::has_begun(const attempt_record& attempt) {
     const bool is_plain =
-        record.head.status != no_head_status && !record.is_event_stream;
-    return is_plain || record.events_received > 0 ||
-           record.events.is_inside_event();
+        attempt.head.status != no_head_status && !attempt.is_event_stream;
+    return is_plain || attempt.events_received > 0 ||
+           attempt.events.is_inside_event();
 }
 
 void gateway::withdraw(exchange_id exchange, const char* reason) {
@@ -913,12 +1157,20 @@
 /// Records that an answer was written on the parts of its prompt, once it has
 /// gone on for longer than an engine takes to crash.
 void gateway::check_answered(request_record& record) {
-    if (record.is_reported_answered || record.caller.prompt_parts.empty() ||
-        !is_past_crash(record))
+    if (record.is_reported_answered || !is_past_crash(record))
         return;
     record.is_reported_answered = true;
-    quarantine_.on_answered(record.caller.prompt_parts, record.head_at,
-                            steady::now());
+    report_answered(record);
+}
+
+/// Records that the request did not end its server. A plain answer that ends
+/// with its connection may have been broken off.
+void gateway::report_answered(const request_record& record) {
+    const bool may_be_cut = !record.is_event_stream &&
+                            record.head.framing == http_framing::connection;
+    quarantine_.on_answered(may_be_cut ? record.caller.prompt_parts
+                                       : record.parts,
+                            record.head_at, steady::now());
 }
 
 /// Returns true if the current answer has gone on for longer than an engine
@@ -931,7 +1183,7 @@
 /// Takes an answer that was broken off just after it had begun for a sign that
 /// its server has crashed. Returns true if it is one; other calls to the server
 /// may still show that it goes on.
-bool gateway::check_crash(const request_record& record, call_end end) {
+bool gateway::check_crash(request_record& record, call_end end) {
     // Without a length or chunks, a connection that closes ends the answer.
     const bool is_broken =
         end == call_end::truncated || end == call_end::reset ||
@@ -940,8 +1192,10 @@
         (end == call_end::complete && record.is_event_stream &&
          record.head.framing == http_framing::connection &&
          record.events_received <= max_crash_events);
-    if (!is_broken || is_past_crash(record) || record.version == 0 ||
-        record.caller.prompt_parts.empty())
+    if (!is_broken || is_past_crash(record))
+        return false;
+    check_server_end(record);
+    if (record.version == 0 || record.caller.prompt_parts.empty())
         return false;
     const std::uint64_t request =
         record.caller.id.empty() ? random_() : stable_hash(record.caller.id);
@@ -953,22 +1207,70 @@
     return true;
 }
 
+/// Returns true if a call to the server that had a response head before `at` is
+/// open and read.
+bool gateway::is_open_at(const request_record& record,
+                         const std::string& server, instant at) {
+    return record.call && record.server == server && !record.is_paused &&
+           record.head.status != no_head_status && record.head_at < at;
+}
+
+/// Returns true if the server shows that it has not ended at `at`: by an idle
+/// connection, which its end would have closed, or by data since.
+bool gateway::goes_on(const std::string& server, instant at) const {
+    const backend_server* listed = servers_.find(server);
+    if (listed != nullptr && client_.has_idle_connection(listed->endpoint))
+        return true;
+    return std::any_of(
+        requests_.begin(), requests_.end(), [&](const auto& item) {
+            const request_record& other = *item.second;
+            return is_open_at(other, server, at) && other.last_received > at;
+        });
+}
+
+/// Has it found out whether the server of a broken attempt has ended under the
+/// request. An answer that is passed on as it arrives had gone on too long.
+void gateway::check_server_end(request_record& record) {
+    if (record.is_body_forwarded)
+        return;
+    record.is_suspect = quarantine_.is_suspected(record.identity);
+    const backend_server* listed = servers_.find(record.server);
+    server_ends_.on_broken(
+        record.server,
+        listed == nullptr ? std::nullopt : std::optional(listed->endpoint),
+        {record.caller.id, record.identity, path_of(record.request.target),
+         record.organisation},
+        steady::now());
+}
+
+void gateway::on_server_ended(
+    const std::string& server, instant at,
+    const std::vector<server_end_detector::suspect>& suspects) {
+    const std::uint64_t server_hash = stable_hash(server);
+    for (const server_end_detector::suspect& suspect : suspects) {
+        log_event(log_level::warn, "request_crash_suspected",
+                  {{"request", suspect.request},
+                   {"identity", fmt::format("{:016x}", suspect.identity)},
+                   {"path", suspect.path},
+                   {"organisation", suspect.organisation},
+                   {"server", server},
+                   {"server_hash", fmt::format("{:016x}", server_hash)}});
+        metrics_.count("ospreystage_request_crash_suspects_total");
+        quarantine_.on_crash(server_hash, suspect.identity, {suspect.identity},
+                             at);
+    }
+}
+
 void gateway::report_crash(const std::string& server, instant at,
                            std::uint64_t request,
                            const std::vector<prompt_part>& parts,
                            bool is_second_check) {
-    const backend_server* listed = servers_.find(server);
-    if (listed != nullptr && client_.has_idle_connection(listed->endpoint))
-        return; // Its end would have closed the connection.
-    bool has_others = false;
-    for (const auto& [id, other] : requests_) {
-        if (!other->call || other->server != server || other->is_paused ||
-            other->head.status == no_head_status || other->head_at >= at)
-            continue;
-        if (other->last_received > at)
-            return; // The server goes on.
-        has_others = true;
-    }
+    if (goes_on(server, at))
+        return;
+    const bool has_others =
+        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
+            return is_open_at(*item.second, server, at);
+        });
     if (has_others && !is_second_check) {
         core_.after(service_name, silent_check_delay,
                     [this, server, at, request, parts] {
@@ -1069,7 +1371,8 @@
 
 void gateway::erase(exchange_id exchange, const char* outcome) {
     const auto found = requests_.find(static_cast<std::uint64_t>(exchange));
-    const request_record& record = *found->second;
+    request_record& record = *found->second;
+    drop_silent_attempt(record);
     core_.cancel(record.deadline_timer);
     metrics_.count(
         fmt::format("ospreystage_requests_total{{outcome=\"{}\"}}", outcome));
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds min_wait{1};
 /// Time for which an unused connection to the origin stays open for the next
 /// chunk.
-constexpr milliseconds max_origin_idle{500};
-constexpr milliseconds origin_idle_check_interval{250};
+constexpr milliseconds max_origin_idle{200};
+constexpr milliseconds origin_idle_check_interval{100};
 
 distribution_strategy strategy_of(const settings& configuration) {
     if (configuration.distribution.baseline == "direct")
@@ -446,9 +446,11 @@
         log_event(log_level::warn, "origin_failed",
                   {{"error", to_string(failure)},
                    {"connections", origin_.connections()}});
-        core_.post(service_name, [this, version, index] {
-            finish_fetch(origin_source{}, version, index,
-                         fetch_outcome::failed);
+        const fetch_outcome outcome = failure.code == error_code::not_found
+                                          ? fetch_outcome::gone
+                                          : fetch_outcome::failed;
+        core_.post(service_name, [this, version, index, outcome] {
+            finish_fetch(origin_source{}, version, index, outcome);
         });
     });
 }
--- a/src/weights/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -68,6 +68,13 @@
               [](const swarm_member& left, const swarm_member& right) {
                   return left.name < right.name;
               });
+    // Two starts of a server on one VM list its agent twice for a while.
+    const auto is_same = [](const swarm_member& left,
+                            const swarm_member& right) {
+        return left.name == right.name;
+    };
+    members.erase(std::unique(members.begin(), members.end(), is_same),
+                  members.end());
     if (members == members_)
         return;
     members_ = std::move(members);
@@ -210,8 +217,16 @@
         ++counters_.refused;
     }
     if (std::holds_alternative<origin_source>(source)) {
-        if (outcome != fetch_outcome::stored)
-            origin_backoff_until_ = now + options_.origin_backoff;
+        if (outcome == fetch_outcome::gone) {
+            if (record != nullptr)
+                record->is_gone_from_origin = true;
+            return;
+        }
+        if (outcome == fetch_outcome::stored)
+            return;
+        origin_backoff_until_ = now + options_.origin_backoff;
+        if (record != nullptr)
+            record->unheld_since = now;
         return;
     }
     const peer_id id = find_or_add_peer(std::get<peer_source>(source).name);
@@ -233,6 +248,7 @@
         break;
     case fetch_outcome::corrupt:
     case fetch_outcome::failed:
+    case fetch_outcome::gone:
         record_failure(id, now);
         break;
     }
@@ -328,6 +344,9 @@
         return;
     }
     version.last_progress = now;
+    // Only chunks that others obtain show that the origin serves them.
+    if (version.chunks[index].holders == 0 && version.unheld_chunks > 0)
+        --version.unheld_chunks;
     if (const auto* peer = std::get_if<peer_source>(&source)) {
         ++counters_.from_peers;
         if (!at(find_or_add_peer(peer->name)).is_local)
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -50,10 +50,10 @@
                    on_placing();
                return 1U;
            },
-           [this](const std::string&) {
+           [this](const service_description&) {
                return versions.min_version(model, steady::now());
            },
-           [this](const std::string&) {
+           [this](const service_description&) {
                return versions.min_begin_version(model, steady::now());
            },
            [](const backend_server&, microseconds) {}},
@@ -122,6 +122,13 @@
     REQUIRE(is_applied);
 }
 
+void gateway_fixture::drop_configuration() {
+    routing_configuration empty;
+    empty.version = routes.current().version + 1;
+    const bool is_applied = routes.apply(std::move(empty));
+    REQUIRE(is_applied);
+}
+
 void gateway_fixture::add_servers(const std::vector<address>& endpoints) {
     std::vector<std::pair<address, std::uint64_t>> listed;
     listed.reserve(endpoints.size());
@@ -166,8 +173,16 @@
 std::vector<gateway_fixture::outcome>
 gateway_fixture::send_requests(const std::vector<http_fields>& more_fields,
                                const std::string& method) {
-    const std::size_t count = more_fields.size();
-    std::vector<outcome> results;
+    std::vector<http_request> requests;
+    requests.reserve(more_fields.size());
+    for (const http_fields& fields : more_fields)
+        requests.push_back(make_request(fields, "", method));
+    return send_all(requests);
+}
+
+http_request gateway_fixture::make_request(const http_fields& more_fields,
+                                           const std::string& body,
+                                           const std::string& method) {
     http_request request;
     request.method = method;
     request.target = "/x/1";
@@ -176,12 +191,19 @@
                       {"X-Request-Deadline", "3000"},
                       {"Api-Key", "secret"},
                       {"X-Tenant", "forged"}};
+    request.body = body;
+    for (const http_field& field : more_fields)
+        replace_field(request.fields, field);
+    return request;
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_all(const std::vector<http_request>& requests) {
+    const std::size_t count = requests.size();
+    std::vector<outcome> results;
     std::function<void()> send_next = [&] {
         const instant started = steady::now();
-        http_request next = request;
-        for (const http_field& field : more_fields[results.size()])
-            replace_field(next.fields, field);
-        client.fetch(front_address, next, {},
+        client.fetch(front_address, requests[results.size()], {},
                      [&, started](call_end end, http_response response) {
                          results.push_back(
                              {end, std::move(response),
@@ -192,6 +214,29 @@
                      });
     };
     send_next();
+    run_until_answered(results, count);
+    return results;
+}
+
+std::vector<gateway_fixture::outcome>
+gateway_fixture::send_at_once(const std::vector<http_fields>& more_fields,
+                              const std::string& method) {
+    std::vector<outcome> results;
+    const instant started = steady::now();
+    for (const http_fields& fields : more_fields)
+        client.fetch(front_address, make_request(fields, "", method), {},
+                     [&](call_end end, http_response response) {
+                         results.push_back(
+                             {end, std::move(response),
+                              std::chrono::duration_cast<milliseconds>(
+                                  steady::now() - started)});
+                     });
+    run_until_answered(results, more_fields.size());
+    return results;
+}
+
+void gateway_fixture::run_until_answered(const std::vector<outcome>& results,
+                                         std::size_t count) {
     core.every("test", milliseconds(2), [&] {
         if (results.size() == count)
             core.stop();
@@ -199,7 +244,6 @@
     core.after("test", test_timeout, [this] { core.stop(); });
     core.run();
     REQUIRE(results.size() == count);
-    return results;
 }
 
 std::vector<permit_request> gateway_fixture::permit_requests() const {
