Read lists of messages element by element

A list was resized to its stated count before its elements were read. A count takes 4 bytes and is bounded by the bytes that are left, so some 1 MB of state of another entry that cannot be read took 172,200 KiB, more than a small VM has. The limit of an answer of the feed is 16 MB. Only other entries send it: nothing was seen of it outside of the test.

Ruled out: lists of numbers, which take eight times their bytes at most, and datagrams, which are bounded.

Before: the test fails. After: it passes (below 16,384 KiB), with "odd values*" (22), "codec*" (5), "links*" (9), "site copy*" (8), "site feed*" (2) and "malformed*" (4). The encoding is unchanged.

--- a/include/ospreystage/impl/bounded_archive.hpp
+++ b/include/ospreystage/impl/bounded_archive.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 namespace ospreystage::impl {
 
@@ -97,6 +98,18 @@
     tag.size = count;
 }
 
+/// Reads the elements one by one, so that memory is allocated for those that
+/// are there and not for their count.
+template <typename T>
+requires(!std::is_arithmetic_v<T>) void CEREAL_LOAD_FUNCTION_NAME(
+    bounded_input_archive& archive, std::vector<T>& elements) {
+    cereal::size_type count = 0;
+    archive(cereal::make_size_tag(count));
+    elements.clear();
+    for (cereal::size_type index = 0; index < count; ++index)
+        archive(elements.emplace_back());
+}
+
 template <typename T>
 void CEREAL_SAVE_FUNCTION_NAME(string_output_archive& archive,
                                const cereal::BinaryData<T>& data) {
