Probe soon after a start what was quarantined before it

Change: the next probe of a part from the store is due 3 s after it was read. The number of probes is kept in the store, so that starts add none. Tests: 'prompt quarantine - a sound part that was quarantined before all entries started …' and '… starts of the entries add no probe …'.

--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -71,6 +71,9 @@
         milliseconds crash_retention{600'000};
         /// Ages of a quarantine at which one request each is let through.
         std::vector<milliseconds> probe_times{seconds(30), seconds(300)};
+        /// Time after a start within which a part that was quarantined before
+        /// is probed, if it has a probe left: it may hold back sound requests.
+        milliseconds start_probe_time{3000};
         /// A quarantine ends after this time.
         milliseconds max_quarantine{3'600'000};
         /// What this entry knows to be sound is sent to the others within this
@@ -112,6 +115,10 @@
 
     void on_report(const prompt_report& report, instant now);
 
+    /// Quarantines a part that was quarantined before this entry started, and
+    /// that `probes` requests have probed.
+    void on_stored(prompt_part part, std::uint32_t probes, instant now);
+
     /// Returns what all other entries should learn now, if anything. Crashes
     /// are returned twice, since datagrams may be lost; each entry judges them
     /// for itself.
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -397,6 +397,16 @@
     }
 }
 
+void prompt_quarantine::on_stored(prompt_part part, std::uint32_t probes,
+                                  instant now) {
+    // The age is not known; the next probe is due soon whatever it is.
+    milliseconds age{0};
+    if (probes < options_.probe_times.size())
+        age = std::max(options_.probe_times[probes] - options_.start_probe_time,
+                       milliseconds(0));
+    quarantine(part, now - age, probes, "store");
+}
+
 /// Records that all entries were told of an answer on the part.
 void prompt_quarantine::clear(prompt_part part, instant begun) {
     const auto suspected = suspected_.find(part);
--- a/tests/prompt_quarantine.cpp
+++ b/tests/prompt_quarantine.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cmath>
+#include <optional>
 #include <random>
 
 using namespace ospreystage;
@@ -212,6 +213,36 @@
 
 // ---- Probes ----------------------------------------------------------------
 
+TEST_CASE("prompt quarantine - a sound part that was quarantined before all "
+          "entries started is served again in time for a recovery") {
+    constexpr seconds recovery_time{12};
+    auto entry = make_quarantine(true);
+    entry.on_stored(first_part, 0, start);
+    std::optional<instant> probed;
+    for (instant now = start; now < start + recovery_time && !probed;
+         now += milliseconds(100))
+        if (entry.admit({first_part}, now) == prompt_verdict::probe)
+            probed = now;
+    REQUIRE(probed);
+    entry.on_answered({first_part}, *probed, *probed + milliseconds(600));
+    CHECK(entry.size() == 0);
+}
+
+TEST_CASE("prompt quarantine - starts of the entries add no probe of a part "
+          "that crashes engines") {
+    std::uint32_t probes = 0;
+    for (int starts = 0; starts < 10; ++starts) {
+        auto entry = make_quarantine(true);
+        const instant started = start + starts * seconds(60);
+        entry.on_stored(poisoned_part, probes, started);
+        for (int second = 0; second < 60; ++second)
+            if (entry.admit({poisoned_part}, started + seconds(second)) ==
+                prompt_verdict::probe)
+                ++probes;
+    }
+    CHECK(probes <= late_budget);
+}
+
 TEST_CASE("prompt quarantine - an entry that is not the prober lets nothing "
           "through") {
     auto entry = make_quarantining(false, start);
