Keep the connection of an engine that echoes no ids for its reports

Cause: since answers without an id on a kept connection are no longer believed, a connection whose answer names no request is not kept. Engines echo no ids in reports, so that each report, every 80 ms, took a connection of its own. Change: calls say whether they need the echo. Reports and staging do not: on a connection none of whose answers has had an id, one without it is taken. Orders do, and take a connection of their own there. Test: 'engine client - reports of an engine that echoes no ids take one connection …'.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -54,6 +54,11 @@
     /// connection whose responses all have the values of their requests is used
     /// again. Empty: no check.
     std::string echoed_field;
+    /// If false, a response without the echoed field is taken on a connection
+    /// none of whose responses has had it, so that a server which echoes
+    /// nothing can keep its connections. An extra response may then pass for
+    /// this call's own.
+    bool requires_echo = true;
     bool reuse = true; ///< May use an idle connection.
     bool keep = true;  ///< The connection may stay open after the call.
     /// Asked once a new connection is open; if it returns false, the request is
@@ -128,8 +133,10 @@
         std::unique_ptr<response_parser> parser;
         bool is_discarding = false; ///< The response is to another request.
         bool is_reused = false;     ///< Has carried another request before.
-        /// Each response so far names its request, if requests are named.
+        /// No response to another request has been received.
         bool is_synchronized = true;
+        bool has_named_response = false;   ///< With the echoed field.
+        bool has_unnamed_response = false; ///< Without it, where one is wanted.
         /// Hashes of the last values that responses are to echo.
         std::vector<std::uint64_t> carried_values;
         milliseconds max_idle{}; ///< Longest idle time before reuse.
@@ -147,6 +154,7 @@
         bool is_sent = false;
         bool is_cancelled = false;
         bool keeps_connection = true;
+        bool requires_echo = true;
         std::optional<timer_id> connect_timer;
         std::optional<timer_id> timer;
         std::optional<milliseconds> idle_timeout;
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -123,6 +123,7 @@
     record->handlers = std::move(handlers);
     record->may_send = options.may_send;
     record->keeps_connection = options.keep;
+    record->requires_echo = options.requires_echo;
     record->idle_timeout = options.idle_timeout;
     record->max_body_bytes = max_body_bytes;
     const std::uint64_t connection = acquire(server, options.reuse, *record);
@@ -236,10 +237,14 @@
                 drop(id);
             return is_expired;
         });
+        const bool needs_echo =
+            call.requires_echo && !call.echoed_field.empty();
         const auto is_usable = [&](std::uint64_t id) {
-            const auto& carried = connections_.at(id)->carried_values;
-            return !value ||
-                   std::ranges::find(carried, *value) == carried.end();
+            const connection_record& connection = *connections_.at(id);
+            const auto& carried = connection.carried_values;
+            return !(needs_echo && connection.has_unnamed_response) &&
+                   (!value ||
+                    std::ranges::find(carried, *value) == carried.end());
         };
         while (true) {
             const auto usable =
@@ -373,6 +378,8 @@
                             const std::vector<std::string>& echoed) {
     if (call.echoed_field.empty())
         return true;
+    if (echoed.empty() && !call.requires_echo)
+        return !connection.has_named_response && connection.is_synchronized;
     if (echoed.empty())
         // All earlier responses on a connection that is used again had the
         // field: this one is an extra response to one of their requests.
@@ -504,14 +511,19 @@
     if (ended->idle_timer)
         core_.cancel(*ended->idle_timer);
     record.call.reset();
-    const bool is_named = end == call_end::complete &&
-                          (ended->echoed_field.empty() ||
-                           find_field(record.parser->response().fields,
-                                      ended->echoed_field) != nullptr);
+    const bool is_complete = end == call_end::complete;
+    if (is_complete && !ended->echoed_field.empty()) {
+        const bool is_named = find_field(record.parser->response().fields,
+                                         ended->echoed_field) != nullptr;
+        record.has_named_response |= is_named;
+        record.has_unnamed_response |= !is_named;
+    }
+    const bool may_carry_more =
+        is_complete && !(ended->requires_echo && record.has_unnamed_response);
     // Pending output means that the server responded before it had read the
     // request; unread input after the response belongs to no request.
     const bool is_reusable =
-        is_named && ended->keeps_connection && record.socket.is_open() &&
+        may_carry_more && ended->keeps_connection && record.socket.is_open() &&
         record.socket.input.empty() && record.socket.pending_bytes() == 0 &&
         record.is_synchronized && record.parser->response().keep_alive;
     if (is_reusable) {
--- a/tests/engine_client.cpp
+++ b/tests/engine_client.cpp
@@ -133,3 +133,36 @@
     CHECK(leaving_statements == 2);
     CHECK(pause.has_value() == (status == 503));
 }
+
+TEST_CASE("engine client - reports of an engine that echoes no ids take one "
+          "connection, and an order takes its own") {
+    constexpr int report_count = 20;
+    const scripted_server engine([](const std::string& request) {
+        const bool is_report = request.find("/v1/report") != std::string::npos;
+        return scripted_answer{answer_to("", is_report ? 200 : 202,
+                                         R"({"busy":false,"sequence":1})")};
+    });
+    kernel core;
+    web_client client(core);
+    engine_client tested(client, engine.endpoint());
+    int reports = 0;
+    std::optional<bool> is_accepted;
+    const std::function<void()> read_next = [&] {
+        tested.read_report(1, [&](const auto& report) {
+            reports += report ? 1 : 0;
+            if (reports < report_count)
+                read_next();
+            else
+                tested.order("m", {2, 1}, [&](bool accepted) {
+                    is_accepted = accepted;
+                    core.stop();
+                });
+        });
+    };
+    read_next();
+    core.after("test", seconds(3), [&] { core.stop(); });
+    core.run();
+    CHECK(reports == report_count);
+    CHECK(is_accepted == true);
+    CHECK(engine.connections() == 2);
+}
