Drop the permit that a request awaits when its answer breaks off

Found by a review, by reading: a permit for a second attempt, asked for while the server was silent, could come within the 25 ms in which a broken answer waits for the crash to be judged, and sent the request past the budget, the limit of attempts and the check for suspects. Two such waits of one request are told apart by the number of the attempt. No test of its own.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1294,11 +1294,16 @@
         on_attempt_failed(exchange, reason, true);
         return;
     }
-    core_.after(service_name, crash_retry_delay, [this, exchange, reason] {
-        const request_record* record = find(exchange);
-        if (record != nullptr && !record->call)
-            on_attempt_failed(exchange, reason, true);
-    });
+    request_record& broken = *find(exchange);
+    // A permit that comes meanwhile would send the request before that.
+    broken.awaiting_permit.reset();
+    core_.after(service_name, crash_retry_delay,
+                [this, exchange, reason, number = broken.number] {
+                    const request_record* record = find(exchange);
+                    if (record != nullptr && !record->call &&
+                        record->number == number)
+                        on_attempt_failed(exchange, reason, true);
+                });
 }
 
 void gateway::on_deadline(exchange_id exchange) {
