Let failures of a silent server neither join nor end other answers

Found by a review, by reading: the head of a 5xx response did not end the silent attempt beside it, so that its answer could be written into the failure's body; and the body of a failure of the silent server made its attempt the current one again, which cancelled the other one. Change: a silent attempt ends when the caller's response begins; it becomes the current one only for an answer, a status below 500 that is no refusal. Tests: 'silent servers - a large failure beside …' and '… the rest of a silent server's failure …'; they passed with the change and were not run without it.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -678,6 +678,7 @@
     request_record& record = *find(exchange);
     if (std::exchange(record.has_response_begun, true))
         return;
+    drop_silent_attempt(record);
     http_response head = record.head;
     erase_hop_fields(head.fields);
     server_->begin(exchange, head,
@@ -1042,16 +1043,22 @@
            record->silent_attempt->number == attempt;
 }
 
+/// Returns true if a response is one that the caller should get rather than
+/// that of another server.
+bool gateway::is_answer(const http_response& head) const {
+    return head.status != no_head_status && head.status < first_server_error &&
+           !protocol_.is_not_run(head);
+}
+
 void gateway::on_silent_head(exchange_id exchange, const http_response& head) {
     request_record& record = *find(exchange);
-    const bool is_refused = protocol_.is_not_run(head);
-    if (!is_refused && head.status < first_server_error) {
+    if (is_answer(head)) {
         resume_silent_attempt(record);
         on_head(exchange, head);
         return;
     }
     on_server_state(record.silent_attempt->server, head);
-    if (is_refused)
+    if (protocol_.is_not_run(head))
         --record.possible_runs;
     drop_silent_attempt(record);
 }
@@ -1060,6 +1067,8 @@
     request_record& record = *find(exchange);
     attempt_record& silent = *record.silent_attempt;
     if (!silent.is_event_stream) {
+        if (!is_answer(silent.head))
+            return;
         resume_silent_attempt(record);
         on_body(exchange, data);
         return;
@@ -1076,7 +1085,7 @@
 
 void gateway::on_silent_ended(exchange_id exchange, call_end end) {
     request_record& record = *find(exchange);
-    if (end == call_end::complete &&
+    if (end == call_end::complete && is_answer(record.silent_attempt->head) &&
         stream_defect(*record.silent_attempt) == nullptr) {
         resume_silent_attempt(record);
         on_call_ended(exchange, end);
--- a/tests/silent_servers.cpp
+++ b/tests/silent_servers.cpp
@@ -338,3 +338,55 @@
         CHECK(result.response.body == event_text(1, 4));
     }
 }
+
+TEST_CASE("silent servers - a large failure beside a silent attempt is not "
+          "joined with its answer") {
+    constexpr std::size_t body_bytes = 70'000;
+    constexpr std::size_t first_bytes = 68'000;
+    const std::string failure =
+        make_response(500, "", std::string(body_bytes, 'f'));
+    std::atomic<int> arrivals{0};
+    const auto answer = [&](const std::string&) {
+        if (arrivals++ == 0)
+            return pause_before_head();
+        const std::size_t first = failure.size() - body_bytes + first_bytes;
+        scripted_answer large{failure.substr(0, first)};
+        large.delayed_bytes = failure.substr(first);
+        large.delay = long_pause;
+        return large;
+    };
+    const scripted_server first(answer);
+    const scripted_server second(answer);
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::idempotent, false, milliseconds(6000));
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    const auto result = fixture.send_request("GET");
+    REQUIRE(result.response.status == 500);
+    CHECK(result.response.body == std::string(body_bytes, 'f'));
+}
+
+TEST_CASE("silent servers - the rest of a silent server's failure does not end "
+          "the attempt beside it") {
+    const std::string failure = make_response(500, "", "broken");
+    std::atomic<int> arrivals{0};
+    const auto answer = [&](const std::string&) {
+        scripted_answer result;
+        if (arrivals++ == 0) {
+            result.bytes = failure.substr(0, failure.size() - 6);
+            result.delayed_bytes = "broken";
+            result.delay = long_pause;
+        } else {
+            result.delayed_bytes = make_response(200, "", "done");
+            result.delay = short_pause;
+        }
+        return result;
+    };
+    const scripted_server first(answer);
+    const scripted_server second(answer);
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::idempotent, false, milliseconds(6000));
+    fixture.add_servers({first.endpoint(), second.endpoint()});
+    const auto result = fixture.send_request("GET");
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == "done");
+}
