--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -678,6 +678,7 @@
     request_record& record = *find(exchange);
     if (std::exchange(record.has_response_begun, true))
         return;
+    drop_silent_attempt(record);
     http_response head = record.head;
     erase_hop_fields(head.fields);
     server_->begin(exchange, head,
@@ -923,7 +924,7 @@
     if (resume_silent_attempt(record))
         return;
     if (is_retryable && has_time && !is_quarantined(record) &&
-        !record.is_suspect && acquire_retry(record)) {
+        !(record.is_suspect && may_have_run) && acquire_retry(record)) {
         // Otherwise the reply to the permit request goes on with the request.
         if (!record.awaiting_permit)
             place(exchange);
@@ -984,7 +985,7 @@
 void gateway::try_other_server(exchange_id exchange) {
     const request_record* record = find(exchange);
     // A probe reaches one server.
-    if (record == nullptr || !record->call ||
+    if (record == nullptr || !record->call || record->is_suspect ||
         record->sent_attempts >= max_sent_attempts ||
         quarantine_.is_quarantined(record->parts) ||
         !retry_window_of(record->service)
@@ -1042,16 +1043,22 @@
            record->silent_attempt->number == attempt;
 }
 
+/// Returns true if a response is one that the caller should get rather than
+/// that of another server.
+bool gateway::is_answer(const http_response& head) const {
+    return head.status != no_head_status && head.status < first_server_error &&
+           !protocol_.is_not_run(head);
+}
+
 void gateway::on_silent_head(exchange_id exchange, const http_response& head) {
     request_record& record = *find(exchange);
-    const bool is_refused = protocol_.is_not_run(head);
-    if (!is_refused && head.status < first_server_error) {
+    if (is_answer(head)) {
         resume_silent_attempt(record);
         on_head(exchange, head);
         return;
     }
     on_server_state(record.silent_attempt->server, head);
-    if (is_refused)
+    if (protocol_.is_not_run(head))
         --record.possible_runs;
     drop_silent_attempt(record);
 }
@@ -1060,6 +1067,8 @@
     request_record& record = *find(exchange);
     attempt_record& silent = *record.silent_attempt;
     if (!silent.is_event_stream) {
+        if (!is_answer(silent.head))
+            return;
         resume_silent_attempt(record);
         on_body(exchange, data);
         return;
@@ -1076,7 +1085,7 @@
 
 void gateway::on_silent_ended(exchange_id exchange, call_end end) {
     request_record& record = *find(exchange);
-    if (end == call_end::complete &&
+    if (end == call_end::complete && is_answer(record.silent_attempt->head) &&
         stream_defect(*record.silent_attempt) == nullptr) {
         resume_silent_attempt(record);
         on_call_ended(exchange, end);
@@ -1196,7 +1205,7 @@
         return false;
     check_server_end(record);
     if (record.version == 0 || record.caller.prompt_parts.empty())
-        return false;
+        return true;
     const std::uint64_t request =
         record.caller.id.empty() ? random_() : stable_hash(record.caller.id);
     core_.after(service_name, crash_check_delay,
@@ -1209,10 +1218,10 @@
 
 /// Returns true if a call to the server that had a response head before `at` is
 /// open and read.
-bool gateway::is_open_at(const request_record& record,
+bool gateway::is_open_at(const attempt_record& attempt,
                          const std::string& server, instant at) {
-    return record.call && record.server == server && !record.is_paused &&
-           record.head.status != no_head_status && record.head_at < at;
+    return attempt.call && attempt.server == server && !attempt.is_paused &&
+           attempt.head.status != no_head_status && attempt.head_at < at;
 }
 
 /// Returns true if the server shows that it has not ended at `at`: by an idle
@@ -1224,7 +1233,12 @@
     return std::any_of(
         requests_.begin(), requests_.end(), [&](const auto& item) {
             const request_record& other = *item.second;
-            return is_open_at(other, server, at) && other.last_received > at;
+            const auto has_data = [&](const attempt_record& attempt) {
+                return is_open_at(attempt, server, at) &&
+                       attempt.last_received > at;
+            };
+            return has_data(other) ||
+                   (other.silent_attempt && has_data(*other.silent_attempt));
         });
 }
 
@@ -1235,12 +1249,14 @@
         return;
     record.is_suspect = quarantine_.is_suspected(record.identity);
     const backend_server* listed = servers_.find(record.server);
-    server_ends_.on_broken(
-        record.server,
-        listed == nullptr ? std::nullopt : std::optional(listed->endpoint),
-        {record.caller.id, record.identity, path_of(record.request.target),
-         record.organisation},
-        steady::now());
+    // A server that is leaving ends for a reason of its own.
+    if (listed == nullptr || listed->is_draining)
+        return;
+    server_ends_.on_broken(record.server, listed->endpoint,
+                           {record.caller.id, record.identity,
+                            path_of(record.request.target),
+                            record.organisation},
+                           steady::now());
 }
 
 void gateway::on_server_ended(
@@ -1294,11 +1310,16 @@
         on_attempt_failed(exchange, reason, true);
         return;
     }
-    core_.after(service_name, crash_retry_delay, [this, exchange, reason] {
-        const request_record* record = find(exchange);
-        if (record != nullptr && !record->call)
-            on_attempt_failed(exchange, reason, true);
-    });
+    request_record& broken = *find(exchange);
+    // A permit that comes meanwhile would send the request before that.
+    broken.awaiting_permit.reset();
+    core_.after(service_name, crash_retry_delay,
+                [this, exchange, reason, number = broken.number] {
+                    const request_record* record = find(exchange);
+                    if (record != nullptr && !record->call &&
+                        record->number == number)
+                        on_attempt_failed(exchange, reason, true);
+                });
 }
 
 void gateway::on_deadline(exchange_id exchange) {
