--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -1,7 +1,9 @@
 #include "cases.hpp"
 
+#include <sys/prctl.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdio>
 #include <exception>
 #include <functional>
@@ -39,6 +41,8 @@
         std::fprintf(stderr, "usage: standin CASE ROOT RECORD TROUBLE\n");
         return not_run_status;
     }
+    // Ends with the script that started it, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     alarm(max_seconds);
     try {
         return status_of(cases.at(arguments[1])(
--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -92,7 +92,8 @@
 
 // ---- record_file -----------------------------------------------------------
 
-record_file::record_file(const std::string& path) : output_(path) {}
+record_file::record_file(const std::string& path)
+    : output_(path, std::ios::app) {}
 
 milliseconds record_file::since_start(instant at) {
     return std::chrono::duration_cast<milliseconds>(at - process_start);
--- a/review/standin/site.hpp
+++ b/review/standin/site.hpp
@@ -10,7 +10,7 @@
 namespace ospreystage::review {
 
 /// File of a case with one line for each thing that was sent, answered or run,
-/// with the time since the start in ms. Thread-safe.
+/// with the time since the start in ms, behind what it holds. Thread-safe.
 class record_file {
   public:
     explicit record_file(const std::string& path);
