Log by which list of servers an entry decides

Lines about servers and request_sent now name the list's era, revision, age and source; backend_server_kept is new. No decision changes.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -2,8 +2,10 @@
 
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/clock.hpp>
+#include <ospreystage/fleet/store_position.hpp>
 
 #include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -59,9 +61,14 @@
     explicit backend_registry(const options& limits);
     backend_registry() : backend_registry(options{}) {}
 
-    /// Replaces the list with a complete one whose read began at `read_at`.
+    /// Replaces the list with a complete one.
     void on_list(std::vector<backend_server> listed, instant now,
-                 instant read_at);
+                 state_origin origin);
+    /// The same for a list whose read began at `read_at`.
+    void on_list(std::vector<backend_server> listed, instant now,
+                 instant read_at) {
+        on_list(std::move(listed), now, state_origin{{}, read_at, ""});
+    }
     void on_list(std::vector<backend_server> listed, instant now) {
         on_list(std::move(listed), now, now);
     }
@@ -88,6 +95,13 @@
     [[nodiscard]] const std::vector<std::string>&
     ids_at(const address& endpoint) const;
     [[nodiscard]] bool has_list() const noexcept { return has_list_; }
+    /// Returns where the last list comes from.
+    [[nodiscard]] const state_origin& origin() const noexcept {
+        return origin_;
+    }
+    /// Returns the fields of a log line with those that name the last list.
+    [[nodiscard]] nlohmann::json with_list(nlohmann::json fields,
+                                           instant now) const;
     /// Returns the end of the last outage.
     [[nodiscard]] std::optional<instant> outage_ended() const noexcept {
         return outage_ended_;
@@ -107,7 +121,7 @@
     options limits_;
     absl::flat_hash_map<std::string, server_record> servers_;
     absl::flat_hash_map<address, std::vector<std::string>> ids_by_address_;
-    std::optional<instant> last_read_at_;
+    state_origin origin_; ///< Of the last list, if `has_list_`.
     std::optional<instant> last_listed_at_; ///< When `on_list` was called.
     std::optional<instant> unreachable_since_;
     std::optional<instant> outage_ended_; ///< Time of the last recovery.
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -123,6 +123,7 @@
         /// Time at which the newer servers were read from the store.
         std::optional<instant> servers_read_at;
         std::optional<instant> outage_ended; ///< Last outage, if newer.
+        std::string source;                  ///< Entry that passed them on.
     };
     /// Applies what is newer; `requested_at` is the time of the request.
     applied_parts apply(const site_changes& changes, instant requested_at);
--- /dev/null
+++ b/include/ospreystage/fleet/store_position.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <ospreystage/core/clock.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace ospreystage {
+
+/// Point in the history of the platform's store.
+///
+/// Revisions count within an era: a store that returns from an older copy
+/// starts a new era, in which it gives out revisions again.
+struct store_position {
+    std::int64_t era = 0; ///< 0: the store names none.
+    std::int64_t revision = 0;
+
+    constexpr store_position() = default;
+    /// A revision of a store that names no era.
+    constexpr store_position(std::int64_t at_revision)
+        : revision(at_revision) {}
+    constexpr store_position(std::int64_t in_era, std::int64_t at_revision)
+        : era(in_era), revision(at_revision) {}
+
+    friend constexpr auto operator<=>(const store_position&,
+                                      const store_position&) = default;
+};
+
+/// Where a state of the store comes from.
+struct state_origin {
+    store_position position;
+    instant read_at{};  ///< Begin of the read.
+    std::string source; ///< Entry that passed it on; empty: the store itself.
+};
+
+} // namespace ospreystage
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -41,11 +41,11 @@
 }
 
 void backend_registry::on_list(std::vector<backend_server> listed, instant now,
-                               instant read_at) {
+                               state_origin origin) {
     if (unreachable_since_ && now - *unreachable_since_ > limits_.outage_after)
         outage_ended_ = now;
     unreachable_since_.reset();
-    last_read_at_ = read_at;
+    origin_ = std::move(origin);
     last_listed_at_ = now;
     has_list_ = true;
     absl::flat_hash_set<std::string> seen;
@@ -58,11 +58,12 @@
         if (is_new || record.server.is_draining != entry.is_draining ||
             record.server.started_unix_ms != entry.started_unix_ms)
             log_event(log_level::info, "backend_server_listed",
-                      {{"id", entry.id},
-                       {"service", entry.service},
-                       {"address", to_string(entry.endpoint)},
-                       {"draining", entry.is_draining},
-                       {"started_unix_ms", entry.started_unix_ms}});
+                      with_list({{"id", entry.id},
+                                 {"service", entry.service},
+                                 {"address", to_string(entry.endpoint)},
+                                 {"draining", entry.is_draining},
+                                 {"started_unix_ms", entry.started_unix_ms}},
+                                now));
         record.server = std::move(entry);
         record.listed_at = now;
         record.remove_at.reset();
@@ -71,12 +72,21 @@
         index_addresses();
     const bool may_return =
         outage_ended_ && now - *outage_ended_ < limits_.reregistration_time;
-    for (auto& [id, record] : servers_)
-        if (!seen.contains(id) && !record.remove_at)
-            record.remove_at =
-                may_return && record.listed_at < *outage_ended_
-                    ? *outage_ended_ + limits_.reregistration_time
-                    : now;
+    for (auto& [id, record] : servers_) {
+        if (seen.contains(id) || record.remove_at)
+            continue;
+        const bool is_kept = may_return && record.listed_at < *outage_ended_;
+        record.remove_at =
+            is_kept ? *outage_ended_ + limits_.reregistration_time : now;
+        if (is_kept)
+            log_event(log_level::info, "backend_server_kept",
+                      with_list({{"id", id},
+                                 {"outage_ended_ms_ago",
+                                  (now - *outage_ended_) / milliseconds(1)},
+                                 {"kept_ms",
+                                  (*record.remove_at - now) / milliseconds(1)}},
+                                now));
+    }
     advance(now);
 }
 
@@ -86,7 +96,7 @@
             entry.second.remove_at && *entry.second.remove_at <= now;
         if (is_gone)
             log_event(log_level::info, "backend_server_gone",
-                      {{"id", entry.first}});
+                      with_list({{"id", entry.first}}, now));
         return is_gone;
     });
     if (removed > 0)
@@ -127,10 +137,19 @@
     return found == ids_by_address_.end() ? none : found->second;
 }
 
+nlohmann::json backend_registry::with_list(nlohmann::json fields,
+                                           instant now) const {
+    fields["list_era"] = origin_.position.era;
+    fields["list_revision"] = origin_.position.revision;
+    fields["list_age_ms"] = (now - origin_.read_at) / milliseconds(1);
+    fields["list_source"] = origin_.source.empty() ? "store" : origin_.source;
+    return fields;
+}
+
 std::optional<milliseconds> backend_registry::age(instant now) const {
-    if (!last_read_at_)
+    if (!has_list_)
         return std::nullopt;
-    return std::chrono::duration_cast<milliseconds>(now - *last_read_at_);
+    return std::chrono::duration_cast<milliseconds>(now - origin_.read_at);
 }
 
 } // namespace ospreystage
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -161,8 +161,8 @@
         return;
     }
     changes->unchanged_servers = read_digest(response.fields);
-    const site_copy::applied_parts applied =
-        copy_.apply(*changes, requested_at);
+    site_copy::applied_parts applied = copy_.apply(*changes, requested_at);
+    applied.source = source;
     if (changes->documents_age && changes->servers_age)
         selection_.on_state(requested_at - std::max(*changes->documents_age,
                                                     *changes->servers_age));
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -504,14 +504,15 @@
     record.call =
         client_.start(server->endpoint, request, options, std::move(handlers));
     log_event(log_level::info, "request_sent",
-              {{"request", record.caller.id},
-               {"server", chosen.server},
-               {"attempt", record.sent_attempts},
-               {"version", chosen.version},
-               {"in_flight", chosen.in_flight},
-               {"backlog_ms", chosen.backlog.count()},
-               {"expected_ms", chosen.expected_wait.count()},
-               {"time_left_ms", metadata.time_left.count()}});
+              servers_.with_list({{"request", record.caller.id},
+                                  {"server", chosen.server},
+                                  {"attempt", record.sent_attempts},
+                                  {"version", chosen.version},
+                                  {"in_flight", chosen.in_flight},
+                                  {"backlog_ms", chosen.backlog.count()},
+                                  {"expected_ms", chosen.expected_wait.count()},
+                                  {"time_left_ms", metadata.time_left.count()}},
+                                 now));
 }
 
 void gateway::end_call(request_record& record, attempt_result result) {
