--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -36,6 +36,20 @@
     CHECK(registry.serving("desk").front()->id == "b");
 }
 
+TEST_CASE("backend registry - a heartbeat from before does not undo that a "
+          "server drains") {
+    backend_registry registry;
+    backend_server leaving = make_server("a");
+    leaving.is_draining = true;
+    registry.on_list({leaving}, start);
+    registry.on_list({make_server("a")}, start + seconds(1));
+    CHECK(registry.serving("desk").empty());
+    backend_server restarted = make_server("a");
+    restarted.started_unix_ms = 1'793'055'298'024;
+    registry.on_list({restarted}, start + seconds(2));
+    CHECK(registry.serving("desk").size() == 1);
+}
+
 TEST_CASE("backend registry - the last list holds through an outage") {
     backend_registry registry;
     registry.on_list({make_server("a")}, start);
@@ -91,6 +105,42 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE("backend registry - the outage of another reader keeps no removed "
+          "server where the list was read all along") {
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start);
+    registry.on_list({make_server("a"), make_server("b")}, start + seconds(1));
+    registry.on_list({make_server("a"), make_server("b")}, start + seconds(2));
+    registry.on_outage_ended(start + milliseconds(2300));
+    registry.on_list({make_server("b")}, start + seconds(3));
+    CHECK(registry.find("a") == nullptr);
+    CHECK(registry.find("b") != nullptr);
+}
+
+TEST_CASE("backend registry - a list that another entry has read meanwhile "
+          "shows that failed reads were no outage") {
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start);
+    registry.on_unreachable(start + seconds(1));
+    const instant read_at = start + seconds(3);
+    registry.on_list({make_server("b")}, read_at + milliseconds(100),
+                     state_origin{{1, 7}, read_at, "edge-2"});
+    CHECK(registry.find("a") == nullptr);
+}
+
+TEST_CASE("backend registry - servers that expired in an outage stay in use at "
+          "entries that another one tells of it") {
+    backend_registry registry;
+    registry.on_list({make_server("a")}, start);
+    const instant returned = start + seconds(6);
+    registry.on_outage_ended(returned);
+    registry.on_list({}, returned + milliseconds(200),
+                     state_origin{{1, 7}, returned, "edge-2"});
+    CHECK(registry.find("a") != nullptr);
+    registry.advance(returned + seconds(3));
+    CHECK(registry.find("a") == nullptr);
+}
+
 TEST_CASE("backend registry - the age of the list counts from its read") {
     backend_registry registry;
     registry.on_list({}, start + seconds(3), start + seconds(1));
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -475,3 +476,151 @@
     CHECK(entry.versions.min_version("m", limit) == 2);
     CHECK(entry.versions.min_begin_version("m", limit) == 2);
 }
+
+// ---- Drills ----------------------------------------------------------------
+
+namespace {
+
+/// Lets a store grow past the copy that it returns to.
+void write_often(platform_store& store) {
+    for (int count = 0; count < 40; ++count)
+        store.put("op/other", std::to_string(count));
+}
+
+/// The site of an entry whose store returns from an older copy.
+struct drill_site {
+    explicit drill_site(std::vector<int> ports) : entry(store) {
+        for (const int port : ports)
+            put_server(port);
+        expected = ports.size();
+    }
+
+    void put_server(int port) { store.put(key_of(port), server_text(port)); }
+    void put_draining(int port) {
+        std::string text = server_text(port);
+        text.replace(text.find("ready"), 5, "draining");
+        store.put(key_of(port), text);
+    }
+    static std::string key_of(int port) {
+        return fmt::format("servers/i-{}", port);
+    }
+    [[nodiscard]] bool serves(int port) const {
+        const auto serving = entry.servers.serving("desk");
+        return std::any_of(serving.begin(), serving.end(),
+                           [port](const backend_server* server) {
+                               return server->endpoint.port == port;
+                           });
+    }
+
+    platform_store store;
+    entry_view entry;
+    std::size_t expected = 0;
+};
+
+/// Longest time in which a change of the list of servers is applied.
+constexpr milliseconds list_time{1000};
+
+} // namespace
+
+TEST_CASE("site watch - a server that leaves after the store has returned from "
+          "an older copy gets no more requests") {
+    drill_site site({80, 81});
+    site.store.keep_copy();
+    write_often(site.store);
+    running_kernel running(site.entry.core);
+    REQUIRE(running.until([&] { return site.serves(80); }, timeout));
+    site.store.return_to_copy();
+    site.put_draining(80);
+    site.store.erase(drill_site::key_of(81));
+    CHECK(running.until([&] { return !site.serves(80); }, list_time));
+    CHECK(running.until([&] { return !site.serves(81); }, seconds(3)));
+}
+
+TEST_CASE("site watch - an older copy does not bring back servers that are "
+          "known to leave") {
+    drill_site site({80, 81, 82});
+    site.store.keep_copy();
+    running_kernel running(site.entry.core);
+    REQUIRE(running.until([&] { return site.serves(81); }, timeout));
+    site.put_draining(80);
+    site.store.erase(drill_site::key_of(81));
+    write_often(site.store);
+    REQUIRE(running.until([&] { return !site.serves(80) && !site.serves(81); },
+                          timeout));
+    site.store.return_to_copy();
+    CHECK_FALSE(running.until(
+        [&] { return site.serves(80) || site.serves(81); }, seconds(1)));
+    CHECK(running.ask([&] { return site.serves(82); }));
+}
+
+TEST_CASE("site watch - servers that an older copy does not list stay in use "
+          "until they are written again") {
+    drill_site site({80});
+    site.store.keep_copy();
+    site.put_server(81);
+    write_often(site.store);
+    running_kernel running(site.entry.core);
+    REQUIRE(running.until([&] { return site.serves(81); }, timeout));
+    site.store.return_to_copy();
+    CHECK_FALSE(
+        running.until([&] { return !site.serves(81); }, milliseconds(1500)));
+    site.put_server(81);
+    CHECK_FALSE(running.until([&] { return !site.serves(81); }, seconds(2)));
+    site.store.erase(drill_site::key_of(81));
+    CHECK(running.until([&] { return !site.serves(81); }, list_time));
+}
+
+TEST_CASE("site watch - a server that is not written again after a drill is "
+          "gone after the time that registrations take") {
+    drill_site site({80});
+    site.store.keep_copy();
+    site.put_server(81);
+    write_often(site.store);
+    running_kernel running(site.entry.core);
+    REQUIRE(running.until([&] { return site.serves(81); }, timeout));
+    site.store.return_to_copy();
+    CHECK(running.until([&] { return !site.serves(81); }, seconds(4)));
+}
+
+TEST_CASE("site watch - the configuration that follows a drill is the one that "
+          "is passed on to other entries") {
+    platform_store store;
+    store.keep_copy();
+    write_often(store);
+    store.put("op/config", configuration_text(2));
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return entry.routes.current().version == 2; },
+                          timeout));
+    store.return_to_copy();
+    store.put("op/config", configuration_text(2));
+    store.put("op/config", configuration_text(3));
+    CHECK(running.until([&] { return entry.routes.current().version == 3; },
+                        timeout));
+    CHECK(running.until(
+        [&] {
+            const auto passed_on =
+                entry.watch.copy().changes_since({}, steady::now()).documents;
+            return std::any_of(passed_on.begin(), passed_on.end(),
+                               [](const site_document& document) {
+                                   return document.text ==
+                                          configuration_text(3);
+                               });
+        },
+        list_time));
+}
+
+TEST_CASE("site watch - an entry whose registration a drill has undone "
+          "registers again at once") {
+    platform_store store;
+    store.keep_copy();
+    write_often(store);
+    entry_view entry(store);
+    entry.settings.min_store_lease = seconds(15);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return store.value(entry_key).has_value(); },
+                          timeout));
+    store.return_to_copy();
+    CHECK(running.until([&] { return store.value(entry_key).has_value(); },
+                        list_time));
+}
--- a/tests/support/platform_store.cpp
+++ b/tests/support/platform_store.cpp
@@ -144,6 +144,30 @@
     history_.push_back({key, revision_, std::nullopt});
 }
 
+// ---- Drills ----------------------------------------------------------------
+
+void platform_store::keep_copy() {
+    change([&] {
+        copy_ = {items_, history_, revision_, leases_, next_lease_};
+    });
+}
+
+void platform_store::return_to_copy() {
+    change([&] {
+        items_ = copy_.items;
+        history_ = copy_.history;
+        revision_ = copy_.revision;
+        leases_ = copy_.leases;
+        next_lease_ = copy_.next_lease;
+        ++era_;
+    });
+}
+
+void platform_store::respond(exchange_id exchange, http_response response) {
+    response.fields.push_back({"Store-Era", std::to_string(era_)});
+    server_.web().respond(exchange, response);
+}
+
 // ---- Faults ----------------------------------------------------------------
 
 void platform_store::set_status(std::uint16_t status) {
@@ -204,11 +228,11 @@
     if (status || is_malformed_) {
         http_response response = text_response("application/json", "{\"garb");
         response.status = status.value_or(200);
-        server_.web().respond(exchange, response);
+        respond(exchange, response);
         return;
     }
     if (const answer response = handle(request))
-        server_.web().respond(exchange, *response);
+        respond(exchange, *response);
 }
 
 platform_store::answer platform_store::range(const api_request& request) {
@@ -296,19 +320,17 @@
 void platform_store::answer_watches() {
     std::vector<pending_watch> pending;
     for (const pending_watch& each : std::exchange(watches_, {})) {
-        if (each.after < compacted_) {
-            server_.web().respond(each.exchange,
-                                  json_response(410, json::object()));
+        if (each.after < compacted_ || each.after > revision_) {
+            respond(each.exchange, json_response(410, json::object()));
             continue;
         }
         const json found = events(each);
         if (found.empty() && steady::now() < each.until)
             pending.push_back(each);
         else
-            server_.web().respond(
-                each.exchange,
-                json_response(
-                    200, {{"events", found}, {"store_revision", revision_}}));
+            respond(each.exchange,
+                    json_response(200, {{"events", found},
+                                        {"store_revision", revision_}}));
     }
     for (pending_watch& each : pending)
         watches_.push_back(std::move(each));
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -31,6 +31,15 @@
     /// Revokes all leases and removes their keys.
     void end_leases();
 
+    // ---- Drills ------------------------------------------------------------
+
+    /// Remembers the present contents as the copy of a drill.
+    void keep_copy();
+
+    /// Returns to the copy: later changes and leases are gone, their revisions
+    /// and numbers are given out again, and the era rises by one.
+    void return_to_copy();
+
     // ---- Faults ------------------------------------------------------------
 
     /// Answers every later call with `status`; 0 restores normal operation.
@@ -95,6 +104,18 @@
     void answer_watches();
     [[nodiscard]] nlohmann::json events(const pending_watch& watch) const;
 
+    /// Answers a call; every answer names the era.
+    void respond(exchange_id exchange, http_response response);
+
+    /// What a drill returns to.
+    struct contents {
+        std::map<std::string, item> items;
+        std::vector<event> history;
+        std::int64_t revision = 1;
+        std::map<std::uint64_t, bool> leases;
+        std::uint64_t next_lease = 1;
+    };
+
     kernel core_;
     address local_;
     api_server server_;
@@ -104,6 +125,8 @@
     std::int64_t compacted_ = 0;
     std::map<std::uint64_t, bool> leases_;
     std::uint64_t next_lease_ = 1;
+    std::int64_t era_ = 1;
+    contents copy_;
     std::vector<pending_watch> watches_;
     std::vector<planned_failure> failures_;
     std::map<std::string, int> calls_;
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -405,6 +405,86 @@
     CHECK(entry.wait() == 0);
 }
 
+namespace {
+
+/// Configures a route of requests that may not be repeated, to one server.
+void put_unsafe_route(platform_store& store, const address& server) {
+    store.put("op/config",
+              R"({"version":3,"services":[{"name":"desk"}],"routes":[{
+                  "name":"r","hostname":"a.example","path_prefix":"/x/",
+                  "service":"desk","kind":"unsafe","timeout_ms":20000,
+                  "target_latency_ms":500,"max_attempts":1}]})");
+    store.put("servers/i-1", fmt::format(R"({{"service":"desk","address":"{}",
+                              "zone":"hall-a","slots":4,"state":"ready"}})",
+                                         to_string(server)));
+}
+
+std::string make_post(const std::string& id) {
+    return fmt::format("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                       "X-Request-Id: {}\r\nX-Request-Deadline: 20000\r\n"
+                       "Content-Length: 2\r\n\r\nok",
+                       id);
+}
+
+} // namespace
+
+TEST_CASE("platform entry - a stopping entry answers the requests that still "
+          "run at its end") {
+    std::atomic<int> runs{0};
+    const scripted_server silent([&](const std::string&) {
+        ++runs;
+        return scripted_answer{""};
+    });
+    platform_store store;
+    put_unsafe_route(store, silent.endpoint());
+    entry_process entry(store, "bounds.grace_s=4\n");
+    REQUIRE(await_ready(entry));
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int count = 0; count < 3; ++count) {
+        callers.push_back(std::make_unique<raw_connection>(entry.front()));
+        callers.back()->send(make_post(fmt::format("r{}", count)));
+    }
+    REQUIRE(eventually(timeout, [&] { return runs == 3; }));
+    entry.child().terminate();
+    for (const auto& caller : callers) {
+        const std::string answer = caller->read_all();
+        // They may have run: no promise that they have not.
+        CHECK(answer.find("HTTP/1.1 504 ") == 0);
+        CHECK_FALSE(caller->was_reset());
+    }
+    CHECK(entry.wait() == 0);
+    CHECK(runs == 3);
+}
+
+TEST_CASE("platform entry - requests that come late in the time to stop are "
+          "turned away instead of being cut at its end") {
+    std::atomic<int> runs{0};
+    const scripted_server slow([&](const std::string& request) {
+        ++runs;
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        if (request.find("X-Request-Id: first") != std::string::npos)
+            return scripted_answer{answer};
+        return scripted_answer{
+            .bytes = "", .delayed_bytes = answer, .delay = milliseconds(1500)};
+    });
+    platform_store store;
+    put_unsafe_route(store, slow.endpoint());
+    entry_process entry(store, "bounds.grace_s=3\n");
+    REQUIRE(await_ready(entry));
+    raw_connection caller(entry.front());
+    caller.send(make_post("first"));
+    REQUIRE(caller.read_until("\r\n\r\nok").find(" 200 ") != std::string::npos);
+    entry.child().terminate();
+    std::this_thread::sleep_for(milliseconds(2200));
+    caller.send(make_post("late"));
+    const std::string answer = caller.read_all();
+    CHECK(answer.find("HTTP/1.1 503 ") == 0);
+    CHECK(answer.find("Retry-After") != std::string::npos);
+    CHECK(runs == 1);
+    CHECK(entry.wait() == 0);
+}
+
 TEST_CASE("platform entry - memory stays flat while hundreds of servers send "
           "bytes without end") {
     constexpr int servers = 40;
