Take an outage of the store only from what shows that it was one

Cause: an entry whose reads of the list failed for 1 s took that for an outage of the store, and the end of it went to all entries of its region; entries that had the list all along then kept removed servers for 2.2 s.

Change: an entry takes another one's outage over only if it was without the list for that long itself. One whose own reads failed goes by a list from another entry that has had lists without a gap since (Ospreystage-Unbroken-Ms): the store was not away then. A reader whose reads fail asks the other readers at once, not only when its state is too old. A list from an entry of the release before names no such time and is no witness: its receiver keeps to its own finding, as before.

The test of a list from another entry now gives the time since which that entry had lists; a second test holds that without it, or with a time too short, the own finding stands.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -48,6 +48,10 @@
 /// an outage, servers that no list has shown since are kept for a grace period:
 /// those whose registration expired during the outage register again. A server
 /// that was listed after the outage and is missing later has left.
+///
+/// That reads fail here does not show that the store was away. It was not if
+/// another entry has read the list all the while, and the outage of another
+/// entry does not concern this one if it had the list meanwhile.
 class backend_registry {
   public:
     struct options {
@@ -73,8 +77,9 @@
         on_list(std::move(listed), now, now);
     }
 
-    /// Records an outage that another process saw end at `ended`.
-    void on_outage_ended(instant ended);
+    /// Records an outage that another entry saw end at `ended`. Returns false
+    /// if this entry was not without the list before that.
+    bool on_outage_ended(instant ended);
 
     /// Records a read of the list that began at `now` and failed. An outage
     /// counts from the last list at the earliest.
@@ -116,6 +121,7 @@
         std::optional<instant> remove_at; ///< Set while not listed.
     };
 
+    [[nodiscard]] bool is_outage(const state_origin& next, instant now) const;
     void index_addresses();
 
     options limits_;
--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -21,7 +21,7 @@
 /// the entries take over in tiers, each three times as large as all before it,
 /// instead of all at once, and the later ones repeat failed reads more rarely:
 /// after its return the store first meets the readers, and the others get its
-/// state from them.
+/// state from them. A reader whose own reads fail asks the other readers.
 class feed_selection {
   public:
     struct options {
@@ -53,6 +53,12 @@
     /// or the first tier after them while what the readers give is too old.
     [[nodiscard]] std::vector<std::string> sources(instant now) const;
 
+    /// Returns true if the last read of the store by this reader has failed,
+    /// so that it asks the others meanwhile.
+    [[nodiscard]] bool is_store_failing() const noexcept {
+        return is_reader_ && is_store_failing_;
+    }
+
     /// Returns the shortest pause after a read of the store that has failed.
     [[nodiscard]] milliseconds retry_pause() const noexcept;
 
@@ -65,6 +71,9 @@
     /// `read_at`.
     void on_state(instant read_at);
 
+    /// Records a read of the store by this entry that began at `read_at`.
+    void on_store_read(bool has_failed, instant read_at);
+
     /// Records that another entry asked for the state.
     void on_request(instant now);
 
@@ -82,7 +91,8 @@
     std::string self_;
     options limits_;
     instant started_;
-    bool is_reader_ = false;         ///< Not before the entries are known.
+    bool is_reader_ = false; ///< Not before the entries are known.
+    bool is_store_failing_ = false;
     std::vector<std::string> order_; ///< Entries of the region, by rank.
     std::size_t tier_ = 1;           ///< Of this entry.
     std::optional<instant> state_read_at_;
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -4,6 +4,7 @@
 #include <ospreystage/core/clock.hpp>
 #include <ospreystage/core/error.hpp>
 #include <ospreystage/fleet/backend_registry.hpp>
+#include <ospreystage/fleet/store_position.hpp>
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,8 @@
     /// Ages of the newer state when the reply was made; absent: never read.
     std::optional<milliseconds> documents_age;
     std::optional<milliseconds> servers_age;
+    /// Time for which the lists of servers have come without a gap.
+    std::optional<milliseconds> servers_unbroken;
     /// Time since the store was last reachable again after an outage.
     std::optional<milliseconds> outage_ended_ago;
     std::vector<site_document> documents; ///< Changed documents.
@@ -120,15 +123,19 @@
     struct applied_parts {
         std::vector<site_document> documents; ///< Newer documents.
         bool has_entries = false;
-        /// Time at which the newer servers were read from the store.
-        std::optional<instant> servers_read_at;
+        /// Where the newer servers come from.
+        std::optional<state_origin> servers;
         std::optional<instant> outage_ended; ///< Last outage, if newer.
-        std::string source;                  ///< Entry that passed them on.
     };
-    /// Applies what is newer; `requested_at` is the time of the request.
-    applied_parts apply(const site_changes& changes, instant requested_at);
+    /// Applies what is newer; `requested_at` is the time of the request to the
+    /// entry `source`. Whether an outage concerns this entry is not decided
+    /// here.
+    applied_parts apply(const site_changes& changes, instant requested_at,
+                        const std::string& source = "");
 
   private:
+    void on_servers_read_at(instant read_at);
+
     site_revisions revisions_;
     std::map<std::string, site_document> documents_;
     std::map<std::string, site_entry> entries_;
@@ -136,6 +143,8 @@
     std::uint64_t servers_digest_ = 0;
     std::optional<instant> documents_read_at_;
     std::optional<instant> servers_read_at_;
+    /// Since then, no two lists of servers were read too far apart.
+    std::optional<instant> servers_unbroken_since_;
     std::optional<instant> outage_ended_at_;
 };
 
--- a/include/ospreystage/fleet/store_position.hpp
+++ b/include/ospreystage/fleet/store_position.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ospreystage {
@@ -32,6 +33,9 @@
     store_position position;
     instant read_at{};  ///< Begin of the read.
     std::string source; ///< Entry that passed it on; empty: the store itself.
+    /// Time since which the source has had such states without a gap; absent if
+    /// it does not say.
+    std::optional<instant> unbroken_since{};
 };
 
 } // namespace ospreystage
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -35,14 +35,29 @@
         unreachable_since_ = std::max(now, last_listed_at_.value_or(now));
 }
 
-void backend_registry::on_outage_ended(instant ended) {
-    if (!outage_ended_ || *outage_ended_ < ended)
-        outage_ended_ = ended;
+bool backend_registry::on_outage_ended(instant ended) {
+    const bool is_known = outage_ended_ && *outage_ended_ >= ended;
+    if (is_known || !has_list_ ||
+        ended - origin_.read_at <= limits_.outage_after)
+        return false;
+    outage_ended_ = ended;
+    return true;
+}
+
+/// Returns true if the failed reads before the list from `next` were an outage
+/// of the store: nobody is known to have read the list meanwhile.
+bool backend_registry::is_outage(const state_origin& next, instant now) const {
+    if (!unreachable_since_ ||
+        now - *unreachable_since_ <= limits_.outage_after)
+        return false;
+    const bool has_witness = has_list_ && next.unbroken_since &&
+                             *next.unbroken_since <= origin_.read_at;
+    return !has_witness;
 }
 
 void backend_registry::on_list(std::vector<backend_server> listed, instant now,
                                state_origin origin) {
-    if (unreachable_since_ && now - *unreachable_since_ > limits_.outage_after)
+    if (is_outage(origin, now))
         outage_ended_ = now;
     unreachable_since_.reset();
     origin_ = std::move(origin);
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -88,6 +88,14 @@
         state_read_at_ = read_at;
 }
 
+void feed_selection::on_store_read(bool has_failed, instant read_at) {
+    is_store_failing_ = has_failed;
+    // Other entries go on by the state that they are given: their own reads
+    // would end their turn.
+    if (is_reader_ && !has_failed)
+        on_state(read_at);
+}
+
 void feed_selection::on_request(instant now) {
     requested_at_ = now;
 }
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -44,6 +44,10 @@
 /// be represented.
 constexpr milliseconds max_age = std::chrono::hours(24 * 365);
 
+/// Lists of servers that were read further apart leave a gap. Readers read the
+/// list three times within the drain time of a server.
+constexpr milliseconds max_list_gap{1500};
+
 /// Wire form of an optional age: -1 if there is none.
 std::int64_t encode_age(const std::optional<milliseconds>& age) {
     return age ? age->count() : -1;
@@ -147,6 +151,7 @@
     changes.revisions = revisions_;
     changes.documents_age = elapsed_since(documents_read_at_, now);
     changes.servers_age = elapsed_since(servers_read_at_, now);
+    changes.servers_unbroken = elapsed_since(servers_unbroken_since_, now);
     changes.outage_ended_ago = elapsed_since(outage_ended_at_, now);
     for (const auto& [key, document] : documents_)
         if (document.revision > known.documents)
@@ -208,6 +213,12 @@
     servers_ = std::move(listed);
     servers_digest_ = digest_of(servers_);
     revisions_.servers = revision;
+    on_servers_read_at(read_at);
+}
+
+void site_copy::on_servers_read_at(instant read_at) {
+    if (!servers_read_at_ || read_at - *servers_read_at_ > max_list_gap)
+        servers_unbroken_since_ = read_at;
     advance_to(servers_read_at_, read_at);
 }
 
@@ -218,7 +229,8 @@
 // ---- Changes from another copy ---------------------------------------------
 
 site_copy::applied_parts site_copy::apply(const site_changes& changes,
-                                          instant requested_at) {
+                                          instant requested_at,
+                                          const std::string& source) {
     applied_parts applied;
     for (const site_document& document : changes.documents)
         if (on_document(document))
@@ -236,18 +248,21 @@
                              changes.unchanged_servers == servers_digest_;
     if (changes.servers_age && has_servers &&
         changes.revisions.servers > revisions_.servers) {
-        applied.servers_read_at = requested_at - *changes.servers_age;
+        const instant read_at = requested_at - *changes.servers_age;
+        applied.servers = {changes.revisions.servers, read_at, source, {}};
+        if (changes.servers_unbroken)
+            applied.servers->unbroken_since =
+                requested_at - *changes.servers_unbroken;
         if (!changes.unchanged_servers)
             on_servers_read(changes.servers, changes.revisions.servers,
-                            *applied.servers_read_at);
+                            read_at);
         revisions_.servers = changes.revisions.servers;
-        advance_to(servers_read_at_, *applied.servers_read_at);
+        on_servers_read_at(read_at);
     }
     if (changes.outage_ended_ago) {
         const instant ended = requested_at - *changes.outage_ended_ago;
         if (!outage_ended_at_ || *outage_ended_at_ < ended)
             applied.outage_ended = ended;
-        on_outage_ended(ended);
     }
     return applied;
 }
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -17,6 +17,11 @@
 /// hexadecimal; in the answer, that the list is still this one and left out.
 /// Entries of earlier releases ignore it and answer with the list.
 constexpr const char* servers_field = "Ospreystage-Servers";
+/// In an answer, the time in milliseconds for which the lists of servers have
+/// come without a gap. Entries of earlier releases do not send it.
+constexpr const char* unbroken_field = "Ospreystage-Unbroken-Ms";
+/// Longest such time that counts, so that its beginning can be represented.
+constexpr milliseconds max_unbroken = std::chrono::hours(24);
 constexpr milliseconds poll_interval{200};
 constexpr milliseconds connect_timeout{300};
 /// Longest time without data from a reader; then the next one is asked.
@@ -38,6 +43,14 @@
     return value;
 }
 
+std::optional<milliseconds> read_unbroken(const http_fields& fields) {
+    std::int64_t count = 0;
+    if (!absl::SimpleAtoi(field_value(fields, unbroken_field), &count) ||
+        count < 0)
+        return std::nullopt;
+    return std::min(milliseconds(count), max_unbroken);
+}
+
 void write_digest(http_fields& fields, std::uint64_t value) {
     fields.push_back({servers_field, fmt::format("{:x}", value)});
 }
@@ -72,8 +85,9 @@
 void site_feed::poll() {
     const instant now = steady::now();
     const auto age = copy_.age(now);
-    const bool needs_state =
-        !selection_.is_reader() || !age || *age > selection_.max_age();
+    const bool needs_state = !selection_.is_reader() || !age ||
+                             *age > selection_.max_age() ||
+                             selection_.is_store_failing();
     const bool is_waiting =
         !requests_.empty() && now - requests_.back().started < hedge_delay;
     if (!needs_state || is_waiting)
@@ -161,8 +175,9 @@
         return;
     }
     changes->unchanged_servers = read_digest(response.fields);
-    site_copy::applied_parts applied = copy_.apply(*changes, requested_at);
-    applied.source = source;
+    changes->servers_unbroken = read_unbroken(response.fields);
+    const site_copy::applied_parts applied =
+        copy_.apply(*changes, requested_at, source);
     if (changes->documents_age && changes->servers_age)
         selection_.on_state(requested_at - std::max(*changes->documents_age,
                                                     *changes->servers_age));
@@ -185,6 +200,10 @@
     response = text_response("application/octet-stream", encode(changes));
     if (changes.unchanged_servers)
         write_digest(response.fields, *changes.unchanged_servers);
+    if (changes.servers_unbroken)
+        response.fields.push_back(
+            {unbroken_field,
+             std::to_string(changes.servers_unbroken->count())});
     return response;
 }
 
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -124,7 +124,23 @@
     registry.on_unreachable(start + seconds(1));
     const instant read_at = start + seconds(3);
     registry.on_list({make_server("b")}, read_at + milliseconds(100),
-                     state_origin{{1, 7}, read_at, "edge-2"});
+                     state_origin{{1, 7}, read_at, "edge-2", start});
+    CHECK(registry.find("a") == nullptr);
+}
+
+TEST_CASE("backend registry - a list from an entry that was without the store "
+          "itself does not show that there was no outage") {
+    const std::optional<instant> unbroken_since =
+        GENERATE(std::optional<instant>(),
+                 std::optional<instant>(start + milliseconds(2900)));
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start);
+    registry.on_unreachable(start + seconds(1));
+    const instant read_at = start + seconds(3);
+    registry.on_list({make_server("b")}, read_at + milliseconds(100),
+                     state_origin{{1, 7}, read_at, "edge-2", unbroken_since});
+    CHECK(registry.find("a") != nullptr);
+    registry.advance(read_at + seconds(3));
     CHECK(registry.find("a") == nullptr);
 }
 
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -72,7 +72,8 @@
     REQUIRE(applied.documents.size() == 1);
     CHECK(applied.documents.front().text == "text");
     CHECK(applied.has_entries);
-    CHECK(applied.servers_read_at == start);
+    REQUIRE(applied.servers);
+    CHECK(applied.servers->read_at == start);
     CHECK(copy.servers() == source.servers());
     CHECK(copy.entries() == source.entries());
     CHECK(copy.age(start + seconds(1)) == seconds(1));
@@ -91,7 +92,7 @@
     const auto applied = copy.apply(late, start + seconds(1));
     CHECK(applied.documents.empty());
     CHECK_FALSE(applied.has_entries);
-    CHECK_FALSE(applied.servers_read_at);
+    CHECK_FALSE(applied.servers);
     CHECK(copy.servers().empty());
     CHECK(copy.entries().empty());
     CHECK(copy.revisions().servers == 12);
@@ -117,7 +118,8 @@
     CHECK(changes.servers.empty());
     CHECK(changes.unchanged_servers == copy.servers_digest());
     const auto applied = copy.apply(changes, start + seconds(1));
-    CHECK(applied.servers_read_at == start + seconds(1));
+    REQUIRE(applied.servers);
+    CHECK(applied.servers->read_at == start + seconds(1));
     CHECK(copy.revisions().servers == 12);
     CHECK(copy.servers() == source.servers());
 }
@@ -143,11 +145,34 @@
     const site_changes changes = source.changes_since(
         copy.revisions(), start + seconds(1), copy.servers_digest());
     copy.on_servers_read({}, 12, start + seconds(1));
-    CHECK_FALSE(copy.apply(changes, start + seconds(1)).servers_read_at);
+    CHECK_FALSE(copy.apply(changes, start + seconds(1)).servers);
     CHECK(copy.servers().empty());
     CHECK(copy.revisions().servers == 12);
 }
 
+TEST_CASE(
+    "site copy - a copy says since when its lists of servers have no gap") {
+    site_copy copy = make_copy(start);
+    copy.on_servers_read({}, 11, start + seconds(1));
+    const instant later = start + seconds(2);
+    CHECK(copy.changes_since({}, later).servers_unbroken == seconds(2));
+    copy.on_servers_read({}, 12, start + seconds(4));
+    CHECK(copy.changes_since({}, start + seconds(4)).servers_unbroken ==
+          milliseconds(0));
+}
+
+TEST_CASE("site copy - an outage that does not concern a copy is not passed on "
+          "by it") {
+    site_copy source = make_copy(start);
+    source.on_outage_ended(start + seconds(1));
+    site_copy copy = make_copy(start);
+    const auto applied =
+        copy.apply(source.changes_since(copy.revisions(), start + seconds(2)),
+                   start + seconds(2));
+    CHECK(applied.outage_ended == start + seconds(1));
+    CHECK_FALSE(copy.changes_since({}, start + seconds(2)).outage_ended_ago);
+}
+
 TEST_CASE("site copy - its age is that of the older part") {
     site_copy copy = make_copy(start);
     copy.on_servers_read({}, 12, start + seconds(3));
@@ -250,6 +275,28 @@
     CHECK(pauses[8] == milliseconds(3200));
 }
 
+TEST_CASE("feed selection - a reader whose reads fail asks the other reader") {
+    for (const std::string& name : five_entries) {
+        feed_selection selection = make_selection(name);
+        selection.set_entries(five_entries);
+        const instant read_at = start + seconds(5);
+        selection.on_store_read(false, read_at);
+        CHECK_FALSE(selection.is_store_failing());
+        selection.on_store_read(true, read_at + seconds(1));
+        CHECK(selection.is_store_failing() == selection.is_reader());
+        if (!selection.is_reader())
+            continue;
+        const auto readers = selection.sources(read_at + seconds(1));
+        REQUIRE(readers.size() == 1);
+        feed_selection other = make_selection(readers.front());
+        other.set_entries(five_entries);
+        CHECK(other.is_reader());
+        // Once the other reader's state is too old as well, further entries
+        // are asked.
+        CHECK(selection.sources(read_at + seconds(4)).size() > 1);
+    }
+}
+
 TEST_CASE("feed selection - an entry that others ask reads the store") {
     feed_selection selection = make_selection("e-0");
     selection.set_entries(five_entries);
