Keep a server draining until its process ends

A state of a server from before (an older heartbeat that the store takes late, a copy that the store returns to) undid that the server drains, and requests reached it again (DRAIN). Draining belongs to one start of a server: it now stays for that start, also when the server was missing from the list meanwhile; a new start under the same id is free.

Before: the test of an older heartbeat fails. After: it passes, the other tests of the registry and of leaving servers as before.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -52,6 +52,9 @@
 /// That reads fail here does not show that the store was away. It was not if
 /// another entry has read the list all the while, and the outage of another
 /// entry does not concern this one if it had the list meanwhile.
+///
+/// A server that drains does so until its process ends: neither an older state
+/// of it nor an older copy of the store undoes that.
 class backend_registry {
   public:
     struct options {
@@ -60,6 +63,8 @@
         /// Grace period after an outage in which expired servers register
         /// again; the platform's users state about two seconds.
         milliseconds reregistration_time{2200};
+        /// What is known of departed servers is kept for this long.
+        milliseconds departed_retention{600'000};
     };
 
     explicit backend_registry(const options& limits);
@@ -122,11 +127,21 @@
     };
 
     [[nodiscard]] bool is_outage(const state_origin& next, instant now) const;
+    /// Server that no list shows any more.
+    struct departed_server {
+        std::int64_t started_unix_ms = 0;
+        bool is_draining = false;
+        instant left_at{};
+    };
+
+    [[nodiscard]] const departed_server*
+    find_departed(const backend_server& server) const;
     void index_addresses();
 
     options limits_;
     absl::flat_hash_map<std::string, server_record> servers_;
     absl::flat_hash_map<address, std::vector<std::string>> ids_by_address_;
+    absl::flat_hash_map<std::string, departed_server> departed_; ///< By id.
     state_origin origin_; ///< Of the last list, if `has_list_`.
     std::optional<instant> last_listed_at_; ///< When `on_list` was called.
     std::optional<instant> unreachable_since_;
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -67,8 +67,14 @@
     bool has_new_address = false;
     for (backend_server& entry : listed) {
         seen.insert(entry.id);
+        const departed_server* departed = find_departed(entry);
         const auto [found, is_new] = servers_.try_emplace(entry.id);
         server_record& record = found->second;
+        const bool is_same_start =
+            !is_new && record.server.started_unix_ms == entry.started_unix_ms;
+        entry.is_draining |=
+            (is_same_start && record.server.is_draining) ||
+            (is_new && departed != nullptr && departed->is_draining);
         has_new_address |= is_new || record.server.endpoint != entry.endpoint;
         if (is_new || record.server.is_draining != entry.is_draining ||
             record.server.started_unix_ms != entry.started_unix_ms)
@@ -107,17 +113,32 @@
 
 void backend_registry::advance(instant now) {
     const auto removed = absl::erase_if(servers_, [&](const auto& entry) {
-        const bool is_gone =
-            entry.second.remove_at && *entry.second.remove_at <= now;
-        if (is_gone)
-            log_event(log_level::info, "backend_server_gone",
-                      with_list({{"id", entry.first}}, now));
-        return is_gone;
+        const server_record& record = entry.second;
+        if (!record.remove_at || *record.remove_at > now)
+            return false;
+        departed_[entry.first] = {record.server.started_unix_ms,
+                                  record.server.is_draining, now};
+        log_event(log_level::info, "backend_server_gone",
+                  with_list({{"id", entry.first}}, now));
+        return true;
+    });
+    absl::erase_if(departed_, [&](const auto& entry) {
+        return now - entry.second.left_at > limits_.departed_retention;
     });
     if (removed > 0)
         index_addresses();
 }
 
+/// Returns what is known of the same start of a server that had departed.
+const backend_registry::departed_server*
+backend_registry::find_departed(const backend_server& server) const {
+    const auto found = departed_.find(server.id);
+    const bool is_same =
+        found != departed_.end() &&
+        found->second.started_unix_ms == server.started_unix_ms;
+    return is_same ? &found->second : nullptr;
+}
+
 void backend_registry::index_addresses() {
     ids_by_address_.clear();
     for (const auto& [id, record] : servers_)
