Order what the store said by era before revision

Cause: nothing read Store-Era; revisions of different histories were compared.

Change: a position in the store is (era, revision), for documents, entries and servers, in the copy, between entries and in the logs. A call that crosses the return of the store fails as era_changed. Entries register again at once under a new lease, and the keepers of the quarantine write their parts again. Servers that the copy lacks stay for the time that registrations take, those that had departed do not return for as long. Eras between entries travel in a header of their own: an entry of the release before is answered by revision, and its answers, which name no era, do not replace a state of a known era.

An era that is no number, not positive or more than 1000 higher is logged and ignored; one that goes back fails the call.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -55,6 +55,10 @@
 ///
 /// A server that drains does so until its process ends: neither an older state
 /// of it nor an older copy of the store undoes that.
+///
+/// A list of a later era comes from an older copy of the store, into which the
+/// servers write again. For the grace period, servers that the copy lacks stay,
+/// and servers that had departed before do not return.
 class backend_registry {
   public:
     struct options {
@@ -136,6 +140,8 @@
 
     [[nodiscard]] const departed_server*
     find_departed(const backend_server& server) const;
+    [[nodiscard]] bool is_undone_departure(const backend_server& server,
+                                           instant now) const;
     void index_addresses();
 
     options limits_;
@@ -144,6 +150,7 @@
     absl::flat_hash_map<std::string, departed_server> departed_; ///< By id.
     state_origin origin_; ///< Of the last list, if `has_list_`.
     std::optional<instant> last_listed_at_; ///< When `on_list` was called.
+    std::optional<instant> era_began_;      ///< When this entry learned of it.
     std::optional<instant> unreachable_since_;
     std::optional<instant> outage_ended_; ///< Time of the last recovery.
     bool has_list_ = false;
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -32,12 +32,12 @@
     friend bool operator==(const site_entry&, const site_entry&) = default;
 };
 
-/// Revisions of the store up to which each part of a `site_copy` is complete;
+/// Positions of the store up to which each part of a `site_copy` is complete;
 /// 0: nothing is known.
 struct site_revisions {
-    std::int64_t documents = 0;
-    std::int64_t entries = 0;
-    std::int64_t servers = 0;
+    store_position documents;
+    store_position entries;
+    store_position servers;
     friend bool operator==(const site_revisions&,
                            const site_revisions&) = default;
 };
@@ -63,10 +63,11 @@
 
 /// An entry's copy of what the platform's store says about the site.
 ///
-/// Every part has the revision and the time at which it was read. Copies of
-/// different entries are therefore comparable: an entry may bring its copy up
-/// to date from another one instead of the store, whichever is newer, and knows
-/// how old the result is.
+/// Every part has the position of the store and the time at which it was read.
+/// Copies of different entries are therefore comparable: an entry may bring its
+/// copy up to date from another one instead of the store, whichever is newer,
+/// and knows how old the result is. A part of a later era is newer whatever its
+/// revision, and replaces all of the part that is held.
 class site_copy {
   public:
     // ---- Observers ---------------------------------------------------------
@@ -100,21 +101,23 @@
 
     // ---- Reads of the store ------------------------------------------------
 
+    /// Drops the documents of earlier eras.
+    void on_documents_era(std::int64_t era);
     /// Returns true if the document is newer than the one held.
     bool on_document(const site_document& document);
-    /// Records that the documents are complete up to `revision`.
-    void on_documents_read(std::int64_t revision, instant read_at);
+    /// Records that the documents are complete up to `position`.
+    void on_documents_read(store_position position, instant read_at);
     /// Records that the documents had not changed at `read_at`.
     void on_documents_confirmed(instant read_at);
     void on_entry(const site_entry& entry);
     void on_entry_removed(const std::string& name);
     /// Replaces all entries.
     void on_entries_snapshot(const std::vector<site_entry>& entries);
-    /// Records that the entries are complete up to `revision`.
-    void on_entries_read(std::int64_t revision);
+    /// Records that the entries are complete up to `position`.
+    void on_entries_read(store_position position);
     /// Replaces the servers by a complete list.
     void on_servers_read(std::vector<backend_server> listed,
-                         std::int64_t revision, instant read_at);
+                         store_position position, instant read_at);
     void on_outage_ended(instant at);
 
     // ---- Changes from another copy -----------------------------------------
@@ -148,7 +151,8 @@
     std::optional<instant> outage_ended_at_;
 };
 
-/// Encodes revisions or changes for another entry.
+/// Encodes revisions or changes for another entry, without the eras, which
+/// entries of earlier releases cannot read.
 [[nodiscard]] std::string encode(const site_revisions& known);
 [[nodiscard]] std::string encode(const site_changes& changes);
 
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -57,6 +57,9 @@
 
 void backend_registry::on_list(std::vector<backend_server> listed, instant now,
                                state_origin origin) {
+    const std::int64_t known_era = origin_.position.era;
+    if (known_era != 0 && origin.position.era > known_era)
+        era_began_ = outage_ended_ = now;
     if (is_outage(origin, now))
         outage_ended_ = now;
     unreachable_since_.reset();
@@ -66,6 +69,8 @@
     absl::flat_hash_set<std::string> seen;
     bool has_new_address = false;
     for (backend_server& entry : listed) {
+        if (is_undone_departure(entry, now))
+            continue;
         seen.insert(entry.id);
         const departed_server* departed = find_departed(entry);
         const auto [found, is_new] = servers_.try_emplace(entry.id);
@@ -139,6 +144,16 @@
     return is_same ? &found->second : nullptr;
 }
 
+/// Returns true if the list shows a departed server only because its copy of
+/// the store is older.
+bool backend_registry::is_undone_departure(const backend_server& server,
+                                           instant now) const {
+    const departed_server* departed = find_departed(server);
+    return era_began_ && now - *era_began_ < limits_.reregistration_time &&
+           departed != nullptr && departed->left_at < *era_began_ &&
+           !servers_.contains(server.id);
+}
+
 void backend_registry::index_addresses() {
     ids_by_address_.clear();
     for (const auto& [id, record] : servers_)
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -35,7 +35,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, site_revisions& value) {
-    archive(value.documents, value.entries, value.servers);
+    archive(value.documents.revision, value.entries.revision,
+            value.servers.revision);
 }
 
 namespace {
@@ -153,8 +154,9 @@
     changes.servers_age = elapsed_since(servers_read_at_, now);
     changes.servers_unbroken = elapsed_since(servers_unbroken_since_, now);
     changes.outage_ended_ago = elapsed_since(outage_ended_at_, now);
+    const store_position& documents = revisions_.documents;
     for (const auto& [key, document] : documents_)
-        if (document.revision > known.documents)
+        if (store_position(documents.era, document.revision) > known.documents)
             changes.documents.push_back(document);
     if (revisions_.entries > known.entries)
         for (const auto& [name, entry] : entries_)
@@ -170,6 +172,13 @@
 
 // ---- Reads of the store ----------------------------------------------------
 
+void site_copy::on_documents_era(std::int64_t era) {
+    if (era <= revisions_.documents.era)
+        return;
+    documents_.clear();
+    revisions_.documents = {era, 0};
+}
+
 bool site_copy::on_document(const site_document& document) {
     site_document& held = documents_[document.key];
     if (held.revision >= document.revision)
@@ -178,8 +187,8 @@
     return true;
 }
 
-void site_copy::on_documents_read(std::int64_t revision, instant read_at) {
-    revisions_.documents = std::max(revisions_.documents, revision);
+void site_copy::on_documents_read(store_position position, instant read_at) {
+    revisions_.documents = std::max(revisions_.documents, position);
     advance_to(documents_read_at_, read_at);
 }
 
@@ -202,17 +211,17 @@
         on_entry(entry);
 }
 
-void site_copy::on_entries_read(std::int64_t revision) {
-    revisions_.entries = std::max(revisions_.entries, revision);
+void site_copy::on_entries_read(store_position position) {
+    revisions_.entries = std::max(revisions_.entries, position);
 }
 
 void site_copy::on_servers_read(std::vector<backend_server> listed,
-                                std::int64_t revision, instant read_at) {
-    if (revision < revisions_.servers)
+                                store_position position, instant read_at) {
+    if (position < revisions_.servers)
         return;
     servers_ = std::move(listed);
     servers_digest_ = digest_of(servers_);
-    revisions_.servers = revision;
+    revisions_.servers = position;
     on_servers_read_at(read_at);
 }
 
@@ -232,12 +241,15 @@
                                           instant requested_at,
                                           const std::string& source) {
     applied_parts applied;
-    for (const site_document& document : changes.documents)
-        if (on_document(document))
-            applied.documents.push_back(document);
-    if (changes.documents_age && changes.revisions.documents > 0)
-        on_documents_read(changes.revisions.documents,
-                          requested_at - *changes.documents_age);
+    const store_position documents = changes.revisions.documents;
+    if (documents.era >= revisions_.documents.era) {
+        on_documents_era(documents.era);
+        for (const site_document& document : changes.documents)
+            if (on_document(document))
+                applied.documents.push_back(document);
+        if (changes.documents_age && documents.revision > 0)
+            on_documents_read(documents, requested_at - *changes.documents_age);
+    }
     if (changes.revisions.entries > revisions_.entries) {
         on_entries_snapshot(changes.entries);
         on_entries_read(changes.revisions.entries);
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -2,9 +2,11 @@
 #include <ospreystage/fleet/site_feed.hpp>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace ospreystage {
@@ -17,6 +19,9 @@
 /// hexadecimal; in the answer, that the list is still this one and left out.
 /// Entries of earlier releases ignore it and answer with the list.
 constexpr const char* servers_field = "Ospreystage-Servers";
+/// In a request and its answer, the eras of the documents, entries and servers,
+/// separated by commas. Entries of earlier releases do not send it.
+constexpr const char* eras_field = "Ospreystage-Eras";
 /// In an answer, the time in milliseconds for which the lists of servers have
 /// come without a gap. Entries of earlier releases do not send it.
 constexpr const char* unbroken_field = "Ospreystage-Unbroken-Ms";
@@ -51,6 +56,29 @@
     return std::min(milliseconds(count), max_unbroken);
 }
 
+void write_eras(http_fields& fields, const site_revisions& revisions) {
+    fields.push_back(
+        {eras_field,
+         fmt::format("{},{},{}", revisions.documents.era, revisions.entries.era,
+                     revisions.servers.era)});
+}
+
+/// Reads the eras of a request or an answer; returns false if it names none.
+bool read_eras(const http_fields& fields, site_revisions& revisions) {
+    const std::vector<std::string> parts =
+        absl::StrSplit(field_value(fields, eras_field), ',');
+    std::array<std::int64_t, 3> eras{};
+    if (parts.size() != eras.size())
+        return false;
+    for (std::size_t index = 0; index < eras.size(); ++index)
+        if (!absl::SimpleAtoi(parts[index], &eras[index]) || eras[index] < 0)
+            return false;
+    revisions.documents.era = eras[0];
+    revisions.entries.era = eras[1];
+    revisions.servers.era = eras[2];
+    return true;
+}
+
 void write_digest(http_fields& fields, std::uint64_t value) {
     fields.push_back({servers_field, fmt::format("{:x}", value)});
 }
@@ -127,6 +155,7 @@
     request.method = "POST";
     request.target = target;
     write_digest(request.fields, copy_.servers_digest());
+    write_eras(request.fields, copy_.revisions());
     request.body = encode(copy_.revisions());
     call_options call;
     call.connect_timeout = connect_timeout;
@@ -176,6 +205,7 @@
     }
     changes->unchanged_servers = read_digest(response.fields);
     changes->servers_unbroken = read_unbroken(response.fields);
+    read_eras(response.fields, changes->revisions);
     const site_copy::applied_parts applied =
         copy_.apply(*changes, requested_at, source);
     if (changes->documents_age && changes->servers_age)
@@ -187,7 +217,7 @@
 http_response site_feed::answer(const http_request& request) {
     http_response response;
     error failure;
-    const auto known = value_or_error(
+    auto known = value_or_error(
         [&] { return decode_site_revisions(request.body, "entry"); }, failure);
     if (request.target != target || !known) {
         response.status = status_bad_request;
@@ -195,9 +225,16 @@
     }
     const instant now = steady::now();
     selection_.on_request(now);
+    // An entry of an earlier release compares revisions alone.
+    if (!read_eras(request.fields, *known)) {
+        known->documents.era = copy_.revisions().documents.era;
+        known->entries.era = copy_.revisions().entries.era;
+        known->servers.era = copy_.revisions().servers.era;
+    }
     const site_changes changes =
         copy_.changes_since(*known, now, read_digest(request.fields));
     response = text_response("application/octet-stream", encode(changes));
+    write_eras(response.fields, changes.revisions);
     if (changes.unchanged_servers)
         write_digest(response.fields, *changes.unchanged_servers);
     if (changes.servers_unbroken)
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -36,6 +36,56 @@
     CHECK(registry.serving("desk").front()->id == "b");
 }
 
+TEST_CASE(
+    "backend registry - neither servers that an older copy lacks are lost "
+    "nor those that it brings back are used") {
+    const auto list = [](std::int64_t era, std::int64_t revision, instant at) {
+        return state_origin{{era, revision}, at, "", {}};
+    };
+    const auto is_held = [](const backend_registry& registry,
+                            const std::string& id) {
+        return registry.find(id) != nullptr;
+    };
+    backend_registry registry;
+    registry.on_list({make_server("left"), make_server("stays")}, start,
+                     list(1, 10, start));
+    const instant before = start + seconds(1);
+    registry.on_list({make_server("stays"), make_server("new")}, before,
+                     list(1, 20, before));
+    REQUIRE_FALSE(is_held(registry, "left"));
+    const instant returned = start + seconds(2);
+    registry.on_list({make_server("left"), make_server("stays")}, returned,
+                     list(2, 11, returned));
+    CHECK_FALSE(is_held(registry, "left"));
+    CHECK(is_held(registry, "new"));
+    // A server that the copy lists and that leaves now is dropped at once.
+    const instant later = returned + seconds(1);
+    registry.on_list({make_server("left"), make_server("new")}, later,
+                     list(2, 15, later));
+    CHECK_FALSE(is_held(registry, "stays"));
+    CHECK_FALSE(is_held(registry, "left"));
+    // What the list says counts once all had time to write again.
+    const instant settled = returned + seconds(3);
+    registry.on_list({make_server("left")}, settled, list(2, 16, settled));
+    CHECK(is_held(registry, "left"));
+    CHECK_FALSE(is_held(registry, "new"));
+}
+
+TEST_CASE("backend registry - the outage of one reader during a drill keeps no "
+          "server that leaves after it") {
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start,
+                     state_origin{{1, 10}, start, "", {}});
+    const instant returned = start + seconds(1);
+    registry.on_list({make_server("a"), make_server("b")}, returned,
+                     state_origin{{2, 5}, returned, "", {}});
+    CHECK_FALSE(registry.on_outage_ended(returned + milliseconds(500)));
+    const instant later = returned + seconds(1);
+    registry.on_list({make_server("b")}, later,
+                     state_origin{{2, 6}, later, "edge-2", start});
+    CHECK(registry.find("a") == nullptr);
+}
+
 TEST_CASE("backend registry - a heartbeat from before does not undo that a "
           "server drains") {
     backend_registry registry;
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -173,6 +174,43 @@
     CHECK_FALSE(copy.changes_since({}, start + seconds(2)).outage_ended_ago);
 }
 
+TEST_CASE(
+    "site copy - a state of a later era replaces one of a higher revision") {
+    site_copy source;
+    source.on_documents_era(2);
+    source.on_document({"op/config", "after", 4});
+    source.on_documents_read({2, 4}, start + seconds(1));
+    source.on_entry({"edge-2", {"10.0.0.8", 8000}, "north"});
+    source.on_entries_read({2, 4});
+    source.on_servers_read({make_server("i-2")}, {2, 4}, start + seconds(1));
+    site_copy copy;
+    copy.on_documents_era(1);
+    copy.on_document({"op/config", "before", 1035});
+    copy.on_document({"op/other", "before", 1036});
+    copy.on_documents_read({1, 1036}, start);
+    copy.on_entry({"edge-1", {"10.0.0.9", 8000}, "north"});
+    copy.on_entries_read({1, 1036});
+    copy.on_servers_read({make_server("i-1")}, {1, 1036}, start);
+    const site_changes earlier =
+        copy.changes_since(source.revisions(), start + seconds(1));
+    CHECK(earlier.documents.empty());
+    const auto applied =
+        copy.apply(source.changes_since(copy.revisions(), start + seconds(2)),
+                   start + seconds(2));
+    CHECK(copy.revisions() == source.revisions());
+    REQUIRE(applied.documents.size() == 1);
+    CHECK(applied.documents.front().text == "after");
+    CHECK(applied.has_entries);
+    CHECK(copy.entries() == source.entries());
+    CHECK(copy.servers() == source.servers());
+    // The state from before, requested earlier, changes nothing.
+    const auto late = copy.apply(earlier, start + seconds(2));
+    CHECK(late.documents.empty());
+    CHECK_FALSE(late.has_entries);
+    CHECK_FALSE(late.servers);
+    CHECK(copy.changes_since({}, start + seconds(2)).documents.size() == 1);
+}
+
 TEST_CASE("site copy - its age is that of the older part") {
     site_copy copy = make_copy(start);
     copy.on_servers_read({}, 12, start + seconds(3));
@@ -425,3 +463,55 @@
     }
     running.stop();
 }
+
+TEST_CASE("site feed - an entry of an earlier release is answered by revision, "
+          "and its answers do not replace a state of a later era") {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy copy;
+    copy.on_documents_era(2);
+    copy.on_document({"op/config", "after", 4});
+    copy.on_documents_read({2, 4}, steady::now());
+    copy.on_servers_read({make_server("i-2")}, {2, 4}, steady::now());
+    site_feed feed(core, client, copy,
+                   {"edge-2", "north", {"127.0.0.1", port}, {}},
+                   [](const site_copy::applied_parts&) {});
+    error failure;
+    REQUIRE(value_or_error(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(feed.start());
+            return true;
+        },
+        failure));
+    running_kernel running(core);
+    const auto ask = [&](const site_revisions& known, const std::string& eras) {
+        raw_connection caller({"127.0.0.1", port});
+        const std::string body = encode(known);
+        caller.send(fmt::format("POST /v1/site HTTP/1.1\r\nHost: edge-2\r\n"
+                                "{}Content-Length: {}\r\n\r\n{}",
+                                eras, body.size(), body));
+        const std::string head = caller.read_until("\r\n\r\n");
+        CHECK(head.find("Ospreystage-Eras: 2,0,2\r\n") != std::string::npos);
+        return caller.read_all(milliseconds(200));
+    };
+    const auto has_document = [](const std::string& body) {
+        return body.find("after") != std::string::npos;
+    };
+    CHECK(has_document(ask({}, "")));
+    CHECK_FALSE(has_document(ask({4, 0, 4}, "")));
+    CHECK(has_document(ask({9, 0, 9}, "Ospreystage-Eras: 1,0,1\r\n")));
+    CHECK_FALSE(has_document(ask({4, 0, 4}, "Ospreystage-Eras: 2,0,2\r\n")));
+    // Unreadable eras count as those of an earlier release.
+    CHECK_FALSE(has_document(ask({4, 0, 4}, "Ospreystage-Eras: 1,x,-1\r\n")));
+    // An answer without eras, as an earlier release sends it.
+    site_changes answer;
+    answer.revisions = {1035, 0, 1035};
+    answer.documents_age = answer.servers_age = milliseconds(0);
+    answer.documents = {{"op/config", "before", 1035}};
+    answer.servers = {make_server("i-1")};
+    const auto applied =
+        running.ask([&] { return copy.apply(answer, steady::now()); });
+    CHECK(applied.documents.empty());
+    CHECK_FALSE(applied.servers);
+}
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/support/free_ports.hpp"
 #include "tests/support/platform_store.hpp"
+#include "tests/support/scripted_server.hpp"
 
 #include <ospreystage/http/web_server.hpp>
 
@@ -624,3 +625,96 @@
     CHECK(running.until([&] { return store.value(entry_key).has_value(); },
                         list_time));
 }
+
+TEST_CASE(
+    "site watch - a lease whose number a drill has given to another entry "
+    "is neither renewed nor ended") {
+    platform_store store;
+    store.keep_copy();
+    write_often(store);
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return store.value(entry_key).has_value(); },
+                          timeout));
+    const int renewals = store.calls("/v1/kv-keep/1");
+    store.return_to_copy(1);
+    CHECK(running.until([&] { return store.value(entry_key).has_value(); },
+                        seconds(2)));
+    running.ask([&] {
+        entry.watch.withdraw();
+        return true;
+    });
+    CHECK(running.until([&] { return !store.value(entry_key).has_value(); },
+                        timeout));
+    CHECK(store.calls("/v1/kv-lease-end/1") == 0);
+    CHECK(store.calls("/v1/kv-lease-end/2") == 1);
+    CHECK(store.calls("/v1/kv-keep/1") <= renewals + 1);
+}
+
+TEST_CASE("store client - a call that another era answers is not executed for "
+          "its caller") {
+    platform_store store;
+    store.put("a/1", "one");
+    kernel core;
+    web_client web(core);
+    store_client client(web, store.endpoint(), call_timeout);
+    std::vector<std::optional<store_failure>> ends;
+    std::vector<std::int64_t> eras;
+    client.set_era_handler(
+        [&](std::int64_t, std::int64_t era) { eras.push_back(era); });
+    running_kernel running(core);
+    const auto read = [&] {
+        const std::size_t known = running.ask([&] {
+            client.read_all("a/", [&](const store_result& result) {
+                ends.push_back(result.failure);
+            });
+            return ends.size();
+        });
+        REQUIRE(running.until([&] { return ends.size() > known; }, timeout));
+    };
+    read();
+    store.keep_copy();
+    store.return_to_copy();
+    read();
+    read();
+    CHECK(ends == std::vector<std::optional<store_failure>>{
+                      std::nullopt, store_failure::era_changed, std::nullopt});
+    CHECK(eras == std::vector<std::int64_t>{2});
+}
+
+TEST_CASE("store client - an era that is no number, is missing or goes back "
+          "changes nothing") {
+    const std::string value =
+        GENERATE("", "Store-Era: x\r\n", "Store-Era: -3\r\n",
+                 "Store-Era: 99999999999999999999\r\n", "Store-Era: 900000\r\n",
+                 "Store-Era: 6\r\n");
+    int calls = 0;
+    const testing::scripted_server server([&](const std::string&) {
+        const std::string body =
+            R"({"items":[],"has_more":false,"store_revision":4})";
+        return testing::scripted_answer{fmt::format(
+            "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}",
+            ++calls == 1 ? "Store-Era: 7\r\n" : value, body.size(), body)};
+    });
+    kernel core;
+    web_client web(core);
+    store_client client(web, server.endpoint(), call_timeout);
+    std::vector<std::optional<store_failure>> ends;
+    bool has_changed = false;
+    client.set_era_handler(
+        [&](std::int64_t, std::int64_t) { has_changed = true; });
+    running_kernel running(core);
+    for (std::size_t count = 1; count <= 2; ++count) {
+        running.ask([&] {
+            client.read_all("a/", [&](const store_result& result) {
+                ends.push_back(result.failure);
+            });
+            return true;
+        });
+        REQUIRE(running.until([&] { return ends.size() == count; }, timeout));
+    }
+    CHECK(running.ask([&] { return client.era(); }) == 7);
+    CHECK_FALSE(has_changed);
+    // An answer of an earlier era is not taken for one of this one.
+    CHECK(ends[1].has_value() == (value == "Store-Era: 6\r\n"));
+}
--- a/tests/support/platform_store.cpp
+++ b/tests/support/platform_store.cpp
@@ -152,13 +152,15 @@
     });
 }
 
-void platform_store::return_to_copy() {
+void platform_store::return_to_copy(int others) {
     change([&] {
         items_ = copy_.items;
         history_ = copy_.history;
         revision_ = copy_.revision;
         leases_ = copy_.leases;
         next_lease_ = copy_.next_lease;
+        for (int count = 0; count < others; ++count)
+            leases_[next_lease_++] = true;
         ++era_;
     });
 }
--- a/tests/support/platform_store.hpp
+++ b/tests/support/platform_store.hpp
@@ -37,8 +37,9 @@
     void keep_copy();
 
     /// Returns to the copy: later changes and leases are gone, their revisions
-    /// and numbers are given out again, and the era rises by one.
-    void return_to_copy();
+    /// and numbers are given out again, the first `others` to other processes,
+    /// and the era rises by one.
+    void return_to_copy(int others = 0);
 
     // ---- Faults ------------------------------------------------------------
 
