Take an unchanged list of servers for a confirmation of the one held

An answer with the revision that is held was ignored, its age too; so it neither made the list younger nor ended the outage of a reader that asked another one.

Change: a later read of the same position moves the time of the list, counts as a witness against an outage, and ends failed reads here.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -86,6 +86,9 @@
         on_list(std::move(listed), now, now);
     }
 
+    /// Records that the list held was still the store's at a later read.
+    void on_confirmed(state_origin origin, instant now);
+
     /// Records an outage that another entry saw end at `ended`. Returns false
     /// if this entry was not without the list before that.
     bool on_outage_ended(instant ended);
@@ -131,6 +134,7 @@
     };
 
     [[nodiscard]] bool is_outage(const state_origin& next, instant now) const;
+    void on_read(state_origin origin, instant now);
     /// Server that no list shows any more.
     struct departed_server {
         std::int64_t started_unix_ms = 0;
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -128,6 +128,8 @@
         bool has_entries = false;
         /// Where the newer servers come from.
         std::optional<state_origin> servers;
+        /// Where it was read later that the servers are still those held.
+        std::optional<state_origin> confirmed_servers;
         std::optional<instant> outage_ended; ///< Last outage, if newer.
     };
     /// Applies what is newer; `requested_at` is the time of the request to the
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -55,8 +55,8 @@
     return !has_witness;
 }
 
-void backend_registry::on_list(std::vector<backend_server> listed, instant now,
-                               state_origin origin) {
+/// Records a read of the list, which ends the time without one.
+void backend_registry::on_read(state_origin origin, instant now) {
     const std::int64_t known_era = origin_.position.era;
     if (known_era != 0 && origin.position.era > known_era)
         era_began_ = outage_ended_ = now;
@@ -66,6 +66,19 @@
     origin_ = std::move(origin);
     last_listed_at_ = now;
     has_list_ = true;
+}
+
+void backend_registry::on_confirmed(state_origin origin, instant now) {
+    on_read(std::move(origin), now);
+    for (auto& [id, record] : servers_)
+        if (!record.remove_at)
+            record.listed_at = now;
+    advance(now);
+}
+
+void backend_registry::on_list(std::vector<backend_server> listed, instant now,
+                               state_origin origin) {
+    on_read(std::move(origin), now);
     absl::flat_hash_set<std::string> seen;
     bool has_new_address = false;
     for (backend_server& entry : listed) {
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -259,13 +259,17 @@
     const bool has_servers = !changes.unchanged_servers ||
                              changes.unchanged_servers == servers_digest_;
     if (changes.servers_age && has_servers &&
-        changes.revisions.servers > revisions_.servers) {
+        changes.revisions.servers >= revisions_.servers) {
         const instant read_at = requested_at - *changes.servers_age;
-        applied.servers = {changes.revisions.servers, read_at, source, {}};
+        state_origin origin{changes.revisions.servers, read_at, source, {}};
         if (changes.servers_unbroken)
-            applied.servers->unbroken_since =
-                requested_at - *changes.servers_unbroken;
-        if (!changes.unchanged_servers)
+            origin.unbroken_since = requested_at - *changes.servers_unbroken;
+        const bool is_newer = changes.revisions.servers > revisions_.servers;
+        if (is_newer)
+            applied.servers = origin;
+        else if (!servers_read_at_ || *servers_read_at_ < read_at)
+            applied.confirmed_servers = origin;
+        if (is_newer && !changes.unchanged_servers)
             on_servers_read(changes.servers, changes.revisions.servers,
                             read_at);
         revisions_.servers = changes.revisions.servers;
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -194,6 +194,22 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE("backend registry - an unchanged list that is read again shows that "
+          "there was no outage") {
+    backend_registry registry;
+    registry.on_list({make_server("a"), make_server("b")}, start);
+    registry.on_unreachable(start + milliseconds(100));
+    for (int count = 1; count <= 6; ++count) {
+        const instant read_at = start + count * milliseconds(500);
+        registry.on_confirmed({{1, 7}, read_at, "edge-2", start},
+                              read_at + milliseconds(50));
+    }
+    CHECK_FALSE(registry.outage_ended());
+    CHECK_FALSE(registry.on_outage_ended(start + milliseconds(3100)));
+    registry.on_list({make_server("b")}, start + milliseconds(3400));
+    CHECK(registry.find("a") == nullptr);
+}
+
 TEST_CASE("backend registry - servers that expired in an outage stay in use at "
           "entries that another one tells of it") {
     backend_registry registry;
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -162,6 +162,27 @@
           milliseconds(0));
 }
 
+TEST_CASE(
+    "site copy - a later read of the same revision makes a copy younger") {
+    site_copy source = make_copy(start);
+    site_copy copy = make_copy(start);
+    source.on_servers_read({make_server("i-1")}, 10, start + seconds(1));
+    source.on_documents_confirmed(start + seconds(1));
+    const instant now = start + milliseconds(1200);
+    const auto applied = copy.apply(
+        source.changes_since(copy.revisions(), now, copy.servers_digest()), now,
+        "edge-2");
+    CHECK_FALSE(applied.servers);
+    REQUIRE(applied.confirmed_servers);
+    CHECK(applied.confirmed_servers->read_at == start + seconds(1));
+    CHECK(applied.confirmed_servers->unbroken_since == start);
+    CHECK(copy.age(now) == milliseconds(200));
+    CHECK(copy.changes_since({}, now).servers_unbroken == milliseconds(1200));
+    // The same answer once more says nothing new.
+    CHECK_FALSE(copy.apply(source.changes_since(copy.revisions(), now), now)
+                    .confirmed_servers);
+}
+
 TEST_CASE("site copy - an outage that does not concern a copy is not passed on "
           "by it") {
     site_copy source = make_copy(start);
