Answer the requests that still run when an entry has to stop

What callers saw: 0.4 s before the end of the time to stop, connections with requests in progress were closed without an answer, those that may not be repeated among them (LOST); with a time to stop of 3 s or less, requests were still taken and passed on up to that moment. Cause: the time in which new requests are accepted did not depend on the time that is left, and the process ended without ending its requests.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -83,6 +83,11 @@
     /// Refuses new requests from now on; those in progress continue.
     void close() noexcept { is_closed_ = true; }
 
+    /// Answers every request in progress: one that has not been sent to a
+    /// server as not run, the others as failed. Streams that have begun are
+    /// cut.
+    void end_requests(const char* reason);
+
     [[nodiscard]] std::size_t in_progress() const noexcept {
         return requests_.size();
     }
@@ -217,6 +222,7 @@
     void on_attempt_failed(exchange_id exchange, const char* reason,
                            bool may_have_run);
     void on_deadline(exchange_id exchange);
+    void end_request(exchange_id exchange, const char* reason);
     void check_idle_attempts();
     [[nodiscard]] bool is_silent(const request_record& record,
                                  instant now) const;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1324,14 +1324,28 @@
 }
 
 void gateway::on_deadline(exchange_id exchange) {
+    end_request(exchange, "deadline passed");
+}
+
+void gateway::end_requests(const char* reason) {
+    std::vector<exchange_id> open;
+    open.reserve(requests_.size());
+    for (const auto& [exchange, record] : requests_)
+        open.push_back(exchange_id{exchange});
+    for (const exchange_id exchange : open)
+        end_request(exchange, reason);
+}
+
+/// Gives a request its final answer, whatever its attempts do.
+void gateway::end_request(exchange_id exchange, const char* reason) {
     request_record* record = find(exchange);
     if (record == nullptr)
         return;
     cancel_call(*record);
     if (record->possible_runs == 0)
-        refuse(exchange, "deadline passed", default_retry_after);
+        refuse(exchange, reason, default_retry_after);
     else
-        fail_request(exchange, status_gateway_timeout, "deadline passed");
+        fail_request(exchange, status_gateway_timeout, reason);
 }
 
 void gateway::on_caller_disconnected(exchange_id exchange) {
