Keep what a server states by the start that stated it

Cause: leaving and pauses were kept by id as long as the id was listed.

Change: they belong to a start of a server (its id and the time at which it started), taken from what the request was sent to; a later start is free of them, and what an earlier one says late is ignored.

Measured: the two new tests and the 28 others of these parts pass.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -23,6 +23,13 @@
     friend bool operator==(const held_layers&, const held_layers&) = default;
 };
 
+/// One start of a backend server; a restarted server may keep its id.
+struct server_start {
+    std::string id;
+    std::int64_t started_unix_ms = 0; ///< 0: the server does not say.
+    friend bool operator==(const server_start&, const server_start&) = default;
+};
+
 /// Backend server as listed by the platform.
 struct backend_server {
     std::string id;
@@ -37,6 +44,8 @@
     friend bool operator==(const backend_server&,
                            const backend_server&) = default;
 
+    [[nodiscard]] server_start start() const { return {id, started_unix_ms}; }
+
     /// Returns the version that covers all layers in [0, `count`), if any.
     [[nodiscard]] std::optional<std::uint64_t>
     complete_version(std::uint32_t count) const;
--- a/include/ospreystage/serving/backend_availability.hpp
+++ b/include/ospreystage/serving/backend_availability.hpp
@@ -30,9 +30,10 @@
 ///
 /// Answers the load of servers that shut down or are overloaded while callers
 /// go on sending. Both statements are the server's own and are binding, unlike
-/// the backoff that `backend_load` infers from failures. Ids name one start of
-/// a server, so leaving is final: neither a list that shows the server as ready
-/// nor an answer without the statement reverts it.
+/// the backoff that `backend_load` infers from failures. They hold for one
+/// start of the server, for which leaving is final: neither a list that shows
+/// it as ready nor an answer without the statement reverts it. The next start
+/// under the same id is free of both.
 class backend_availability {
   public:
     struct options {
@@ -55,7 +56,7 @@
 
     /// Returns true if a request may be sent to the server now; to a leaving
     /// one, only as a last resort.
-    [[nodiscard]] bool may_send(const std::string& server, instant now) const;
+    [[nodiscard]] bool may_send(const server_start& server, instant now) const;
 
     /// Returns the time after which a caller should return if servers are
     /// available from `next_available` on. Callers return spread over a time
@@ -69,8 +70,9 @@
 
     void set_limits(const options& limits) noexcept { limits_ = limits; }
 
-    /// Records what an answer of a server stated.
-    void on_answer(const std::string& server,
+    /// Records what an answer of a server stated; that of an earlier start than
+    /// the last one that stated anything is ignored.
+    void on_answer(const server_start& server,
                    const availability_statement& statement, instant now);
 
     /// Drops what servers stated that have not been listed for a while.
@@ -78,17 +80,19 @@
 
   private:
     struct server_record {
+        std::int64_t started_unix_ms = 0;
         std::optional<instant> leaving_since;
         instant paused_until{};
         instant last_listed{};
     };
 
+    [[nodiscard]] const server_record* find(const server_start& server) const;
     [[nodiscard]] bool is_last_resort(const server_record& record,
                                       instant now) const;
 
     options limits_;
     std::mt19937_64 random_;
-    absl::flat_hash_map<std::string, server_record> records_;
+    absl::flat_hash_map<std::string, server_record> records_; ///< By id.
 };
 
 } // namespace ospreystage
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -97,7 +97,8 @@
     struct attempt_record {
         std::uint32_t number = 0; ///< Within its request, from 1.
         std::optional<call_id> call;
-        std::string server;        ///< Server of the call, or of the last one.
+        std::string server; ///< Server of the call, or of the last one.
+        std::int64_t server_started_unix_ms = 0; ///< When it was sent there.
         std::uint64_t version = 0; ///< Engines: version held there when sent.
         instant sent_at{};
         instant head_at{}; ///< When the head was received.
@@ -200,8 +201,9 @@
     void log_quarantined(const request_record& record);
     void send(exchange_id exchange, const placement& chosen);
     void on_head(exchange_id exchange, const http_response& head);
-    void on_server_state(const std::string& server, const http_response& head);
-    void on_availability(const std::string& server,
+    void on_server_state(const attempt_record& attempt,
+                         const http_response& head);
+    void on_availability(const server_start& server,
                          const availability_statement& statement);
     void on_body(exchange_id exchange, std::string_view data);
     void on_events(exchange_id exchange,
--- a/src/serving/backend_availability.cpp
+++ b/src/serving/backend_availability.cpp
@@ -19,6 +19,16 @@
 
 // ---- Observers -------------------------------------------------------------
 
+/// Returns what this start of a server has stated, or null.
+const backend_availability::server_record*
+backend_availability::find(const server_start& server) const {
+    const auto found = records_.find(server.id);
+    return found != records_.end() &&
+                   found->second.started_unix_ms == server.started_unix_ms
+               ? &found->second
+               : nullptr;
+}
+
 bool backend_availability::is_last_resort(const server_record& record,
                                           instant now) const {
     return now - *record.leaving_since < limits_.last_resort_time;
@@ -29,12 +39,12 @@
                              instant now) const {
     available_servers result;
     for (const backend_server* server : servers) {
-        const auto found = records_.find(server->id);
-        if (found == records_.end()) {
+        const server_record* found = find(server->start());
+        if (found == nullptr) {
             result.available.push_back(server);
             continue;
         }
-        const server_record& record = found->second;
+        const server_record& record = *found;
         if (record.leaving_since)
             result.has_leaving = true;
         if (record.paused_until > now) {
@@ -51,14 +61,12 @@
     return result;
 }
 
-bool backend_availability::may_send(const std::string& server,
+bool backend_availability::may_send(const server_start& server,
                                     instant now) const {
-    const auto found = records_.find(server);
-    if (found == records_.end())
-        return true;
-    const server_record& record = found->second;
-    return record.paused_until <= now &&
-           (!record.leaving_since || is_last_resort(record, now));
+    const server_record* record = find(server);
+    return record == nullptr ||
+           (record->paused_until <= now &&
+            (!record->leaving_since || is_last_resort(*record, now)));
 }
 
 milliseconds backend_availability::retry_after(instant next_available,
@@ -87,24 +95,31 @@
 
 // ---- Events ----------------------------------------------------------------
 
-void backend_availability::on_answer(const std::string& server,
+void backend_availability::on_answer(const server_start& server,
                                      const availability_statement& statement,
                                      instant now) {
     if (!statement.is_leaving && !statement.pause)
         return;
-    const auto [found, is_new] = records_.try_emplace(server);
+    const auto [found, is_new] = records_.try_emplace(server.id);
     server_record& record = found->second;
-    if (is_new)
-        record.last_listed = now;
+    if (!is_new && server.started_unix_ms < record.started_unix_ms)
+        return;
+    if (is_new || record.started_unix_ms != server.started_unix_ms)
+        record = {.started_unix_ms = server.started_unix_ms,
+                  .leaving_since = {},
+                  .last_listed = now};
     if (statement.is_leaving && !record.leaving_since) {
         record.leaving_since = now;
         log_event(log_level::info, "server_leaving",
-                  {{"server", server}, {"source", "answer"}});
+                  {{"server", server.id},
+                   {"started_unix_ms", server.started_unix_ms},
+                   {"source", "answer"}});
     }
     if (statement.pause && now + *statement.pause > record.paused_until) {
         record.paused_until = now + *statement.pause;
         log_event(log_level::info, "server_paused",
-                  {{"server", server},
+                  {{"server", server.id},
+                   {"started_unix_ms", server.started_unix_ms},
                    {"source", "answer"},
                    {"pause_ms", statement.pause->count()}});
     }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -412,7 +412,7 @@
     const backend_server* server = servers_.find(chosen.server);
     return is_current && server != nullptr && !server->is_draining &&
            !is_quarantined(record) &&
-           availability_.may_send(chosen.server, steady::now());
+           availability_.may_send(server->start(), steady::now());
 }
 
 bool gateway::is_quarantined(const request_record& record) const {
@@ -490,6 +490,7 @@
     static_cast<attempt_record&>(record) = {};
     record.number = attempt;
     record.server = chosen.server;
+    record.server_started_unix_ms = server->started_unix_ms;
     record.last_received = now;
     record.head.status = no_head_status;
     record.resumed_after = record.last_event_id;
@@ -541,7 +542,7 @@
     if (record == nullptr)
         return;
     record->last_received = record->head_at = steady::now();
-    on_server_state(record->server, head);
+    on_server_state(*record, head);
     record->head = head;
     record->head.body.clear();
     record->is_event_stream =
@@ -554,18 +555,20 @@
 }
 
 /// Records what the head of an answer states about its server.
-void gateway::on_server_state(const std::string& server,
+void gateway::on_server_state(const attempt_record& attempt,
                               const http_response& head) {
+    const std::string& server = attempt.server;
     const instant now = steady::now();
     last_received_[server] = now;
     const limit_statement statement = protocol_.limit_of(head);
     if (std::holds_alternative<limit_named>(statement))
         metrics_.count("ospreystage_limit_answers_total");
     limits_.on_answer(server, statement, now);
-    on_availability(server, protocol_.availability_of(head));
+    on_availability({server, attempt.server_started_unix_ms},
+                    protocol_.availability_of(head));
 }
 
-void gateway::on_availability(const std::string& server,
+void gateway::on_availability(const server_start& server,
                               const availability_statement& statement) {
     if (statement.is_leaving)
         metrics_.count("ospreystage_leaving_answers_total");
@@ -573,12 +576,13 @@
         metrics_.count("ospreystage_pause_answers_total");
     const instant now = steady::now();
     availability_.on_answer(server, statement, now);
-    const backend_server* listed = servers_.find(server);
+    const backend_server* listed = servers_.find(server.id);
     if (!statement.is_leaving || !statement.is_misdirected || listed == nullptr)
         return;
     // The server that answered may be the other one listed at the address.
     for (const std::string& id : servers_.ids_at(listed->endpoint))
-        availability_.on_answer(id, statement, now);
+        if (id != server.id)
+            availability_.on_answer(servers_.find(id)->start(), statement, now);
 }
 
 void gateway::on_body(exchange_id exchange, std::string_view data) {
@@ -1058,7 +1062,7 @@
         on_head(exchange, head);
         return;
     }
-    on_server_state(record.silent_attempt->server, head);
+    on_server_state(*record.silent_attempt, head);
     if (protocol_.is_not_run(head))
         --record.possible_runs;
     drop_silent_attempt(record);
--- a/tests/backend_availability.cpp
+++ b/tests/backend_availability.cpp
@@ -30,46 +30,67 @@
 
 } // namespace
 
+TEST_CASE("backend availability - a server that starts again under its id is "
+          "free of what its last start has stated") {
+    backend_availability tested;
+    backend_server server;
+    server.id = "a";
+    server.started_unix_ms = 1000;
+    tested.on_answer(server.start(), {true, seconds(60), false}, start);
+    const instant later = start + seconds(3);
+    REQUIRE(tested.select({&server}, later).available.empty());
+    backend_server restarted = server;
+    restarted.started_unix_ms = 2000;
+    CHECK(tested.select({&restarted}, later).available.size() == 1);
+    CHECK_FALSE(tested.select({&restarted}, later).has_leaving);
+    CHECK(tested.may_send(restarted.start(), later));
+    // What the last start says late does not concern the new one.
+    tested.on_answer(restarted.start(), {false, milliseconds(10), false},
+                     later);
+    tested.on_answer(server.start(), {true, seconds(60), false}, later);
+    CHECK(tested.may_send(restarted.start(), later + seconds(1)));
+}
+
 TEST_CASE("backend availability - leaving and pauses are kept per server") {
     backend_availability tested({.last_resort_time = seconds(1)});
     const std::vector<backend_server> servers{
         make_server("a"), make_server("b"), make_server("c")};
     const std::vector<const backend_server*> listed{&servers[0], &servers[1],
                                                     &servers[2]};
-    tested.on_answer("a", leaving, start);
-    tested.on_answer("b", pause(milliseconds(500)), start);
+    tested.on_answer({"a"}, leaving, start);
+    tested.on_answer({"b"}, pause(milliseconds(500)), start);
     auto selected = tested.select(listed, start + milliseconds(499));
     CHECK(selected.available == std::vector{&servers[2]});
     CHECK(selected.last_resort == std::vector{&servers[0]});
     CHECK(selected.next_available == start + milliseconds(500));
     CHECK(selected.has_leaving);
-    CHECK_FALSE(tested.may_send("b", start + milliseconds(499)));
-    CHECK(tested.may_send("b", start + milliseconds(500)));
+    CHECK_FALSE(tested.may_send({"b"}, start + milliseconds(499)));
+    CHECK(tested.may_send({"b"}, start + milliseconds(500)));
     CHECK(tested.leaving() == 1);
     CHECK(tested.pausing(start) == 1);
     selected = tested.select(listed, start + seconds(1));
     CHECK(selected.available == std::vector{&servers[1], &servers[2]});
     CHECK(selected.last_resort.empty());
-    CHECK_FALSE(tested.may_send("a", start + seconds(1)));
+    CHECK_FALSE(tested.may_send({"a"}, start + seconds(1)));
 }
 
 TEST_CASE("backend availability - a later answer neither shortens a pause nor "
           "ends leaving") {
     backend_availability tested({.last_resort_time = milliseconds(0)});
-    tested.on_answer("a", pause(seconds(2)), start);
-    tested.on_answer("a", pause(milliseconds(10)), start + milliseconds(5));
-    tested.on_answer("a", {}, start + milliseconds(6));
-    CHECK_FALSE(tested.may_send("a", start + milliseconds(1999)));
-    tested.on_answer("a", leaving, start);
-    tested.on_answer("a", {}, start + seconds(3));
-    CHECK_FALSE(tested.may_send("a", start + seconds(3)));
+    tested.on_answer({"a"}, pause(seconds(2)), start);
+    tested.on_answer({"a"}, pause(milliseconds(10)), start + milliseconds(5));
+    tested.on_answer({"a"}, {}, start + milliseconds(6));
+    CHECK_FALSE(tested.may_send({"a"}, start + milliseconds(1999)));
+    tested.on_answer({"a"}, leaving, start);
+    tested.on_answer({"a"}, {}, start + seconds(3));
+    CHECK_FALSE(tested.may_send({"a"}, start + seconds(3)));
 }
 
 TEST_CASE("backend availability - a leaving server that pauses is no last "
           "resort and no reason to return") {
     backend_availability tested({.last_resort_time = seconds(1)});
     const backend_server server = make_server("a");
-    tested.on_answer("a", {true, milliseconds(500), false}, start);
+    tested.on_answer({"a"}, {true, milliseconds(500), false}, start);
     const auto selected = tested.select({&server}, start);
     CHECK(selected.last_resort.empty());
     CHECK_FALSE(selected.next_available);
@@ -80,12 +101,12 @@
           "leaving until it was off the list for long") {
     backend_availability tested(
         {.last_resort_time = milliseconds(0), .retention = seconds(60)});
-    tested.on_answer("a", leaving, start);
+    tested.on_answer({"a"}, leaving, start);
     tested.retain({}, start + seconds(59));
-    CHECK_FALSE(tested.may_send("a", start + seconds(59)));
+    CHECK_FALSE(tested.may_send({"a"}, start + seconds(59)));
     tested.retain({"a"}, start + seconds(60));
     tested.retain({}, start + seconds(119));
-    CHECK_FALSE(tested.may_send("a", start + seconds(119)));
+    CHECK_FALSE(tested.may_send({"a"}, start + seconds(119)));
     tested.retain({}, start + seconds(121));
     CHECK(tested.leaving() == 0);
 }
@@ -243,7 +264,7 @@
             account.pauses.push_back({now_ + pause_grace, end});
             account.paused_until = std::max(account.paused_until, end);
         }
-        entry.tested.on_answer(servers_[received.server].listed.id,
+        entry.tested.on_answer({servers_[received.server].listed.id},
                                received.statement, now_);
     }
 
--- a/tests/server_availability.cpp
+++ b/tests/server_availability.cpp
@@ -189,6 +189,24 @@
     CHECK(arrivals.back() - arrivals.front() < milliseconds(600));
 }
 
+TEST_CASE("server availability - a server that starts again in place after it "
+          "has left gets requests") {
+    gateway_fixture fixture;
+    const counting_server server([](int number) {
+        return scripted_answer{
+            make_response(200, number == 0 ? leaving_field : "", "ok")};
+    });
+    fixture.add_route(request_kind::idempotent, false);
+    fixture.add_servers({server.endpoint()});
+    fixture.core.after("list", milliseconds(20), [&] {
+        backend_server restarted = *fixture.servers.all().front();
+        restarted.started_unix_ms += 1000;
+        fixture.servers.on_list({restarted}, steady::now());
+    });
+    const auto results = fixture.send_requests(2000, "GET");
+    CHECK(results.back().response.status == 200);
+}
+
 TEST_CASE("server availability - a new server at the address of one that has "
           "left gets requests") {
     gateway_fixture fixture;
@@ -336,7 +354,7 @@
     const std::string id = fixture.servers.all().front()->id;
     fixture.core.every("issuer", milliseconds(1), [&] {
         for (const permit_request& asked : fixture.permit_requests()) {
-            fixture.availability.on_answer(id, {false, seconds(5), false},
+            fixture.availability.on_answer({id}, {false, seconds(5), false},
                                            steady::now());
             fixture.tested_gateway.on_permit_reply(
                 {asked.server, asked.sequence, permit_verdict::granted, 0});
