Measure being without the list by the time between reads of it

An entry took another one's outage over if its own list was more than 1 s old at its end. At a drain time of 3 s lists are read every second and reach other entries 0.2 s later, so a list can be that old without any outage. The bound is now the time between two reads plus 0.5 s, for this and for what counts as a gap between lists.

A new test moves the end of an outage over the whole time between two reads.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -73,6 +73,9 @@
     struct options {
         /// Reads failing for longer than this count as an outage.
         milliseconds outage_after{1000};
+        /// Age that the list reaches without an outage, by the time between two
+        /// reads and the way through another entry.
+        milliseconds max_list_age{1500};
         /// Grace period after an outage in which expired servers register
         /// again; the platform's users state about two seconds.
         milliseconds reregistration_time{2200};
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -70,6 +70,11 @@
 /// revision, and replaces all of the part that is held.
 class site_copy {
   public:
+    /// Lists of servers that were read further apart than `max_list_gap` leave
+    /// a gap.
+    explicit site_copy(milliseconds max_list_gap = milliseconds(1500))
+        : max_list_gap_(max_list_gap) {}
+
     // ---- Observers ---------------------------------------------------------
 
     [[nodiscard]] const site_revisions& revisions() const noexcept {
@@ -141,6 +146,7 @@
   private:
     void on_servers_read_at(instant read_at);
 
+    milliseconds max_list_gap_;
     site_revisions revisions_;
     std::map<std::string, site_document> documents_;
     std::map<std::string, site_entry> entries_;
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -38,7 +38,7 @@
 bool backend_registry::on_outage_ended(instant ended) {
     const bool is_known = outage_ended_ && *outage_ended_ >= ended;
     if (is_known || !has_list_ ||
-        ended - origin_.read_at <= limits_.outage_after)
+        ended - origin_.read_at <= limits_.max_list_age)
         return false;
     outage_ended_ = ended;
     return true;
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -45,10 +45,6 @@
 /// be represented.
 constexpr milliseconds max_age = std::chrono::hours(24 * 365);
 
-/// Lists of servers that were read further apart leave a gap. Readers read the
-/// list three times within the drain time of a server.
-constexpr milliseconds max_list_gap{1500};
-
 /// Wire form of an optional age: -1 if there is none.
 std::int64_t encode_age(const std::optional<milliseconds>& age) {
     return age ? age->count() : -1;
@@ -226,7 +222,7 @@
 }
 
 void site_copy::on_servers_read_at(instant read_at) {
-    if (!servers_read_at_ || read_at - *servers_read_at_ > max_list_gap)
+    if (!servers_read_at_ || read_at - *servers_read_at_ > max_list_gap_)
         servers_unbroken_since_ = read_at;
     advance_to(servers_read_at_, read_at);
 }
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -194,6 +194,19 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE(
+    "backend registry - an outage that ends between two reads of the list "
+    "concerns no entry that made them in time") {
+    for (milliseconds age(0); age <= milliseconds(1500);
+         age += milliseconds(50)) {
+        backend_registry registry;
+        registry.on_list({make_server("a"), make_server("b")}, start);
+        CHECK_FALSE(registry.on_outage_ended(start + age));
+        registry.on_list({make_server("b")}, start + age + milliseconds(200));
+        CHECK(registry.find("a") == nullptr);
+    }
+}
+
 TEST_CASE("backend registry - an unchanged list that is read again shows that "
           "there was no outage") {
     backend_registry registry;
