Let no list from before failed reads end them

Found by the new test of lapsed registrations in processes of their own: after an outage of 3 s all three entries dropped a server whose registration had lapsed. Since unchanged lists count as confirmations, entries whose reads fail ask each other, and the time of the other's last read, known to a millisecond only, looked a little later each time; each such answer ended the failed reads here, so the outage was not seen.

Change: a list ends failed reads, and is judged as the end of an outage, only if its read began after they did.

--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -44,10 +44,10 @@
     return true;
 }
 
-/// Returns true if the failed reads before the list from `next` were an outage
+/// Returns true if the list from `next` ends failed reads that were an outage
 /// of the store: nobody is known to have read the list meanwhile.
 bool backend_registry::is_outage(const state_origin& next, instant now) const {
-    if (!unreachable_since_ ||
+    if (!unreachable_since_ || next.read_at <= *unreachable_since_ ||
         now - *unreachable_since_ <= limits_.outage_after)
         return false;
     const bool has_witness = has_list_ && next.unbroken_since &&
@@ -62,7 +62,9 @@
         era_began_ = outage_ended_ = now;
     if (is_outage(origin, now))
         outage_ended_ = now;
-    unreachable_since_.reset();
+    // A list from before the failed reads does not end them.
+    if (unreachable_since_ && origin.read_at > *unreachable_since_)
+        unreachable_since_.reset();
     origin_ = std::move(origin);
     last_listed_at_ = now;
     has_list_ = true;
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -194,6 +194,26 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE(
+    "backend registry - what other entries read before an outage does not "
+    "hide it") {
+    backend_registry registry;
+    registry.on_list({make_server("a")}, start);
+    registry.on_unreachable(start + seconds(1));
+    // The time of another entry's read is known to a millisecond or so.
+    for (int count = 1; count <= 10; ++count) {
+        const instant now = start + seconds(1) + count * milliseconds(200);
+        registry.on_confirmed(
+            {{1, 7}, start + milliseconds(900 + count), "edge-2", start}, now);
+        registry.on_unreachable(now);
+    }
+    const instant returned = start + seconds(4);
+    registry.on_list({}, returned);
+    CHECK(registry.find("a") != nullptr);
+    registry.advance(returned + seconds(3));
+    CHECK(registry.find("a") == nullptr);
+}
+
 TEST_CASE(
     "backend registry - an outage that ends between two reads of the list "
     "concerns no entry that made them in time") {
