Count each end of a server that keeps its id against a request

Cause: the evidence against a whole request counted each id of a server once, which was right only while each start had a new id.

Change: a server counts again if its listed start is later than at its last end and the request was sent there after it, so that one end counts once whichever start two entries hold and however late one sees it. The count of ids also kept sound requests beside servers that flap from being blamed; instead, a request is quarantined only if its ends in its time at the servers are no coincidence at the rate of ends without it. Crashes carry start, service and time at the server in a datagram of their own; ends without requests are taken from the list of servers. `repeated_crashes` of prompt parts shares the count.

--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -467,11 +467,23 @@
     OSPREYSTAGE_FIELDS(request, parts)
 };
 
+/// What tells one crash of a server from another, and from a coincidence.
+struct crash_context {
+    std::uint64_t service = 0; ///< Hash of the server's service; 0: unknown.
+    /// Start of the server's process, as listed when the suspects were sent
+    /// there; 0: unknown.
+    std::int64_t started_unix_ms = 0;
+    /// Time for which the suspects had been at the server.
+    std::uint32_t exposure_ms = 0;
+    OSPREYSTAGE_FIELDS(service, started_unix_ms, exposure_ms)
+};
+
 /// An engine that ended, and what the sender had just begun there.
 struct engine_crash {
     std::uint64_t server = 0; ///< Hash of the server's id.
     std::uint32_t age_ms = 0;
     std::vector<crash_suspect> suspects;
+    crash_context context{}; ///< Part of a `crash_report` only.
     OSPREYSTAGE_FIELDS(server, age_ms, suspects)
 };
 
@@ -490,7 +502,8 @@
     OSPREYSTAGE_FIELDS(part, age_ms, probes)
 };
 
-/// What an entry knows of the parts of prompts.
+/// What an entry knows of the parts of prompts. Its crashes are sent in a
+/// `crash_report`; the release before sends them in this message.
 struct prompt_report {
     std::vector<engine_crash> crashes;
     std::vector<sound_part> sound;
@@ -498,6 +511,17 @@
     OSPREYSTAGE_FIELDS(crashes, sound, quarantined)
 };
 
+/// Crashes with their contexts, which follow the crashes on the wire.
+struct crash_report {
+    std::vector<engine_crash> crashes;
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(crashes);
+        for (engine_crash& crash : crashes)
+            archive(crash.context);
+    }
+};
+
 #undef OSPREYSTAGE_FIELDS
 
 /// Every message of the peer protocol.
@@ -512,7 +536,7 @@
                  document_push, chunk_have, manifest_request, manifest_reply,
                  chunk_request, chunk_data, engine_report, weights_assignment,
                  attempt_notice, report_subscription, load_digest, limit_report,
-                 permit_request, permit_reply, prompt_report>;
+                 permit_request, permit_reply, prompt_report, crash_report>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -552,6 +576,7 @@
                      "limit_report",
                      "permit_request",
                      "permit_reply",
-                     "prompt_report"};
+                     "prompt_report",
+                     "crash_report"};
 
 } // namespace ospreystage
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -247,6 +247,8 @@
     [[nodiscard]] static bool is_past_crash(const request_record& record);
     bool check_crash(request_record& record, call_end end);
     void check_server_end(request_record& record);
+    [[nodiscard]] static crash_context context_of(const request_record& record,
+                                                  instant now);
     [[nodiscard]] static bool is_open_at(const attempt_record& attempt,
                                          const std::string& server, instant at);
     [[nodiscard]] bool goes_on(const std::string& server, instant at) const;
@@ -254,10 +256,15 @@
     on_server_ended(const std::string& server, instant at,
                     const std::vector<server_end_detector::suspect>& suspects);
     void report_answered(const request_record& record);
-    void report_crash(const std::string& server, instant at,
-                      std::uint64_t request,
-                      const std::vector<prompt_part>& parts,
-                      bool is_second_check);
+    /// A prompt that was at an engine when its answer broke off.
+    struct prompt_suspect {
+        std::string server;
+        instant at{};
+        std::uint64_t request = 0; ///< Hash of the request's id.
+        std::vector<prompt_part> parts;
+        crash_context context;
+    };
+    void report_crash(const prompt_suspect& suspect, bool is_second_check);
     void on_attempt_broken(exchange_id exchange, const char* reason,
                            bool is_crash);
     void end_call(request_record& record, attempt_result result);
--- a/include/ospreystage/serving/prompt_quarantine.hpp
+++ b/include/ospreystage/serving/prompt_quarantine.hpp
@@ -3,9 +3,11 @@
 #include <ospreystage/core/clock.hpp>
 #include <ospreystage/core/whole_request.hpp>
 #include <ospreystage/network/messages.hpp>
+#include <ospreystage/serving/crash_series.hpp>
 #include <ospreystage/serving/sound_parts.hpp>
 
 #include <absl/container/flat_hash_map.h>
+#include <nlohmann/json.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -39,8 +41,11 @@
 /// explains them. An answer that is written clears its parts.
 ///
 /// A whole request comes again with the same part, so that it is known by the
-/// servers that have ended under it, one after the other. Where several servers
-/// end together, most of them without it, it is not the cause.
+/// servers that have ended under it, one after the other. A server that has
+/// started again since counts again, also if it keeps its id. Where several
+/// servers end together, most of them without it, it is not the cause. Nor is
+/// it where servers end so often without it that it may have met their ends by
+/// chance in its time there.
 ///
 /// All tables are bounded, and callers who invent parts cannot fill them: a
 /// record takes a crash, and answered parts are kept by use.
@@ -61,6 +66,14 @@
         /// The same for a whole request, whose repeat at the next server may
         /// end that one sooner.
         milliseconds request_crash_spacing{40};
+        /// A whole request is quarantined only if its crashes are less likely
+        /// than this to be a coincidence.
+        double max_chance = 1e-5;
+        /// Crashes without a whole request are counted from this long before
+        /// the first one with it.
+        milliseconds chance_lead{10'000};
+        /// Time for which a server is down after a crash, on average.
+        milliseconds restart_time{3000};
         /// A crash does not count against a whole request if this many other
         /// servers ended without it within `mass_crash_time`.
         std::size_t min_mass_crashes = 2;
@@ -81,6 +94,9 @@
         milliseconds max_reply_delay{200};
         /// Returns true if this entry is the one that probes a part.
         std::function<bool(prompt_part)> is_prober;
+        /// Returns the number of servers of a service, by the hash of its name;
+        /// 1 if it is not set.
+        std::function<std::size_t(std::uint64_t)> servers = nullptr;
     };
 
     prompt_quarantine(options configuration, std::uint64_t seed);
@@ -109,7 +125,13 @@
 
     /// Records that `server` ended just after it had begun to answer `request`.
     void on_crash(std::uint64_t server, std::uint64_t request,
-                  const std::vector<prompt_part>& parts, instant now);
+                  const std::vector<prompt_part>& parts, instant now,
+                  const crash_context& context = {});
+
+    /// Records that the list of servers shows the end of a server, which may
+    /// have had no request. `service` is the hash of its name.
+    void on_listed_end(std::uint64_t server, std::uint64_t service,
+                       instant now);
 
     // ---- Exchange with the other entries -----------------------------------
 
@@ -129,10 +151,33 @@
     [[nodiscard]] std::optional<prompt_report> take_summary(instant now);
 
   private:
+    /// A request that was at a server when it ended.
+    struct suspect_record {
+        crash_suspect request;
+        crash_context context;
+    };
     struct crash_record {
         std::uint64_t server = 0;
         instant at{};
-        std::vector<crash_suspect> suspects;
+        std::vector<suspect_record> suspects;
+
+        [[nodiscard]] server_end end(const suspect_record& suspect) const;
+        [[nodiscard]] bool has_suspect(prompt_part part) const;
+        [[nodiscard]] bool is_of(std::uint64_t service) const;
+        [[nodiscard]] milliseconds max_exposure() const;
+    };
+    /// End of a server that no request was suspected of.
+    struct listed_end {
+        std::uint64_t service = 0;
+        instant at{}; ///< When the list showed it.
+    };
+    /// The crashes that count against a whole request.
+    struct request_evidence {
+        std::vector<std::uint64_t> servers; ///< Hashes, in order of the ends.
+        milliseconds exposure{};
+        std::uint64_t service = 0; ///< Hash of the name.
+        instant first{};
+        instant last{};
     };
     struct quarantine_record {
         instant since{};
@@ -142,7 +187,7 @@
     /// A crash that this entry has to report.
     struct outgoing_crash {
         std::uint64_t server = 0;
-        crash_suspect suspect;
+        suspect_record suspect;
         instant at{};
         instant due{};
         bool is_repeated = false;
@@ -160,11 +205,25 @@
     [[nodiscard]] std::size_t repeated_crashes(prompt_part part) const;
     [[nodiscard]] bool is_mass_crash(const crash_record& crash,
                                      prompt_part request) const;
-    [[nodiscard]] std::vector<std::uint64_t>
-    servers_ended_by(prompt_part request, bool blames_sound) const;
+    [[nodiscard]] const suspect_record* find_culprit(const crash_record& crash,
+                                                     prompt_part request,
+                                                     bool blames_sound) const;
+    [[nodiscard]] request_evidence evidence_against(prompt_part request,
+                                                    bool blames_sound) const;
+    [[nodiscard]] crash_sample sample_of(prompt_part request,
+                                         const request_evidence& evidence,
+                                         bool blames_sound) const;
+    [[nodiscard]] bool is_guilty_request(prompt_part request,
+                                         bool blames_sound) const;
+    /// Returns the fields of a log line that explain a judgement.
+    [[nodiscard]] nlohmann::json describe_evidence(prompt_part request,
+                                                   bool blames_sound) const;
+    void log_spared(prompt_part request) const;
     [[nodiscard]] bool is_guilty(prompt_part part) const;
+    [[nodiscard]] std::deque<crash_record>::iterator
+    find_crash(std::uint64_t server, const suspect_record& suspect, instant at);
     /// Returns false if the suspect of this crash was known.
-    bool add_suspect(std::uint64_t server, const crash_suspect& suspect,
+    bool add_suspect(std::uint64_t server, const suspect_record& suspect,
                      instant at, instant now);
     void judge(const std::vector<prompt_part>& parts, instant now);
     void quarantine(prompt_part part, instant since, std::uint32_t probes,
@@ -177,6 +236,7 @@
     options options_;
     std::mt19937_64 random_;
     std::deque<crash_record> crashes_; ///< In the order of their times.
+    std::deque<listed_end> listed_ends_;
     /// Latest crash for which each part is suspected.
     absl::flat_hash_map<prompt_part, instant> suspected_;
     [[nodiscard]] sound_parts& answered(prompt_part part) {
--- a/include/ospreystage/serving/server_end_detector.hpp
+++ b/include/ospreystage/serving/server_end_detector.hpp
@@ -5,6 +5,7 @@
 #include <ospreystage/core/kernel.hpp>
 #include <ospreystage/core/prompt_part.hpp>
 #include <ospreystage/http/web_client.hpp>
+#include <ospreystage/network/messages.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -28,6 +29,7 @@
         prompt_part identity = 0;
         std::string path;
         std::string organisation;
+        crash_context context;
     };
     /// What the detector learns from its owner, and reports to it.
     struct handlers {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1213,10 +1213,12 @@
         return true;
     const std::uint64_t request =
         record.caller.id.empty() ? random_() : stable_hash(record.caller.id);
+    const instant now = steady::now();
     core_.after(service_name, crash_check_delay,
-                [this, server = record.server, at = steady::now(), request,
-                 parts = record.caller.prompt_parts] {
-                    report_crash(server, at, request, parts, false);
+                [this, suspect = prompt_suspect{record.server, now, request,
+                                                record.caller.prompt_parts,
+                                                context_of(record, now)}] {
+                    report_crash(suspect, false);
                 });
     return true;
 }
@@ -1247,6 +1249,14 @@
         });
 }
 
+/// Returns what a report of the crash of the attempt's server names.
+crash_context gateway::context_of(const request_record& record, instant now) {
+    const auto exposure =
+        std::chrono::duration_cast<milliseconds>(now - record.sent_at);
+    return {stable_hash(record.service), record.server_started_unix_ms,
+            static_cast<std::uint32_t>(exposure.count())};
+}
+
 /// Has it found out whether the server of a broken attempt has ended under the
 /// request. An answer that is passed on as it arrives had gone on too long.
 void gateway::check_server_end(request_record& record) {
@@ -1257,11 +1267,12 @@
     // A server that is leaving ends for a reason of its own.
     if (listed == nullptr || listed->is_draining)
         return;
+    const instant now = steady::now();
     server_ends_.on_broken(record.server, listed->endpoint,
                            {record.caller.id, record.identity,
-                            path_of(record.request.target),
-                            record.organisation},
-                           steady::now());
+                            path_of(record.request.target), record.organisation,
+                            context_of(record, now)},
+                           now);
 }
 
 void gateway::on_server_ended(
@@ -1275,36 +1286,36 @@
                    {"path", suspect.path},
                    {"organisation", suspect.organisation},
                    {"server", server},
-                   {"server_hash", fmt::format("{:016x}", server_hash)}});
+                   {"server_hash", fmt::format("{:016x}", server_hash)},
+                   {"server_started_unix_ms", suspect.context.started_unix_ms},
+                   {"exposure_ms", suspect.context.exposure_ms}});
         metrics_.count("ospreystage_request_crash_suspects_total");
         quarantine_.on_crash(server_hash, suspect.identity, {suspect.identity},
-                             at);
+                             at, suspect.context);
     }
 }
 
-void gateway::report_crash(const std::string& server, instant at,
-                           std::uint64_t request,
-                           const std::vector<prompt_part>& parts,
+void gateway::report_crash(const prompt_suspect& suspect,
                            bool is_second_check) {
+    const auto& [server, at, request, parts, context] = suspect;
     if (goes_on(server, at))
         return;
-    const bool has_others =
-        std::any_of(requests_.begin(), requests_.end(), [&](const auto& item) {
-            return is_open_at(*item.second, server, at);
+    const bool has_others = std::any_of(
+        requests_.begin(), requests_.end(), [&suspect](const auto& item) {
+            return is_open_at(*item.second, suspect.server, suspect.at);
         });
     if (has_others && !is_second_check) {
         core_.after(service_name, silent_check_delay,
-                    [this, server, at, request, parts] {
-                        report_crash(server, at, request, parts, true);
-                    });
+                    [this, suspect] { report_crash(suspect, true); });
         return;
     }
     log_event(log_level::warn, "engine_crash_suspected",
               {{"request_hash", fmt::format("{:016x}", request)},
                {"server", server},
+               {"server_started_unix_ms", context.started_unix_ms},
                {"parts", parts.size()}});
     metrics_.count("ospreystage_crash_suspects_total");
-    quarantine_.on_crash(stable_hash(server), request, parts, at);
+    quarantine_.on_crash(stable_hash(server), request, parts, at, context);
 }
 
 /// Handles an attempt that failed and may have run. If its server may have
--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -1,7 +1,6 @@
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/serving/prompt_quarantine.hpp>
 
-#include <absl/container/flat_hash_set.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -18,7 +17,10 @@
 constexpr milliseconds repeat_delay{150};
 /// What was reported as sound is not reported again within this time.
 constexpr milliseconds reply_interval{1000};
+/// The list of servers shows the end of a server at most this long after it.
+constexpr seconds max_list_lag{10};
 constexpr std::size_t max_crashes = 256;
+constexpr std::size_t max_listed_ends = 256;
 constexpr std::size_t max_suspects = 64;
 /// Parts of one request that are considered, more than any honest one has.
 constexpr std::size_t max_parts = 64;
@@ -40,8 +42,45 @@
            suspect.parts.end();
 }
 
+/// Adds what another report of the same crash knows. Returns true if that shows
+/// a later start of the server.
+bool merge(crash_context& known, const crash_context& other) {
+    const bool is_later = other.started_unix_ms > known.started_unix_ms;
+    known.started_unix_ms =
+        std::max(known.started_unix_ms, other.started_unix_ms);
+    known.exposure_ms = std::max(known.exposure_ms, other.exposure_ms);
+    return is_later;
+}
+
 } // namespace
 
+server_end
+prompt_quarantine::crash_record::end(const suspect_record& suspect) const {
+    return {server, suspect.context.started_unix_ms,
+            at - milliseconds(suspect.context.exposure_ms), at};
+}
+
+bool prompt_quarantine::crash_record::has_suspect(prompt_part part) const {
+    return std::any_of(suspects.begin(), suspects.end(),
+                       [&](const suspect_record& suspect) {
+                           return has_part(suspect.request, part);
+                       });
+}
+
+milliseconds prompt_quarantine::crash_record::max_exposure() const {
+    std::uint32_t longest_ms = 0;
+    for (const suspect_record& suspect : suspects)
+        longest_ms = std::max(longest_ms, suspect.context.exposure_ms);
+    return milliseconds(longest_ms);
+}
+
+bool prompt_quarantine::crash_record::is_of(std::uint64_t service) const {
+    return std::any_of(suspects.begin(), suspects.end(),
+                       [&](const suspect_record& suspect) {
+                           return suspect.context.service == service;
+                       });
+}
+
 prompt_quarantine::prompt_quarantine(options configuration, std::uint64_t seed)
     : options_(std::move(configuration)), random_(seed),
       answered_parts_(max_answered), answered_requests_(max_answered) {}
@@ -57,7 +96,7 @@
 }
 
 bool prompt_quarantine::is_suspected(prompt_part request) const {
-    return !servers_ended_by(request, false).empty();
+    return !evidence_against(request, false).servers.empty();
 }
 
 std::vector<quarantined_part>
@@ -101,15 +140,15 @@
 /// Returns true if a quarantined part other than `part` explains the crash.
 bool prompt_quarantine::is_explained(const crash_record& crash,
                                      prompt_part part) const {
-    return std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                       [&](const crash_suspect& suspect) {
-                           return std::any_of(
-                               suspect.parts.begin(), suspect.parts.end(),
-                               [&](prompt_part other) {
-                                   return other != part &&
-                                          quarantined_.contains(other);
-                               });
-                       });
+    return std::any_of(
+        crash.suspects.begin(), crash.suspects.end(),
+        [&](const suspect_record& suspect) {
+            const auto& parts = suspect.request.parts;
+            return std::any_of(
+                parts.begin(), parts.end(), [&](prompt_part other) {
+                    return other != part && quarantined_.contains(other);
+                });
+        });
 }
 
 /// Returns the number of crashes, apart in time and with different requests,
@@ -125,15 +164,16 @@
             continue;
         const auto found = std::find_if(
             crash.suspects.begin(), crash.suspects.end(),
-            [&](const crash_suspect& suspect) {
-                return has_part(suspect, part) &&
-                       counts_against(part, suspect, crash.at, blames_sound) &&
+            [&](const suspect_record& suspect) {
+                return has_part(suspect.request, part) &&
+                       counts_against(part, suspect.request, crash.at,
+                                      blames_sound) &&
                        std::find(requests.begin(), requests.end(),
-                                 suspect.request) == requests.end();
+                                 suspect.request.request) == requests.end();
             });
         if (found == crash.suspects.end())
             continue;
-        requests.push_back(found->request);
+        requests.push_back(found->request.request);
         last_counted = crash.at;
     }
     return requests.size();
@@ -143,22 +183,19 @@
 /// one after the other. Engines that end together do not explain it, as the
 /// repeat began only after the first of them had ended.
 std::size_t prompt_quarantine::repeated_crashes(prompt_part part) const {
-    absl::flat_hash_map<std::uint64_t, std::uint64_t> first_servers;
-    absl::flat_hash_set<std::uint64_t> repeated;
+    absl::flat_hash_map<std::uint64_t, crash_series> ends; // By request.
     for (const crash_record& crash : crashes_) {
         if (is_explained(crash, part))
             continue;
-        for (const crash_suspect& suspect : crash.suspects) {
-            if (!has_part(suspect, part) ||
-                !counts_against(part, suspect, crash.at, false))
-                continue;
-            const auto [first, is_new] =
-                first_servers.try_emplace(suspect.request, crash.server);
-            if (!is_new && first->second != crash.server)
-                repeated.insert(suspect.request);
-        }
+        for (const suspect_record& suspect : crash.suspects)
+            if (has_part(suspect.request, part) &&
+                counts_against(part, suspect.request, crash.at, false))
+                ends[suspect.request.request].add(crash.end(suspect));
     }
-    return repeated.size();
+    return static_cast<std::size_t>(
+        std::count_if(ends.begin(), ends.end(), [](const auto& request) {
+            return request.second.size() > 1;
+        }));
 }
 
 /// Returns true if several other servers ended without the request at about
@@ -171,46 +208,130 @@
                 std::max(crash.at, other.at) - std::min(crash.at, other.at);
             return other.server != crash.server &&
                    apart < options_.mass_crash_time &&
-                   std::none_of(other.suspects.begin(), other.suspects.end(),
-                                [&](const crash_suspect& suspect) {
-                                    return has_part(suspect, request);
-                                });
+                   !other.has_suspect(request);
         });
     return static_cast<std::size_t>(others) >= options_.min_mass_crashes;
 }
 
-/// Returns the servers that ended, apart in time, under a whole request.
-std::vector<std::uint64_t>
-prompt_quarantine::servers_ended_by(prompt_part request,
+/// Returns the suspect of a crash that is the whole request, unless something
+/// else shows that it is not the cause.
+const prompt_quarantine::suspect_record*
+prompt_quarantine::find_culprit(const crash_record& crash, prompt_part request,
+                                bool blames_sound) const {
+    const auto found =
+        std::find_if(crash.suspects.begin(), crash.suspects.end(),
+                     [&](const suspect_record& suspect) {
+                         return has_part(suspect.request, request) &&
+                                counts_against(request, suspect.request,
+                                               crash.at, blames_sound);
+                     });
+    return found == crash.suspects.end() || is_mass_crash(crash, request)
+               ? nullptr
+               : &*found;
+}
+
+/// Returns the ends of servers, apart in time, under a whole request.
+prompt_quarantine::request_evidence
+prompt_quarantine::evidence_against(prompt_part request,
                                     bool blames_sound) const {
-    std::vector<std::uint64_t> servers;
-    std::optional<instant> last_counted;
+    request_evidence result;
+    crash_series ends;
     for (const crash_record& crash : crashes_) {
-        const bool counts = std::any_of(
-            crash.suspects.begin(), crash.suspects.end(),
-            [&](const crash_suspect& suspect) {
-                return has_part(suspect, request) &&
-                       counts_against(request, suspect, crash.at, blames_sound);
-            });
+        const auto suspect =
+            std::find_if(crash.suspects.begin(), crash.suspects.end(),
+                         [&](const suspect_record& item) {
+                             return has_part(item.request, request) &&
+                                    counts_against(request, item.request,
+                                                   crash.at, blames_sound);
+                         });
         const bool is_apart =
-            !last_counted ||
-            crash.at - *last_counted >= options_.request_crash_spacing;
-        if (!counts || !is_apart ||
-            std::find(servers.begin(), servers.end(), crash.server) !=
-                servers.end() ||
-            is_explained(crash, request) || is_mass_crash(crash, request))
+            result.servers.empty() ||
+            crash.at - result.last >= options_.request_crash_spacing;
+        if (suspect == crash.suspects.end() || !is_apart ||
+            is_explained(crash, request) || is_mass_crash(crash, request) ||
+            !ends.add(crash.end(*suspect)))
             continue;
-        servers.push_back(crash.server);
-        last_counted = crash.at;
+        if (result.servers.empty()) {
+            result.first = crash.at;
+            result.service = suspect->context.service;
+        }
+        result.servers.push_back(crash.server);
+        result.exposure += milliseconds(suspect->context.exposure_ms);
+        result.last = crash.at;
     }
-    return servers;
+    return result;
+}
+
+/// Returns the crashes with the request and those of its service without it.
+crash_sample prompt_quarantine::sample_of(prompt_part request,
+                                          const request_evidence& evidence,
+                                          bool blames_sound) const {
+    crash_sample sample;
+    sample.crashes = evidence.servers.size();
+    sample.exposure = evidence.exposure;
+    const instant from = evidence.first - options_.chance_lead;
+    milliseconds down_time{};
+    milliseconds seen_up{};
+    for (const crash_record& crash : crashes_) {
+        if (crash.at < from || crash.at > evidence.last ||
+            !crash.is_of(evidence.service))
+            continue;
+        down_time += options_.restart_time;
+        seen_up += crash.max_exposure();
+        if (find_culprit(crash, request, blames_sound) == nullptr &&
+            !is_explained(crash, request))
+            ++sample.other_crashes;
+    }
+    for (const listed_end& end : listed_ends_) {
+        if (end.at < from || end.service != evidence.service)
+            continue;
+        down_time += options_.restart_time;
+        ++sample.other_crashes;
+    }
+    const auto span =
+        std::chrono::duration_cast<milliseconds>(evidence.last - from);
+    const std::size_t servers =
+        options_.servers ? options_.servers(evidence.service) : 1;
+    sample.server_time = std::max(
+        span * static_cast<int>(std::max<std::size_t>(servers, 1)) - down_time,
+        seen_up);
+    return sample;
+}
+
+bool prompt_quarantine::is_guilty_request(prompt_part request,
+                                          bool blames_sound) const {
+    const request_evidence evidence = evidence_against(request, blames_sound);
+    const std::size_t needed =
+        blames_sound ? options_.min_crashes_if_sound : options_.min_crashes;
+    return evidence.servers.size() >= needed &&
+           chance_bound(sample_of(request, evidence, blames_sound)) <
+               options_.max_chance;
+}
+
+nlohmann::json prompt_quarantine::describe_evidence(prompt_part request,
+                                                    bool blames_sound) const {
+    const request_evidence evidence = evidence_against(request, blames_sound);
+    const crash_sample sample = sample_of(request, evidence, blames_sound);
+    return {{"identity", fmt::format("{:016x}", request)},
+            {"server_hashes",
+             fmt::format("{:016x}", fmt::join(evidence.servers, " "))},
+            {"exposure_ms", sample.exposure.count()},
+            {"other_crashes", sample.other_crashes},
+            {"server_time_ms", sample.server_time.count()},
+            {"chance", chance_bound(sample)}};
+}
+
+/// Logs that a request is not quarantined although enough servers have ended
+/// under it.
+void prompt_quarantine::log_spared(prompt_part request) const {
+    if (evidence_against(request, false).servers.size() >= options_.min_crashes)
+        log_event(log_level::info, "request_spared",
+                  describe_evidence(request, false));
 }
 
 bool prompt_quarantine::is_guilty(prompt_part part) const {
     if (is_whole_request(part))
-        return servers_ended_by(part, false).size() >= options_.min_crashes ||
-               servers_ended_by(part, true).size() >=
-                   options_.min_crashes_if_sound;
+        return is_guilty_request(part, false) || is_guilty_request(part, true);
     return crashes_against(part, false) >= options_.min_crashes ||
            repeated_crashes(part) >= options_.min_repeated_crashes ||
            crashes_against(part, true) >= options_.min_crashes_if_sound;
@@ -230,8 +351,13 @@
     std::vector<candidate> candidates;
     for (std::size_t position = 0; position < parts.size(); ++position) {
         const prompt_part part = parts[position];
-        if (quarantined_.contains(part) || !is_guilty(part))
+        if (quarantined_.contains(part))
+            continue;
+        if (!is_guilty(part)) {
+            if (is_whole_request(part))
+                log_spared(part);
             continue;
+        }
         if (is_whole_request(part))
             quarantine(part, now, 0, "crashes");
         else
@@ -259,15 +385,11 @@
         return;
     }
     record = {since, probes, false};
-    if (is_whole_request(part))
-        log_event(
-            log_level::warn, "request_quarantined",
-            {{"identity", fmt::format("{:016x}", part)},
-             {"source", source},
-             {"server_hashes",
-              fmt::format("{:016x}",
-                          fmt::join(servers_ended_by(part, true), " "))}});
-    else
+    if (is_whole_request(part)) {
+        auto fields = describe_evidence(part, true);
+        fields["source"] = source;
+        log_event(log_level::warn, "request_quarantined", fields);
+    } else
         log_event(log_level::warn, "prompt_part_quarantined",
                   {{"part", fmt::format("{:016x}", part)},
                    {"source", source},
@@ -326,26 +448,62 @@
 
 void prompt_quarantine::on_crash(std::uint64_t server, std::uint64_t request,
                                  const std::vector<prompt_part>& parts,
-                                 instant now) {
-    crash_suspect suspect{request, parts};
-    suspect.parts.resize(std::min(suspect.parts.size(), max_parts));
-    if (suspect.parts.empty())
+                                 instant now, const crash_context& context) {
+    suspect_record suspect{{request, parts}, context};
+    std::vector<prompt_part>& kept = suspect.request.parts;
+    kept.resize(std::min(kept.size(), max_parts));
+    if (kept.empty())
         return;
     if (outgoing_.size() < max_outgoing)
         outgoing_.push_back({server, suspect, now, now, false});
     if (add_suspect(server, suspect, now, now))
-        judge(suspect.parts, now);
+        judge(kept, now);
 }
 
-bool prompt_quarantine::add_suspect(std::uint64_t server,
-                                    const crash_suspect& suspect, instant at,
-                                    instant now) {
-    drop_old(now);
-    const auto same =
-        std::find_if(crashes_.begin(), crashes_.end(), [&](const auto& crash) {
+/// Returns the crash of a server that cut a suspect, if it is known. A request
+/// was cut by the first end of its server after it was sent, however late that
+/// was noticed.
+std::deque<prompt_quarantine::crash_record>::iterator
+prompt_quarantine::find_crash(std::uint64_t server,
+                              const suspect_record& suspect, instant at) {
+    const bool is_request =
+        std::any_of(suspect.request.parts.begin(), suspect.request.parts.end(),
+                    is_whole_request);
+    const instant sent = at - milliseconds(suspect.context.exposure_ms);
+    const auto is_cause = [&](const crash_record& crash) {
+        return crash.server == server && crash.at > sent && crash.at <= at;
+    };
+    if (is_request) {
+        const auto cause =
+            std::find_if(crashes_.begin(), crashes_.end(), is_cause);
+        if (cause != crashes_.end())
+            return cause;
+    }
+    return std::find_if(
+        crashes_.begin(), crashes_.end(), [&](const crash_record& crash) {
             return crash.server == server && at - crash.at < same_crash_time &&
                    crash.at - at < same_crash_time;
         });
+}
+
+void prompt_quarantine::on_listed_end(std::uint64_t server,
+                                      std::uint64_t service, instant now) {
+    const bool is_known =
+        std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& crash) {
+            return crash.server == server && now - crash.at < max_list_lag;
+        });
+    if (is_known)
+        return;
+    listed_ends_.push_back({service, now});
+    if (listed_ends_.size() > max_listed_ends)
+        listed_ends_.pop_front();
+}
+
+bool prompt_quarantine::add_suspect(std::uint64_t server,
+                                    const suspect_record& suspect, instant at,
+                                    instant now) {
+    drop_old(now);
+    const auto same = find_crash(server, suspect, at);
     auto position = same;
     if (same == crashes_.end()) {
         position = std::upper_bound(
@@ -353,15 +511,20 @@
             [](instant time, const auto& crash) { return time < crash.at; });
         position = crashes_.insert(position, {server, at, {}});
     }
-    std::vector<crash_suspect>& suspects = position->suspects;
-    const bool is_known = std::any_of(
-        suspects.begin(), suspects.end(), [&](const crash_suspect& other) {
-            return other.request == suspect.request;
+    suspect_record added = suspect;
+    const instant sent = at - milliseconds(suspect.context.exposure_ms);
+    added.context.exposure_ms = age_ms(sent, position->at);
+    std::vector<suspect_record>& suspects = position->suspects;
+    const auto known = std::find_if(
+        suspects.begin(), suspects.end(), [&](const suspect_record& other) {
+            return other.request.request == suspect.request.request;
         });
-    if (is_known || suspects.size() >= max_suspects)
+    if (known != suspects.end())
+        return merge(known->context, added.context);
+    if (suspects.size() >= max_suspects)
         return false;
-    suspects.push_back(suspect);
-    for (const prompt_part part : suspect.parts) {
+    suspects.push_back(std::move(added));
+    for (const prompt_part part : suspect.request.parts) {
         if (suspected_.size() >= max_suspected && !suspected_.contains(part))
             continue;
         instant& latest = suspected_[part];
@@ -383,7 +546,7 @@
         for (const crash_suspect& suspect : crash.suspects) {
             if (suspect.parts.size() > max_parts)
                 continue;
-            if (add_suspect(crash.server, suspect, at, now))
+            if (add_suspect(crash.server, {suspect, crash.context}, at, now))
                 judge(suspect.parts, now);
         }
     }
@@ -459,8 +622,10 @@
         const bool is_due =
             item.due <= now && report.crashes.size() < max_report_items;
         if (is_due)
-            report.crashes.push_back(
-                {item.server, age_ms(item.at, now), {item.suspect}});
+            report.crashes.push_back({item.server,
+                                      age_ms(item.at, now),
+                                      {item.suspect.request},
+                                      item.suspect.context});
         if (is_due && item.is_repeated)
             continue;
         if (is_due) {
@@ -507,6 +672,9 @@
     while (!crashes_.empty() &&
            now - crashes_.front().at > options_.crash_retention)
         crashes_.pop_front();
+    while (!listed_ends_.empty() &&
+           now - listed_ends_.front().at > options_.crash_retention)
+        listed_ends_.pop_front();
     const auto is_old = [&](const auto& item) {
         return now - item.second > options_.crash_retention;
     };
--- a/tests/support/poison_site.hpp
+++ b/tests/support/poison_site.hpp
@@ -39,6 +39,12 @@
     struct options {
         int entries = 8;
         int engines = 12;
+        /// Engines keep their ids when they start again.
+        bool keeps_ids = false;
+        /// Entries learn from the list of servers that one has ended.
+        bool lists_starts = true;
+        /// Longest time until an entry knows of an engine's new start.
+        milliseconds max_start_lag{0};
         std::size_t slots = 8; ///< Answers that an engine writes at a time.
         double sound_per_second = 60; ///< At all entries together.
         /// First parts of sound requests, and those of the parts after it.
@@ -128,6 +134,7 @@
     struct engine_state {
         bool is_up = true;
         std::uint64_t life = 0;
+        std::vector<instant> starts; ///< Of each life.
         std::vector<std::uint64_t> running;
         std::deque<std::uint64_t> waiting;
     };
@@ -141,6 +148,7 @@
         std::uint64_t entry_life = 0;
         int attempts = 0;
         std::size_t engine = 0;
+        std::int64_t engine_started_unix_ms = 0; ///< As known when sent.
         instant sent{};
         std::optional<instant> begun;
         std::optional<std::size_t> sample; ///< Of a sound request.
@@ -204,6 +212,11 @@
     void begin(std::uint64_t id);
     void finish(std::uint64_t id, std::size_t index, std::uint64_t life);
     void crash(std::size_t index);
+    void list_start(std::size_t entry, std::uint64_t ended);
+    [[nodiscard]] std::int64_t known_start(std::size_t index);
+    [[nodiscard]] crash_context context_of(const request_state& request) const;
+    [[nodiscard]] std::uint64_t engine_id(std::size_t index,
+                                          std::uint64_t life) const;
     void on_cut(std::uint64_t id, std::size_t index, std::uint64_t life,
                 bool is_suspect);
     void plan_unrelated_crashes();
@@ -217,6 +230,7 @@
 
     options options_;
     std::mt19937_64 random_;
+    std::mt19937_64 list_random_; ///< Delays of the list of servers.
     instant now_{seconds(10'000)};
     instant started_{now_};
     std::priority_queue<event, std::vector<event>, is_later> events_;
