Pass on what is in force after the store has returned from an older copy

Seen by callers: an entry that starts between a drill of the store and the operator's next write serves what a later configuration has revoked.

Cause: a reader emptied the copy that it hands on at a new era and filled it from the store's older copy, while it went on by the version in force; and a reader that starts read the store at once. docs/PLATFORM.md named the gap.

Change: documents in force stay in the copy until a newer one replaces them, and a reader that starts lets the other one answer first, for at most 0.4 s.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -30,7 +30,7 @@
         milliseconds max_age{2000};
         /// Time after a request of another entry in which this entry reads.
         milliseconds requester_timeout{2000};
-        /// Time after the start in which the readers may answer first.
+        /// Time after the start in which the other readers may answer first.
         milliseconds startup_grace{400};
         /// Time from one tier's turn to that of the next one.
         milliseconds tier_interval{400};
@@ -85,6 +85,7 @@
   private:
     /// Returns the tier of a rank in the order of entries; readers are in 0.
     [[nodiscard]] std::size_t tier_of(std::size_t rank) const noexcept;
+    [[nodiscard]] bool may_answer_first(instant now) const;
     /// Returns for how long the state has been too old; negative if it is not.
     [[nodiscard]] milliseconds overdue(instant now) const;
 
--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -110,6 +110,9 @@
     void on_documents_era(std::int64_t era);
     /// Returns true if the document is newer than the one held.
     bool on_document(const site_document& document);
+    /// Keeps the text that is in force at this entry, whatever an older copy of
+    /// the store says, until a newer document replaces it.
+    void keep_document(const std::string& key, const std::string& text);
     /// Records that the documents are complete up to `position`.
     void on_documents_read(store_position position, instant read_at);
     /// Records that the documents had not changed at `read_at`.
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -33,9 +33,16 @@
     return std::chrono::floor<milliseconds>(now - due);
 }
 
+/// Returns true if another entry may still pass on what it has in force, which
+/// the store may lack after it has returned from an older copy.
+bool feed_selection::may_answer_first(instant now) const {
+    return !state_read_at_ && order_.size() > 1 &&
+           now - started_ < limits_.startup_grace;
+}
+
 bool feed_selection::reads_store(instant now) const {
     if (is_reader_)
-        return true;
+        return !may_answer_first(now);
     if (requested_at_ && now - *requested_at_ <= limits_.requester_timeout)
         return true;
     const auto turn =
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -183,6 +183,15 @@
     return true;
 }
 
+void site_copy::keep_document(const std::string& key, const std::string& text) {
+    const auto [found, is_new] = documents_.try_emplace(key);
+    site_document& held = found->second;
+    if (is_new)
+        held = {key, text, revisions_.documents.revision};
+    else if (held.text != text)
+        held.text = text;
+}
+
 void site_copy::on_documents_read(store_position position, instant read_at) {
     revisions_.documents = std::max(revisions_.documents, position);
     advance_to(documents_read_at_, read_at);
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -375,6 +375,22 @@
     CHECK(selection.reads_store(start));
 }
 
+TEST_CASE("feed selection - a reader that starts lets the other reader answer "
+          "before the store, which may be an older copy") {
+    for (const std::string& name : five_entries) {
+        feed_selection selection = make_selection(name);
+        selection.set_entries(five_entries);
+        if (!selection.is_reader())
+            continue;
+        CHECK_FALSE(selection.reads_store(start + milliseconds(100)));
+        CHECK(selection.sources(start + milliseconds(100)).size() == 1);
+        // Nobody answers, as after the start of all entries.
+        CHECK(selection.reads_store(start + milliseconds(400)));
+        selection.on_state(start + milliseconds(50));
+        CHECK(selection.reads_store(start + milliseconds(100)));
+    }
+}
+
 // ---- Feed ------------------------------------------------------------------
 
 TEST_CASE("site feed - a copy follows the reader that answers") {
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -611,6 +611,43 @@
         list_time));
 }
 
+TEST_CASE(
+    "site watch - the configuration in force is passed on to entries that "
+    "start before the operator has written it again") {
+    const bool has_older = GENERATE(true, false);
+    const int drills = GENERATE(1, 2);
+    CAPTURE(has_older, drills);
+    platform_store store;
+    if (has_older)
+        store.put("op/config", configuration_text(2));
+    store.keep_copy();
+    write_often(store);
+    store.put("op/config", configuration_text(3));
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return entry.routes.current().version == 3; },
+                          timeout));
+    const auto passed_on = [&](std::int64_t era) -> std::string {
+        const site_changes changes =
+            entry.watch.copy().changes_since({}, steady::now());
+        if (changes.revisions.documents.era != era)
+            return "";
+        for (const site_document& document : changes.documents)
+            if (document.key == "op/config")
+                return document.text;
+        return "";
+    };
+    for (int drill = 0; drill < drills; ++drill)
+        store.return_to_copy();
+    CHECK(running.until(
+        [&] { return passed_on(1 + drills) == configuration_text(3); },
+        timeout));
+    store.put("op/config", configuration_text(4));
+    CHECK(running.until(
+        [&] { return passed_on(1 + drills) == configuration_text(4); },
+        timeout));
+}
+
 TEST_CASE("site watch - an entry whose registration a drill has undone "
           "registers again at once") {
     platform_store store;
