Bound the naming of weights by the last answer of the store

Seen by callers (review, silent connections, VERSION): requests begin on older weights up to 0.7 s after `version_ms`.

Cause: an entry whose connection to the store fell silent learns of new weights 2.5 s late, and took that for the time of their naming; so did entries that another one tells late.

Evidence: `site watch - a version that was named while the connections …` and `… - a version from an entry that has learned of it late …` fail without the change and pass with it.

--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -133,6 +133,8 @@
     /// The parts of `site_changes` that were newer.
     struct applied_parts {
         std::vector<site_document> documents; ///< Newer documents.
+        /// When the documents held before were last known to be complete.
+        std::optional<instant> documents_known_at;
         bool has_entries = false;
         /// Where the newer servers come from.
         std::optional<state_origin> servers;
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -246,6 +246,7 @@
                                           instant requested_at,
                                           const std::string& source) {
     applied_parts applied;
+    applied.documents_known_at = documents_read_at_;
     const store_position documents = changes.revisions.documents;
     if (documents.era >= revisions_.documents.era) {
         on_documents_era(documents.era);
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/free_ports.hpp"
 #include "tests/support/platform_store.hpp"
 #include "tests/support/scripted_server.hpp"
+#include "tests/support/slow_link.hpp"
 
 #include <ospreystage/http/web_server.hpp>
 
@@ -16,6 +17,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -28,6 +30,7 @@
 
 constexpr seconds timeout{8};
 constexpr milliseconds call_timeout{1000};
+constexpr std::uint64_t link_bytes_per_second = 10'000'000;
 constexpr const char* entry_key = "ospreystage/entries/edge-1";
 
 /// Makes one store call and returns the result passed to its handler.
@@ -478,6 +481,64 @@
     CHECK(entry.versions.min_begin_version("m", limit) == 2);
 }
 
+TEST_CASE("site watch - a version that was named while the connections to the "
+          "store were silent ends no later than its limit") {
+    platform_store store;
+    store.put("op/config", configuration_text(3));
+    store.put("op/version/m", R"({"model":"m","version":1})");
+    testing::slow_link link(store.endpoint(), link_bytes_per_second);
+    entry_view entry(link.endpoint());
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return entry.versions.find("m").has_value(); },
+                          seconds(1)));
+    const int watches = store.calls("/v1/kv-watch");
+    REQUIRE(running.until([&] { return store.calls("/v1/kv-watch") > watches; },
+                          timeout));
+    link.silence();
+    const instant acknowledged = steady::now();
+    store.put("op/version/m", R"({"model":"m","version":2})");
+    REQUIRE(running.until(
+        [&] { return entry.versions.find("m")->version == 2; }, seconds(6)));
+    const auto late = running.ask(
+        [&] { return entry.versions.find("m")->received_at - acknowledged; });
+    CAPTURE(late / milliseconds(1));
+    const instant limit = acknowledged + seconds(8);
+    CHECK(entry.versions.min_version("m", limit) == 2);
+    CHECK(entry.versions.min_begin_version("m", limit) == 2);
+}
+
+TEST_CASE(
+    "site watch - a version from an entry that has learned of it late ends "
+    "no later than its limit") {
+    platform_store store;
+    store.set_status(503);
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto pass_on = [&](std::int64_t revision, int version) {
+        site_changes changes;
+        changes.revisions.documents = {1, revision};
+        changes.documents_age = milliseconds(0);
+        changes.documents.push_back(
+            {"op/version/m",
+             fmt::format(R"({{"model":"m","version":{}}})", version),
+             revision});
+        entry.watch.on_feed(
+            entry.watch.copy().apply(changes, steady::now(), "edge-2"));
+        return true;
+    };
+    REQUIRE(running.ask([&] { return pass_on(5, 1); }));
+    const instant known = steady::now();
+    std::this_thread::sleep_for(seconds(3));
+    REQUIRE(running.ask([&] { return pass_on(6, 2); }));
+    const auto named = running.ask([&] { return *entry.versions.find("m"); });
+    CHECK(named.version == 2);
+    CHECK(named.received_at <= known);
+    // Without a gap, the version counts from now on.
+    REQUIRE(running.ask([&] { return pass_on(7, 3); }));
+    CHECK(running.ask([&] { return entry.versions.find("m")->received_at; }) >
+          known + seconds(2));
+}
+
 // ---- Drills ----------------------------------------------------------------
 
 namespace {
--- a/tests/support/slow_link.cpp
+++ b/tests/support/slow_link.cpp
@@ -62,6 +62,14 @@
     return running_.ask([this] { return transferred_; });
 }
 
+void slow_link::silence() {
+    running_.ask([this] {
+        for (auto& [id, record] : connections_)
+            record->is_silent = true;
+        return true;
+    });
+}
+
 void slow_link::accept_all() {
     for (;;) {
         const int descriptor =
@@ -80,14 +88,20 @@
         record.client.set_handlers(
             {nullptr,
              [&record] {
-                 record.server.write(std::exchange(record.client.input, ""));
+                 const std::string bytes =
+                     std::exchange(record.client.input, "");
+                 if (!record.is_silent)
+                     record.server.write(bytes);
              },
              [this, id](stream_socket::end_kind) { close(id); }, nullptr});
         record.server.set_handlers(
             {nullptr,
              [this, &record, id] {
-                 record.queued += record.server.input.size();
-                 queue_.push_back({id, std::exchange(record.server.input, "")});
+                 std::string bytes = std::exchange(record.server.input, "");
+                 if (record.is_silent)
+                     return;
+                 record.queued += bytes.size();
+                 queue_.push_back({id, std::move(bytes)});
              },
              [this, &record, id](stream_socket::end_kind) {
                  record.is_server_closed = true;
--- a/tests/support/slow_link.hpp
+++ b/tests/support/slow_link.hpp
@@ -31,6 +31,10 @@
 
     [[nodiscard]] address endpoint() const { return local_; }
 
+    /// Discards all bytes of the connections that are open now; later ones
+    /// work.
+    void silence();
+
     /// Returns the bytes transferred to clients since the start.
     [[nodiscard]] std::uint64_t transferred();
 
@@ -41,6 +45,7 @@
         stream_socket client;
         stream_socket server;
         bool is_closed = false;
+        bool is_silent = false;
         bool is_server_closed = false;
         std::size_t queued = 0;
     };
