--- a/src/serving/prompt_quarantine.cpp
+++ b/src/serving/prompt_quarantine.cpp
@@ -237,18 +237,12 @@
     request_evidence result;
     crash_series ends;
     for (const crash_record& crash : crashes_) {
-        const auto suspect =
-            std::find_if(crash.suspects.begin(), crash.suspects.end(),
-                         [&](const suspect_record& item) {
-                             return has_part(item.request, request) &&
-                                    counts_against(request, item.request,
-                                                   crash.at, blames_sound);
-                         });
+        const suspect_record* suspect =
+            find_culprit(crash, request, blames_sound);
         const bool is_apart =
             result.servers.empty() ||
             crash.at - result.last >= options_.request_crash_spacing;
-        if (suspect == crash.suspects.end() || !is_apart ||
-            is_explained(crash, request) || is_mass_crash(crash, request) ||
+        if (suspect == nullptr || !is_apart || is_explained(crash, request) ||
             !ends.add(crash.end(*suspect)))
             continue;
         if (result.servers.empty()) {
