--- a/tests/prompt_quarantine.cpp
+++ b/tests/prompt_quarantine.cpp
@@ -153,6 +153,21 @@
     CHECK(entry.size() == 0);
 }
 
+TEST_CASE("prompt quarantine - two requests that crashed an engine twice each, "
+          "which keeps its id, quarantine their part") {
+    // Reports of the same start may be of the same crash.
+    const bool is_restarted = GENERATE(true, false);
+    auto entry = make_quarantine();
+    for (const std::uint64_t request : {7U, 8U})
+        for (int crash = 0; crash < 2; ++crash) {
+            const int number = static_cast<int>(request - 7) * 2 + crash;
+            entry.on_crash(1, request, {first_part, poisoned_part},
+                           start + number * seconds(3),
+                           {0, 1000 + (is_restarted ? number : 0), 50});
+        }
+    CHECK(is_blamed(entry, poisoned_part) == is_restarted);
+}
+
 TEST_CASE("prompt quarantine - crashes with different parts do not blame the "
           "first part that sound requests share") {
     auto entry = make_quarantine();
--- a/tests/support/poison_site.cpp
+++ b/tests/support/poison_site.cpp
@@ -513,8 +513,6 @@
 
 /// Lets an entry learn of the start of an engine in place of `ended`.
 void poison_site::list_start(std::size_t entry, std::uint64_t ended) {
-    if (!options_.lists_starts)
-        return;
     std::uniform_int_distribution<std::int64_t> lag(0, max_list_lag.count());
     after(milliseconds(lag(list_random_)), [this, entry, ended] {
         if (entries_[entry].is_running)
--- a/tests/support/poison_site.hpp
+++ b/tests/support/poison_site.hpp
@@ -41,8 +41,6 @@
         int engines = 12;
         /// Engines keep their ids when they start again.
         bool keeps_ids = false;
-        /// Entries learn from the list of servers that one has ended.
-        bool lists_starts = true;
         /// Longest time until an entry knows of an engine's new start.
         milliseconds max_start_lag{0};
         std::size_t slots = 8; ///< Answers that an engine writes at a time.
