List no entry that had left before the store returned from an older copy

Seen by callers: after a drill they are told of the address of an entry that has stopped, until its lease ends in the older copy.

--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -709,6 +709,37 @@
         timeout));
 }
 
+TEST_CASE("site watch - an older copy does not bring back entries that have "
+          "left") {
+    const int drills = GENERATE(1, 2);
+    CAPTURE(drills);
+    platform_store store;
+    store.put("ospreystage/entries/edge-2", "10.1.0.41:8005 north");
+    store.put("ospreystage/entries/edge-3", "10.1.0.42:8005 north");
+    store.keep_copy();
+    entry_view entry(store);
+    entry.settings.min_store_lease = seconds(2);
+    running_kernel running(entry.core);
+    const auto lists = [&](const char* host) {
+        const auto callers = entry.entries.caller_addresses();
+        return std::any_of(
+            callers.begin(), callers.end(),
+            [&](const address& each) { return each.host == host; });
+    };
+    REQUIRE(running.until([&] { return lists("10.1.0.41"); }, timeout));
+    store.erase("ospreystage/entries/edge-2");
+    REQUIRE(running.until([&] { return !lists("10.1.0.41"); }, timeout));
+    for (int drill = 0; drill < drills; ++drill) {
+        store.return_to_copy();
+        CHECK_FALSE(
+            running.until([&] { return lists("10.1.0.41"); }, seconds(1)));
+        CHECK(running.ask([&] { return lists("10.1.0.42"); }));
+    }
+    // The entry starts again.
+    store.put("ospreystage/entries/edge-2", "10.1.0.41:8005 north");
+    CHECK(running.until([&] { return lists("10.1.0.41"); }, list_time));
+}
+
 TEST_CASE("site watch - an entry whose registration a drill has undone "
           "registers again at once") {
     platform_store store;
