Choose the server of a request in a module of its own

Cause: the gateway filtered candidates, chose among them and worded refusals itself; the parts that follow (pace, regions, shares) each add a filter there. Change: serving/server_selector does so; the gateway passes a request and gets a server or a refusal.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -14,6 +14,7 @@
 #include <ospreystage/serving/prompt_quarantine.hpp>
 #include <ospreystage/serving/retry_window.hpp>
 #include <ospreystage/serving/server_end_detector.hpp>
+#include <ospreystage/serving/server_selector.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -123,13 +124,6 @@
         placement chosen;
     };
 
-    /// Result of the search for a server, with what explains a refusal.
-    struct placement_choice {
-        placement_decision decision;
-        available_servers servers;
-        std::vector<const backend_server*> at_limit;
-    };
-
     /// A request without a final response. Its own attempt is the current one.
     struct request_record : attempt_record {
         http_request request;
@@ -186,8 +180,7 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
-    [[nodiscard]] placement_choice choose_server(const request_record& record);
-    void refuse_placement(exchange_id exchange, const placement_choice& choice);
+    [[nodiscard]] selection_result choose_server(const request_record& record);
     [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
     void on_permit(exchange_id exchange, const placement& chosen,
@@ -289,6 +282,7 @@
     limit_exchange& limits_;
     prompt_quarantine& quarantine_;
     metrics& metrics_;
+    server_selector selector_;
     caller_protocol protocol_;
     gateway_context context_;
     server_end_detector server_ends_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -26,8 +26,6 @@
 /// Retry delay for callers before the first configuration or of a service that
 /// is not described, and for requests that fail without having run.
 constexpr milliseconds default_retry_after{500};
-/// Retry delay for callers when no server can answer.
-constexpr milliseconds no_server_retry_after{2500};
 /// The retry delay is at most a third of the time that the caller has left.
 constexpr int max_retry_after_divisor = 3;
 /// A request with a smaller share of its route's timeout left is taken for a
@@ -108,6 +106,7 @@
     : core_(core), client_(client), routes_(routes), servers_(servers),
       load_(load), availability_(availability), limits_(limits),
       quarantine_(quarantine), metrics_(request_metrics),
+      selector_(servers, client, load, availability, limits),
       protocol_(std::move(protocol)), context_(std::move(context)),
       server_ends_(
           core, client,
@@ -252,73 +251,28 @@
         refuse(exchange, "service is not described", default_retry_after);
         return;
     }
-    const placement_choice choice = choose_server(record);
-    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+    const selection_result result = choose_server(record);
+    if (const auto* chosen = std::get_if<placement>(&result)) {
         await_permit(exchange, *chosen);
-    else
-        refuse_placement(exchange, choice);
+        return;
+    }
+    const auto& refusal = std::get<selection_refusal>(result);
+    refuse(exchange, refusal.reason, refusal.retry_after);
 }
 
-/// Chooses a server that the request has not been sent to; one that is leaving
-/// only where no other can take the request.
-gateway::placement_choice gateway::choose_server(const request_record& record) {
+/// Chooses a server that the request has not been sent to.
+selection_result gateway::choose_server(const request_record& record) {
     const service_description& service = *record.description;
-    placement_request placement_query;
-    placement_query.service = &service;
-    placement_query.prompt_tokens = record.caller.prompt_tokens;
-    placement_query.target_latency = record.target_latency;
-    placement_query.is_late = record.is_late;
-    placement_query.min_version = context_.min_version(service);
-    placement_query.tried = &record.tried;
-    // All entries share a server's connection limit; it resets connections
-    // above the limit.
-    const std::uint32_t entries = std::max(1U, context_.entries());
-    const std::size_t share =
-        service.max_connections == 0
-            ? 0
-            : std::max<std::size_t>(1, service.max_connections / entries);
-    const instant now = steady::now();
-    placement_choice choice;
-    choice.servers =
-        availability_.select(servers_.serving(record.service), now);
-    const auto choose = [&](std::vector<const backend_server*>& candidates) {
-        std::erase_if(candidates, [&](const backend_server* server) {
-            return !client_.has_free_connection(server->endpoint, share);
-        });
-        std::erase_if(candidates, [&](const backend_server* server) {
-            if (!limits_.is_closed(server->id, now))
-                return false;
-            choice.at_limit.push_back(server);
-            return true;
-        });
-        return load_.place(placement_query, candidates, entries, now);
-    };
-    choice.decision = choose(choice.servers.available);
-    if (std::holds_alternative<placement>(choice.decision))
-        return choice;
-    const placement_decision last_resort = choose(choice.servers.last_resort);
-    if (std::holds_alternative<placement>(last_resort))
-        choice.decision = last_resort;
-    return choice;
-}
-
-void gateway::refuse_placement(exchange_id exchange,
-                               const placement_choice& choice) {
-    const instant now = steady::now();
-    const available_servers& servers = choice.servers;
-    if (const auto* refusal = std::get_if<no_capacity>(&choice.decision))
-        refuse(exchange, "no server has room in time", refusal->retry_after);
-    else if (!choice.at_limit.empty())
-        refuse(exchange, "servers are at their limits",
-               limits_.retry_after(choice.at_limit, context_.entries(), now));
-    else if (servers.next_available)
-        refuse(exchange, "servers ask for a pause",
-               availability_.retry_after(*servers.next_available, now));
-    else if (servers.has_leaving)
-        refuse(exchange, "servers are leaving", no_server_retry_after);
-    else
-        // Servers take seconds to load weights, so this uses the longest delay.
-        refuse(exchange, "no server can answer", no_server_retry_after);
+    selection_request request;
+    request.service = record.service;
+    request.placement.service = &service;
+    request.placement.prompt_tokens = record.caller.prompt_tokens;
+    request.placement.target_latency = record.target_latency;
+    request.placement.is_late = record.is_late;
+    request.placement.min_version = context_.min_version(service);
+    request.placement.tried = &record.tried;
+    request.entries = std::max(1U, context_.entries());
+    return selector_.choose(request, steady::now());
 }
 
 // ---- Permits ---------------------------------------------------------------
@@ -996,8 +950,8 @@
         !retry_window_of(record->service)
              .has_budget(context_.entries(), steady::now()))
         return;
-    const placement_choice choice = choose_server(*record);
-    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+    const selection_result result = choose_server(*record);
+    if (const auto* chosen = std::get_if<placement>(&result))
         await_permit(exchange, *chosen);
 }
 
