Agree on the data that the next parts share

Nothing reads or sends them yet, so nothing changes on the wire. Result: builds; no behaviour to measure.

--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -425,6 +425,51 @@
     OSPREYSTAGE_FIELDS(reports, notices)
 };
 
+// ---- Datagrams: condition of backend servers -------------------------------
+
+/// What an agent has found out about the pace and the start of its server.
+struct server_condition {
+    static constexpr std::uint32_t usual_pace_percent = 100;
+    static constexpr std::uint32_t unknown_start = UINT32_MAX;
+
+    address server; ///< Address at which the server accepts requests.
+    /// Time that work takes there in relation to the usual one.
+    std::uint32_t pace_percent = usual_pace_percent;
+    /// Time since the server was seen to start, or `unknown_start`.
+    std::uint32_t started_ms_ago = unknown_start;
+    OSPREYSTAGE_FIELDS(server, pace_percent, started_ms_ago)
+    friend bool operator==(const server_condition&,
+                           const server_condition&) = default;
+};
+
+/// Conditions that an entry passes on to the others of its region.
+struct condition_digest {
+    std::vector<server_condition> conditions;
+    OSPREYSTAGE_FIELDS(conditions)
+};
+
+// ---- Datagrams between entries: demand of organisations --------------------
+
+/// Requests of one organisation for one service at one entry, by the hashes of
+/// their names. `received` and `served` count units of work.
+struct demand_item {
+    std::uint64_t service = 0;
+    std::uint64_t organisation = 0;
+    std::uint32_t received = 0;
+    std::uint32_t served = 0;
+    OSPREYSTAGE_FIELDS(service, organisation, received, served)
+    friend bool operator==(const demand_item&, const demand_item&) = default;
+};
+
+/// Demand that an entry has seen in the last `interval_ms`.
+struct demand_digest {
+    std::string entry;
+    std::uint64_t sequence = 0; ///< Rises with each digest of a process.
+    std::uint32_t interval_ms = 0;
+    std::vector<demand_item> items;
+    OSPREYSTAGE_FIELDS(entry, sequence, interval_ms, items)
+};
+
 // ---- Datagrams between entries: limits of backend servers ------------------
 
 /// Reports what an answer of a backend server stated about its limit.
@@ -536,7 +581,8 @@
                  document_push, chunk_have, manifest_request, manifest_reply,
                  chunk_request, chunk_data, engine_report, weights_assignment,
                  attempt_notice, report_subscription, load_digest, limit_report,
-                 permit_request, permit_reply, prompt_report, crash_report>;
+                 permit_request, permit_reply, prompt_report, crash_report,
+                 server_condition, condition_digest, demand_digest>;
 
 /// Names of the alternatives of `message`, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
@@ -577,6 +623,9 @@
                      "permit_request",
                      "permit_reply",
                      "prompt_report",
-                     "crash_report"};
+                     "crash_report",
+                     "server_condition",
+                     "condition_digest",
+                     "demand_digest"};
 
 } // namespace ospreystage
--- a/include/ospreystage/routing/routing_configuration.hpp
+++ b/include/ospreystage/routing/routing_configuration.hpp
@@ -41,6 +41,8 @@
     std::uint32_t max_attempts = 1;
     bool is_public = false;    ///< Requires no key.
     bool is_resumable = false; ///< A stream may resume at another server.
+    /// Regions whose servers may run its requests; empty for all.
+    std::vector<std::string> regions;
     friend bool operator==(const route&, const route&) = default;
 };
 
@@ -70,6 +72,10 @@
     /// Connections to one server from all entries; 0 for no limit.
     std::uint32_t max_connections = 0;
     std::optional<engine_profile> engine;
+    milliseconds cold_time{}; ///< For which a server is cold after its start.
+    /// Requests that a cold server is to get, from all entries together; 0 for
+    /// no limit.
+    double cold_requests_per_s = 0;
     std::string origin; ///< Address, if this service is the weights' origin.
     friend bool operator==(const service_description&,
                            const service_description&) = default;
@@ -80,6 +86,8 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Overrides the route's priority.
+    /// Regions whose servers may run its requests; empty for all.
+    std::vector<std::string> regions;
     friend bool operator==(const organisation_keys&,
                            const organisation_keys&) = default;
 };
