Run requests in the regions that their route and organisation allow

Cause: the operator restricts routes and organisations to regions (`allowed_regions`); entries sent their requests to servers anywhere. Change: wire decodes the regions; values that are no names are left out, with one log line for each configuration applied. serving/residency intersects those of route and organisation (none in common: none allowed), and the configuration under which a request was accepted with the current one. server_selector leaves out servers elsewhere, at the choice and again after permits and new connections (may_send moves there from the gateway), and refuses at once if none is left (`no server in an allowed region`, counted by reason in ospreystage_selection_refusals_total). decode_configuration has a second form, so that tests/malformed_input passes it in a lambda; its document has regions now.

--- a/include/ospreystage/routing/route_table.hpp
+++ b/include/ospreystage/routing/route_table.hpp
@@ -47,6 +47,14 @@
                                           std::string_view target,
                                           std::string_view key) const;
 
+    /// Returns the route of a host and target, or null.
+    [[nodiscard]] const route* find_route(std::string_view host,
+                                          std::string_view target) const;
+
+    /// Returns the organisation of a name, or null.
+    [[nodiscard]] const organisation_keys*
+    organisation(const std::string& name) const;
+
     /// Chooses a service of the route by weight; `draw` is uniform in [0, 1).
     [[nodiscard]] static const std::string&
     choose_service(const route& matched_route, double draw);
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -44,6 +44,7 @@
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
         announce_attempt;
+    data_centre_view data_centres;
 };
 
 /// Forwards callers' requests to backend servers and returns the responses.
@@ -133,6 +134,8 @@
         /// that did not describe the service.
         std::optional<service_description> description;
         std::string organisation;
+        /// Of the configuration under which the request was accepted.
+        allowed_regions regions;
         request_kind kind = request_kind::non_idempotent;
         milliseconds target_latency{};
         milliseconds target_gap{};
@@ -180,6 +183,8 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
+    [[nodiscard]] selection_request
+    selection_of(const request_record& record) const;
     [[nodiscard]] selection_result choose_server(const request_record& record);
     [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -46,18 +46,10 @@
                                      std::string_view key) const {
     if (!is_configured())
         return not_configured{};
-    const auto routes = routes_by_host_.find(normalize_host(host));
-    if (routes == routes_by_host_.end())
-        return no_route{};
-    const std::string_view path = path_of(target);
-    const auto found = std::find_if(
-        routes->second.begin(), routes->second.end(), [&](std::size_t index) {
-            return path.starts_with(current_.routes[index].path_prefix);
-        });
-    if (found == routes->second.end())
-        return no_route{};
     routed_request routed;
-    routed.matched_route = &current_.routes[*found];
+    routed.matched_route = find_route(host, target);
+    if (routed.matched_route == nullptr)
+        return no_route{};
     routed.priority = routed.matched_route->priority;
     if (current_.organisations.empty())
         return routed;
@@ -72,6 +64,27 @@
     return routed;
 }
 
+const route* route_table::find_route(std::string_view host,
+                                     std::string_view target) const {
+    const auto routes = routes_by_host_.find(normalize_host(host));
+    if (routes == routes_by_host_.end())
+        return nullptr;
+    const std::string_view path = path_of(target);
+    const auto found = std::find_if(
+        routes->second.begin(), routes->second.end(), [&](std::size_t index) {
+            return path.starts_with(current_.routes[index].path_prefix);
+        });
+    return found == routes->second.end() ? nullptr : &current_.routes[*found];
+}
+
+const organisation_keys*
+route_table::organisation(const std::string& name) const {
+    const auto found = std::find_if(
+        current_.organisations.begin(), current_.organisations.end(),
+        [&](const organisation_keys& each) { return each.name == name; });
+    return found == current_.organisations.end() ? nullptr : &*found;
+}
+
 const std::string& route_table::choose_service(const route& matched_route,
                                                double draw) {
     double total = 0;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -106,7 +106,8 @@
     : core_(core), client_(client), routes_(routes), servers_(servers),
       load_(load), availability_(availability), limits_(limits),
       quarantine_(quarantine), metrics_(request_metrics),
-      selector_(servers, client, load, availability, limits),
+      selector_(servers, client, load, availability, limits, request_metrics,
+                context.data_centres),
       protocol_(std::move(protocol)), context_(std::move(context)),
       server_ends_(
           core, client,
@@ -205,6 +206,7 @@
         record->description = *described;
     record->organisation =
         routed.organisation == nullptr ? "" : routed.organisation->name;
+    record->regions = regions_of(routed.matched_route, routed.organisation);
     record->kind = routed.matched_route->kind;
     record->target_latency = routed.matched_route->target_latency;
     record->target_gap = routed.matched_route->target_gap;
@@ -257,20 +259,29 @@
         return;
     }
     const auto& refusal = std::get<selection_refusal>(result);
+    selector_.count(refusal);
     refuse(exchange, refusal.reason, refusal.retry_after);
 }
 
-/// Chooses a server that the request has not been sent to.
-selection_result gateway::choose_server(const request_record& record) {
+selection_request gateway::selection_of(const request_record& record) const {
     const service_description& service = *record.description;
     selection_request request;
     request.service = record.service;
+    request.regions =
+        current_regions(record.regions, record.caller.host,
+                        record.request.target, record.organisation, routes_);
     request.placement.service = &service;
     request.placement.prompt_tokens = record.caller.prompt_tokens;
     request.placement.target_latency = record.target_latency;
     request.placement.is_late = record.is_late;
     request.placement.min_version = context_.min_version(service);
     request.placement.tried = &record.tried;
+    return request;
+}
+
+/// Chooses a server that the request has not been sent to.
+selection_result gateway::choose_server(const request_record& record) {
+    selection_request request = selection_of(record);
     request.entries = std::max(1U, context_.entries());
     return selector_.choose(request, steady::now());
 }
@@ -356,17 +367,10 @@
 
 // ---- Attempts at a server --------------------------------------------------
 
-/// Returns true if a choice still holds: its server takes requests, and the
-/// version of its weights has not ended.
 bool gateway::may_send(const request_record& record,
                        const placement& chosen) const {
-    const bool is_current =
-        chosen.version == 0 ||
-        chosen.version >= context_.min_version(*record.description);
-    const backend_server* server = servers_.find(chosen.server);
-    return is_current && server != nullptr && !server->is_draining &&
-           !is_quarantined(record) &&
-           availability_.may_send(server->start(), steady::now());
+    return !is_quarantined(record) &&
+           selector_.may_send(selection_of(record), chosen, steady::now());
 }
 
 bool gateway::is_quarantined(const request_record& record) const {
@@ -899,12 +903,8 @@
 milliseconds gateway::retry_delay(const request_record& record) {
     if (is_quarantined(record))
         return quarantine_retry_after;
-    const instant now = steady::now();
-    const available_servers servers =
-        availability_.select(servers_.serving(record.service), now);
-    return servers.available.empty() && servers.next_available
-               ? availability_.retry_after(*servers.next_available, now)
-               : default_retry_after;
+    return selector_.pause(selection_of(record), steady::now())
+        .value_or(default_retry_after);
 }
 
 // ---- Silent servers --------------------------------------------------------
--- a/src/serving/server_selector.cpp
+++ b/src/serving/server_selector.cpp
@@ -1,5 +1,7 @@
 #include <ospreystage/serving/server_selector.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -25,14 +27,20 @@
 server_selector::server_selector(const backend_registry& servers,
                                  web_client& client, backend_load& load,
                                  backend_availability& availability,
-                                 limit_exchange& limits)
+                                 limit_exchange& limits,
+                                 metrics& request_metrics,
+                                 data_centre_view data_centres)
     : servers_(servers), client_(client), load_(load),
-      availability_(availability), limits_(limits) {}
+      availability_(availability), limits_(limits), metrics_(request_metrics),
+      data_centres_(std::move(data_centres)) {}
 
 selection_result server_selector::choose(const selection_request& request,
                                          instant now) {
     candidates all;
-    all.servers = availability_.select(servers_.serving(request.service), now);
+    const std::vector<const backend_server*> allowed = allowed_servers(request);
+    all.are_outside_regions =
+        allowed.empty() && !servers_.serving(request.service).empty();
+    all.servers = availability_.select(allowed, now);
     const placement_decision decision =
         place(request, all.servers.available, all, now);
     if (const auto* chosen = std::get_if<placement>(&decision))
@@ -44,6 +52,47 @@
     return refuse(all, decision, request.entries, now);
 }
 
+bool server_selector::may_send(const selection_request& request,
+                               const placement& chosen, instant now) const {
+    const bool is_current =
+        chosen.version == 0 || chosen.version >= request.placement.min_version;
+    const backend_server* server = servers_.find(chosen.server);
+    return is_current && server != nullptr && !server->is_draining &&
+           may_run_at(*server, request) &&
+           availability_.may_send(server->start(), now);
+}
+
+std::optional<milliseconds>
+server_selector::pause(const selection_request& request, instant now) {
+    const available_servers servers =
+        availability_.select(allowed_servers(request), now);
+    if (!servers.available.empty() || !servers.next_available)
+        return std::nullopt;
+    return availability_.retry_after(*servers.next_available, now);
+}
+
+void server_selector::count(const selection_refusal& refusal) {
+    metrics_.count(
+        fmt::format("ospreystage_selection_refusals_total{{reason=\"{}\"}}",
+                    refusal.reason));
+}
+
+std::vector<const backend_server*>
+server_selector::allowed_servers(const selection_request& request) const {
+    std::vector<const backend_server*> result =
+        servers_.serving(request.service);
+    std::erase_if(result, [&](const backend_server* server) {
+        return !may_run_at(*server, request);
+    });
+    return result;
+}
+
+bool server_selector::may_run_at(const backend_server& server,
+                                 const selection_request& request) const {
+    return request.regions.allows_all() ||
+           request.regions.allows(data_centres_.region_of(server.data_centre));
+}
+
 placement_decision
 server_selector::place(const selection_request& request,
                        std::vector<const backend_server*> servers,
@@ -65,6 +114,8 @@
 selection_refusal server_selector::refuse(const candidates& all,
                                           const placement_decision& decision,
                                           std::uint32_t entries, instant now) {
+    if (all.are_outside_regions)
+        return {"no server in an allowed region", no_server_retry_after};
     if (const auto* full = std::get_if<no_capacity>(&decision))
         return {"no server has room in time", full->retry_after};
     if (!all.at_limit.empty())
--- a/tests/malformed_input.cpp
+++ b/tests/malformed_input.cpp
@@ -91,17 +91,19 @@
     using namespace platform;
     CHECK_NOTHROW(decode_variants(
         R"({"version":3,"limits":{"max_header_bytes":1,"idle_timeout_ms":5},
-            "tenants":[{"name":"t","api_keys":["k"],"priority":1}],
+            "tenants":[{"name":"t","api_keys":["k"],"priority":1,
+                        "allowed_regions":["west"]}],
             "routes":[{"name":"r","hostname":"h","path_prefix":"/x/",
               "service":"s","kind":"streaming","timeout_ms":1500,
               "target_latency_ms":100,"target_gap_ms":9,"max_attempts":2,
+              "allowed_regions":["west","north"],
               "traffic_split":[{"service":"s","weight":1}]}],
             "services":[{"name":"s","max_connections":4,"origin":"a:1",
               "engine":{"slots":16,"step_ms":9.2,"read_per_s":2e4,
                 "usual":{"prompt":900,"answer":90},"stride":1,"layers":16,
                 "chunks":64,"chunk_bytes":32768,
                 "models":[{"name":"m","warmup_s":3.5}]}}]})",
-        decode_configuration));
+        [](const std::string& text) { return decode_configuration(text); }));
     CHECK_NOTHROW(
         decode_variants(R"({"model":"m","version":2})", decode_named_version));
     CHECK_NOTHROW(decode_variants(
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -155,6 +155,35 @@
     CHECK(configuration->organisations.at(0).priority == 2U);
 }
 
+TEST_CASE("wire - the regions of routes and organisations are decoded; those "
+          "that are no names are left out and described") {
+    // A wrong value must neither drop the configuration nor go unnoticed.
+    std::vector<std::string> ignored;
+    const auto configuration = decoded([&] {
+        return decode_configuration(R"({"version":7,"routes":[
+            {"name":"a","hostname":"h","allowed_regions":["west","north"]},
+            {"name":"b","hostname":"h","allowed_regions":[]},
+            {"name":"c","hostname":"h","allowed_regions":"west"},
+            {"name":"d","hostname":"h","allowed_regions":["west",5]},
+            {"name":"e","hostname":"h","allowed_regions":null}],
+          "tenants":[{"name":"mills","allowed_regions":["east"]},
+                     {"name":"dairy"}]})",
+                                    ignored);
+    });
+    REQUIRE(configuration);
+    using names = std::vector<std::string>;
+    const auto& routes = configuration->routes;
+    CHECK(routes.at(0).regions == names{"west", "north"});
+    CHECK(routes.at(1).regions.empty());
+    CHECK(routes.at(2).regions.empty());
+    CHECK(routes.at(3).regions == names{"west"});
+    CHECK(routes.at(4).regions.empty());
+    CHECK(configuration->organisations.at(0).regions == names{"east"});
+    CHECK(configuration->organisations.at(1).regions.empty());
+    CHECK(ignored == names{"allowed_regions of c: string",
+                           "allowed_regions of d: number"});
+}
+
 TEST_CASE("wire - a configuration without version is refused") {
     CHECK_FALSE(decoded([] { return decode_configuration("{}"); }));
     CHECK_FALSE(decoded([] { return decode_configuration("not json"); }));
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -56,7 +56,10 @@
            [this](const service_description&) {
                return versions.min_begin_version(model, steady::now());
            },
-           [](const backend_server&, microseconds) {}},
+           [](const backend_server&, microseconds) {},
+           {[](const std::string& data_centre) {
+               return data_centre.substr(0, data_centre.find('-'));
+           }}},
           {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
                               tested_gateway.on_request(exchange,
@@ -137,6 +140,29 @@
     add_engines(listed);
 }
 
+void gateway_fixture::add_servers_in(
+    const std::vector<std::pair<address, std::string>>& listed) {
+    std::vector<backend_server> result;
+    for (const auto& [endpoint, data_centre] : listed) {
+        backend_server& server = result.emplace_back();
+        server.id = "i-" + std::to_string(endpoint.port);
+        server.service = "desk";
+        server.endpoint = endpoint;
+        server.slots = 4;
+        server.data_centre = data_centre;
+    }
+    servers.on_list(std::move(result), steady::now());
+}
+
+void gateway_fixture::allow_regions(const std::vector<std::string>& regions) {
+    routing_configuration configuration = routes.current();
+    ++configuration.version;
+    for (route& each : configuration.routes)
+        each.regions = regions;
+    const bool is_applied = routes.apply(std::move(configuration));
+    REQUIRE(is_applied);
+}
+
 void gateway_fixture::add_engines(
     const std::vector<std::pair<address, std::uint64_t>>& engines) {
     std::vector<backend_server> listed;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -35,6 +35,12 @@
     /// Applies a configuration without routes, services and organisations.
     void drop_configuration();
     void add_servers(const std::vector<address>& endpoints);
+    /// Lists servers by their addresses and data centres; the region of a data
+    /// centre is what precedes the hyphen.
+    void
+    add_servers_in(const std::vector<std::pair<address, std::string>>& listed);
+    /// Applies a newer configuration, in which the routes allow these regions.
+    void allow_regions(const std::vector<std::string>& regions);
     /// Lists engines by their addresses and the versions that they hold.
     void
     add_engines(const std::vector<std::pair<address, std::uint64_t>>& engines);
