Apply the number of origin readers when they are chosen

Few readers with unequal shares leave the origin's link idle at the end of a copy. Change: the number is set first.

--- a/src/requests/chunk_assignment.cpp
+++ b/src/requests/chunk_assignment.cpp
@@ -18,6 +18,19 @@
 constexpr std::size_t remote_neighbours = 6;
 constexpr std::uint16_t max_rank = chunk_role::none - 1;
 
+/// Number of agents that a strategy lets read from the origin.
+struct reader_count {
+    std::uint32_t operator()(const rendezvous_strategy& strategy) const {
+        return strategy.readers;
+    }
+    std::uint32_t operator()(const direct_strategy& /*strategy*/) const {
+        return 1;
+    }
+    std::uint32_t operator()(const tree_strategy& /*strategy*/) const {
+        return 1;
+    }
+};
+
 bool contains(const std::vector<std::string>& names, const std::string& name) {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -45,6 +58,7 @@
     self_ = position_of(self);
     if (self_ == members_.size())
         return;
+    target_readers_ = std::visit(reader_count{}, strategy);
     choose_readers(silent_readers);
     std::visit([this](const auto& chosen) { assign_roles(chosen); }, strategy);
 }
@@ -85,7 +99,6 @@
     for (std::uint32_t index = 0; index < roles_.size(); ++index)
         roles_[index] = role_of(index);
     origin_copies_ = strategy.origin_copies;
-    target_readers_ = strategy.readers;
 }
 
 void chunk_assignment::assign_roles(const direct_strategy& /*strategy*/) {
