Read new versions without a wait and probe an origin that failed

Cause: a reader waited 0.3 s for announcements of a version that nobody could hold yet. After a failed read it paused for 0.5 s, and each read of an origin that accepts no connection kept a thread for 2 s (5 s within an answer), so that chunks were requested late after the origin's return. Change: a version published at most 1.5 s before it is requested is read at once. After an unanswered read each reader sends one read at a time, 25 ms after the last, that gives up connecting after 70 ms; every 64th has the full 2 s. An answer may pause for 2.5 s. Probes are not logged.

--- a/include/ospreystage/weights/distribution.hpp
+++ b/include/ospreystage/weights/distribution.hpp
@@ -129,7 +129,8 @@
     void perform(const refuse_chunk& action);
     void perform(const reconnect_peer& action);
 
-    void read_origin_chunk(const digest& version, std::uint32_t index);
+    void read_origin_chunk(const digest& version, std::uint32_t index,
+                           bool is_probe);
     void read_origin_manifest(const digest& version);
     void accept_known(const digest& version, const known_manifest& known);
     void accept_manifest(const chunk_source& source, const digest& version,
--- a/include/ospreystage/weights/origin_client.hpp
+++ b/include/ospreystage/weights/origin_client.hpp
@@ -54,9 +54,10 @@
     /// version that the origin no longer offers.
     [[nodiscard]] leaf::result<std::string> manifest(const digest& version);
 
-    /// Reads the bytes of a chunk; errors as for `manifest`.
-    [[nodiscard]] leaf::result<std::string> chunk(const digest& version,
-                                                  std::uint32_t index);
+    /// Reads the bytes of a chunk; errors as for `manifest`. A probe gives up
+    /// quickly if the origin accepts no connection.
+    [[nodiscard]] leaf::result<std::string>
+    chunk(const digest& version, std::uint32_t index, bool is_probe = false);
 
     /// Closes the connections that have carried no call for `max_idle`. The
     /// origin takes a limited number of them from all agents together.
@@ -77,7 +78,8 @@
     };
 
     [[nodiscard]] leaf::result<std::string> read(const std::string& path,
-                                                 std::size_t limit_bytes);
+                                                 std::size_t limit_bytes,
+                                                 milliseconds max_connect_time);
     [[nodiscard]] std::pair<std::shared_ptr<blocking_client>, std::string>
     acquire();
     void release(const std::shared_ptr<blocking_client>& client,
--- a/include/ospreystage/weights/swarm.hpp
+++ b/include/ospreystage/weights/swarm.hpp
@@ -22,6 +22,8 @@
 struct requested_version {
     digest version;
     std::uint32_t priority = 0; ///< Higher is fetched and served first.
+    /// Time of its publication, if it was observed.
+    std::optional<instant> published_at{};
     friend bool operator==(const requested_version&,
                            const requested_version&) = default;
 };
@@ -157,6 +159,9 @@
         bool is_gone_from_origin = false;
         instant last_announcement{};
         instant requested_since{};
+        /// Published so recently that no peer can have held it before this
+        /// agent learnt of it.
+        bool is_new = false;
         instant last_progress{}; ///< When the last chunk was stored.
         instant last_blocked_check{};
         /// Chunks that neither this agent nor a peer holds, and when peers last
@@ -252,6 +257,9 @@
     std::uint64_t peer_request_bytes_ = 0;
     std::uint32_t origin_requests_ = 0;
     instant origin_backoff_until_{};
+    /// Reads of the origin that failed since one succeeded. Single probes
+    /// replace the reads until one succeeds.
+    std::uint32_t origin_failures_ = 0;
     upload_queue uploads_;
     std::vector<swarm_action> actions_;
     swarm_counters counters_;
--- a/include/ospreystage/weights/swarm_types.hpp
+++ b/include/ospreystage/weights/swarm_types.hpp
@@ -39,7 +39,11 @@
     milliseconds failure_backoff{5000}; ///< After a failure; doubles each time.
     milliseconds max_failure_backoff{60'000};
     milliseconds reconnect_backoff{500}; ///< After a connection ended.
-    milliseconds origin_backoff{500};    ///< After a failed origin read.
+    milliseconds origin_backoff{500};    ///< After an origin read went wrong.
+    /// After an origin read that got no answer. Bounds how long a chunk that
+    /// nobody holds waits for an origin that is back, and each reader to 40
+    /// probes a second.
+    milliseconds origin_probe_interval{25};
 };
 
 /// Source of chunks: a peer by name.
@@ -71,6 +75,8 @@
     digest version;
     std::uint32_t index = 0;
     std::uint32_t bytes = 0;
+    /// The origin failed last time: find out quickly whether it is back.
+    bool is_probe = false;
 };
 
 /// Request the manifest of a version from `source`.
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -383,7 +383,7 @@
 void distribution::perform(const fetch_chunk& action) {
     const auto* peer = std::get_if<peer_source>(&action.source);
     if (peer == nullptr) {
-        read_origin_chunk(action.version, action.index);
+        read_origin_chunk(action.version, action.index, action.is_probe);
         return;
     }
     if (!links_.send(peer->name, chunk_request{action.version, action.index}))
@@ -433,19 +433,21 @@
 
 // ---- Origin ----------------------------------------------------------------
 
-void distribution::read_origin_chunk(const digest& version,
-                                     std::uint32_t index) {
-    origin_pool_.run([this, version, index] {
+void distribution::read_origin_chunk(const digest& version, std::uint32_t index,
+                                     bool is_probe) {
+    origin_pool_.run([this, version, index, is_probe] {
         error failure;
         const auto data = value_or_error(
-            [&] { return origin_.chunk(version, index); }, failure);
+            [&] { return origin_.chunk(version, index, is_probe); }, failure);
         if (data) {
             check_and_store(origin_source{}, version, index, *data);
             return;
         }
-        log_event(log_level::warn, "origin_failed",
-                  {{"error", to_string(failure)},
-                   {"connections", origin_.connections()}});
+        // Probes fail many times a second while the origin is unavailable.
+        if (!is_probe)
+            log_event(log_level::warn, "origin_failed",
+                      {{"error", to_string(failure)},
+                       {"connections", origin_.connections()}});
         const fetch_outcome outcome = failure.code == error_code::not_found
                                           ? fetch_outcome::gone
                                           : fetch_outcome::failed;
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -12,8 +12,13 @@
 namespace {
 
 constexpr milliseconds connect_timeout{2000};
-/// Maximum time without data within a response.
-constexpr milliseconds read_timeout{5000};
+/// Connections that carry chunks delay the answer to a new one, but a probe
+/// must not wait: a segment lost while the origin was unavailable is repeated
+/// only after a second.
+constexpr milliseconds probe_connect_timeout{70};
+/// Maximum time without data within a response. The origin's link carries 48
+/// chunks of 48 KiB at 9 Mbit/s in 2.1 s, whichever of them is last.
+constexpr milliseconds read_timeout{2500};
 constexpr milliseconds call_timeout{45'000};
 constexpr std::uint16_t http_ok = 200;
 constexpr std::uint16_t http_gone = 410;
@@ -62,12 +67,14 @@
 }
 
 leaf::result<std::string> origin_client::manifest(const digest& version) {
-    return read(layout_.manifest(version), max_manifest_bytes);
+    return read(layout_.manifest(version), max_manifest_bytes, connect_timeout);
 }
 
 leaf::result<std::string> origin_client::chunk(const digest& version,
-                                               std::uint32_t index) {
-    return read(layout_.chunk(version, index), max_chunk_bytes);
+                                               std::uint32_t index,
+                                               bool is_probe) {
+    return read(layout_.chunk(version, index), max_chunk_bytes,
+                is_probe ? probe_connect_timeout : connect_timeout);
 }
 
 void origin_client::close_idle(milliseconds max_idle) {
@@ -91,13 +98,14 @@
 }
 
 leaf::result<std::string> origin_client::read(const std::string& path,
-                                              std::size_t limit_bytes) {
+                                              std::size_t limit_bytes,
+                                              milliseconds max_connect_time) {
     const auto [client, host] = acquire();
     if (client == nullptr)
         return fail(error_code::unavailable, "origin.read", host,
                     "the client was stopped or has no address");
     call_options options;
-    options.connect_timeout = connect_timeout;
+    options.connect_timeout = max_connect_time;
     options.idle_timeout = read_timeout;
     options.timeout = call_timeout;
     options.max_body_bytes = limit_bytes;
--- a/src/weights/swarm.cpp
+++ b/src/weights/swarm.cpp
@@ -12,6 +12,9 @@
 
 constexpr milliseconds burst_time{20}; ///< Unused budget that may accumulate.
 constexpr std::uint32_t max_backoff_shift = 8;
+/// Age of a publication up to which the version counts as new. Agents learn of
+/// a publication within this time, so nobody can hold much of it earlier.
+constexpr milliseconds max_new_age{1500};
 
 } // namespace
 
@@ -128,6 +131,8 @@
             version_record& added = versions_.emplace_back();
             added.id = entry.version;
             added.requested_since = now;
+            added.is_new =
+                entry.published_at && now - *entry.published_at <= max_new_age;
             added.last_progress = now;
             added.announce_now = true;
             update_assignment(added);
@@ -222,9 +227,15 @@
                 record->is_gone_from_origin = true;
             return;
         }
-        if (outcome == fetch_outcome::stored)
+        if (outcome == fetch_outcome::stored) {
+            origin_failures_ = 0;
             return;
-        origin_backoff_until_ = now + options_.origin_backoff;
+        }
+        const bool is_unanswered = outcome == fetch_outcome::failed;
+        origin_failures_ = is_unanswered ? origin_failures_ + 1 : 0;
+        origin_backoff_until_ =
+            now + (is_unanswered ? options_.origin_probe_interval
+                                 : options_.origin_backoff);
         if (record != nullptr)
             record->unheld_since = now;
         return;
--- a/src/weights/swarm_downloads.cpp
+++ b/src/weights/swarm_downloads.cpp
@@ -62,8 +62,9 @@
 }
 
 bool swarm::plan_origin(version_record& version, instant now) {
-    if (version.is_gone_from_origin ||
-        origin_requests_ >= options_.max_origin_requests ||
+    const std::uint32_t max_requests =
+        origin_failures_ > 0 ? 1 : options_.max_origin_requests;
+    if (version.is_gone_from_origin || origin_requests_ >= max_requests ||
         origin_backoff_until_ > now)
         return false;
     struct choice {
@@ -144,7 +145,7 @@
     if (role.origin_rank < version.assignment->origin_copies()) {
         const auto announced = version.active.size();
         const auto expected = version.assignment->neighbours().size();
-        if (announced * 2 < expected &&
+        if (!version.is_new && announced * 2 < expected &&
             now - version.requested_since < join_grace)
             return false;
         const bool is_first = role.origin_rank == 0;
--- a/src/weights/swarm_requests.cpp
+++ b/src/weights/swarm_requests.cpp
@@ -13,6 +13,9 @@
 /// Failures of the origin are reported by `on_fetched`; this timeout covers
 /// lost reports.
 constexpr milliseconds origin_timeout{60'000};
+/// Failed reads of the origin after which one has the full time to connect, in
+/// case the way to the origin takes longer than a probe may.
+constexpr std::uint32_t patient_read_interval = 64;
 constexpr milliseconds max_wake_interval{50};
 
 } // namespace
@@ -25,6 +28,7 @@
     };
     consider(upload_bucket_.ready_at());
     consider(download_bucket_.ready_at());
+    consider(origin_backoff_until_);
     for (const request_record& request : requests_)
         consider(request.deadline);
     for (const version_record& version : versions_)
@@ -142,12 +146,14 @@
         ++origin_requests_;
         request.deadline += origin_timeout;
     }
+    const bool is_probe = origin_failures_ % patient_read_interval > 0 &&
+                          std::holds_alternative<origin_source>(source);
     ++version.chunks[index].in_flight;
     download_bucket().take(bytes);
     downloaded_bytes_ += bytes;
     requests_.push_back(std::move(request));
     actions_.emplace_back(
-        fetch_chunk{std::move(source), version.id, index, bytes});
+        fetch_chunk{std::move(source), version.id, index, bytes, is_probe});
 }
 
 token_bucket& swarm::download_bucket() {
--- a/src/weights/version_plan.cpp
+++ b/src/weights/version_plan.cpp
@@ -68,9 +68,16 @@
 std::vector<requested_version> version_plan::requested() const {
     std::vector<requested_version> result;
     auto priority = static_cast<std::uint32_t>(versions_.size());
-    for (const auto& [number, record] : versions_)
-        if (!record.id.empty())
-            result.push_back({record.id, priority--});
+    for (const auto& [number, record] : versions_) {
+        if (record.id.empty())
+            continue;
+        requested_version& added = result.emplace_back();
+        added.version = record.id;
+        added.priority = priority--;
+        const auto known = published_.find(number);
+        if (known != published_.end() && known->second.is_observed)
+            added.published_at = known->second.at;
+    }
     return result;
 }
 
--- a/tests/support/swarm_experiment.cpp
+++ b/tests/support/swarm_experiment.cpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
+#include <utility>
 
 namespace ospreystage::support {
 
@@ -60,6 +62,7 @@
 
     void at(instant when, std::function<void()> run);
     void add_node(const std::string& name, std::uint32_t data_centre_index);
+    void request_version(const std::string& name);
     void update_members();
     void schedule_faults();
     void kill(const std::string& name);
@@ -70,6 +73,8 @@
     void announce(const std::string& name, const announce_chunks& action);
     void deliver_manifest(const std::string& name);
     void read_slice();
+    void fail_read(const origin_read& read, milliseconds delay);
+    [[nodiscard]] bool is_origin_down() const;
     void arrive(const std::string& name, const chunk_source& source,
                 std::uint32_t index, instant when);
     void send(const std::string& from, const std::string& to, double bytes,
@@ -91,6 +96,9 @@
     std::deque<origin_read> reads_;
     std::uint32_t origin_slices_ = 0;
     bool origin_busy_ = false;
+    std::set<std::uint32_t> sent_; ///< Chunks that the origin sent completely.
+    std::optional<instant> resumed_; ///< First read after the outage.
+    instant origin_done_{};          ///< When it had sent all of them.
 };
 
 experiment::experiment(const swarm_scenario& scenario)
@@ -109,6 +117,13 @@
     };
     chunk_time_ = of(chunk_seconds / member_link_copies);
     slice_time_ = of(chunk_seconds / origin_link_copies / slices_per_chunk);
+    if (scenario.rates) {
+        const double bytes = scenario.chunk_bytes;
+        const auto& rates = *scenario.rates;
+        chunk_time_ = of(bytes / static_cast<double>(rates.member));
+        slice_time_ =
+            of(bytes / static_cast<double>(rates.origin) / slices_per_chunk);
+    }
     for (std::uint32_t index = 0; index < scenario.members; ++index)
         add_node(fmt::format("agent-{}", index), index % data_centres);
     update_members();
@@ -129,11 +144,29 @@
     node.member = {name, fmt::format("dc-{}", data_centre_index)};
     link_budget budget;
     budget.bytes_per_second = static_cast<std::uint64_t>(
+        (scenario_.rates ? scenario_.rates->budget_share : 1) *
         scenario_.chunk_bytes /
         std::chrono::duration<double>(chunk_time_).count());
     budget.shared_directions = scenario_.shared_directions;
     node.decisions->set_budget(budget, now_);
-    node.decisions->set_requested({{version_, 1}}, now_);
+    const std::size_t position = nodes_.size();
+    if (scenario_.manifest_spacing == milliseconds(0)) {
+        request_version(name);
+        return;
+    }
+    at(now_ + scenario_.manifest_spacing * position, [this, name] {
+        request_version(name);
+        nodes_.at(name).decisions->on_manifest(version_, description_,
+                                               chunk_bitmap(), now_);
+        update(name);
+    });
+}
+
+void experiment::request_version(const std::string& name) {
+    requested_version requested{version_, 1};
+    if (scenario_.is_new_version)
+        requested.published_at = start_;
+    nodes_.at(name).decisions->set_requested({requested}, now_);
 }
 
 void experiment::update_members() {
@@ -221,11 +254,38 @@
              });
         return;
     }
+    if (is_origin_down()) {
+        fail_read({name, action.index}, action.is_probe
+                                            ? scenario_.probe_timeout
+                                            : scenario_.read_timeout);
+        return;
+    }
+    if (scenario_.max_origin_connections > 0 &&
+        reads_.size() >= scenario_.max_origin_connections) {
+        fail_read({name, action.index}, milliseconds(0));
+        return;
+    }
+    if (scenario_.outage && now_ >= start_ + scenario_.outage->end && !resumed_)
+        resumed_ = now_;
     reads_.push_back({name, action.index});
     if (!origin_busy_)
         read_slice();
 }
 
+bool experiment::is_origin_down() const {
+    return scenario_.outage && now_ >= start_ + scenario_.outage->begin &&
+           now_ < start_ + scenario_.outage->end;
+}
+
+void experiment::fail_read(const origin_read& read, milliseconds delay) {
+    at(now_ + latency + delay, [this, read] {
+        nodes_.at(read.reader)
+            .decisions->on_fetched(origin_source{}, version_, read.index,
+                                   fetch_outcome::failed, now_);
+        update(read.reader);
+    });
+}
+
 void experiment::read_slice() {
     const double copies = static_cast<double>(origin_slices_) /
                           (scenario_.chunks * slices_per_chunk);
@@ -235,25 +295,29 @@
     if (reads_.empty())
         return;
     if (is_gone) {
-        const origin_read read = reads_.front();
+        fail_read(reads_.front(), milliseconds(0));
         reads_.pop_front();
-        at(now_ + latency, [this, read] {
-            nodes_.at(read.reader)
-                .decisions->on_fetched(origin_source{}, version_, read.index,
-                                       fetch_outcome::failed, now_);
-            update(read.reader);
-        });
         read_slice();
         return;
     }
+    if (is_origin_down()) {
+        for (const origin_read& read : std::exchange(reads_, {}))
+            fail_read(read, scenario_.read_timeout);
+        origin_busy_ = false;
+        return;
+    }
     ++origin_slices_;
     at(now_ + slice_time_, [this] {
         origin_read read = reads_.front();
         reads_.pop_front();
         if (--read.slices_left > 0)
             reads_.push_back(read);
-        else
+        else {
+            sent_.insert(read.index);
+            if (sent_.size() == scenario_.chunks && origin_done_ == instant{})
+                origin_done_ = now_;
             arrive(read.reader, origin_source{}, read.index, now_);
+        }
         read_slice();
     });
 }
@@ -369,6 +433,12 @@
     const double window =
         std::chrono::duration<double>(scenario_.window).count();
     result.time = std::chrono::duration_cast<milliseconds>(last - start_);
+    if (resumed_)
+        result.resume_time = std::chrono::duration_cast<milliseconds>(
+            *resumed_ - start_ - scenario_.outage->end);
+    if (origin_done_ != instant{})
+        result.origin_time =
+            std::chrono::duration_cast<milliseconds>(origin_done_ - start_);
     result.origin_copies = static_cast<double>(origin_slices_) /
                            (scenario_.chunks * slices_per_chunk);
     result.remote_copies =
--- a/tests/swarm_spread.cpp
+++ b/tests/swarm_spread.cpp
@@ -16,6 +16,7 @@
 constexpr double one_copy_max_origin_copies = 1.05;
 constexpr double max_faulty_ratio = 2;
 constexpr double max_faulty_copies = 1.25;
+constexpr double max_outage_copies = 1.5;
 /// A chunk enters each of the two other data centres about once.
 constexpr double max_remote_copies = 3;
 
@@ -28,6 +29,21 @@
     return scenario;
 }
 
+/// A new version at a deployment whose agents' links are hardly faster than the
+/// origin's; agents get the manifest one after the other.
+swarm_scenario publication(std::uint32_t members) {
+    swarm_scenario scenario = scenario_of(members, false, 1);
+    scenario.chunks = 48;
+    scenario.chunk_bytes = 49'152;
+    scenario.rates = link_rates{1'125'000, 1'175'000, 0.8};
+    scenario.strategy = rendezvous_strategy{1, 24};
+    scenario.options.max_origin_requests = 1;
+    scenario.manifest_spacing = milliseconds(5);
+    scenario.is_new_version = true;
+    scenario.max_origin_connections = 48;
+    return scenario;
+}
+
 void check_complete(const swarm_measurement& result) {
     CAPTURE(result.time_ratio, result.origin_copies, result.remote_copies);
     CHECK(result.completed == result.survivors);
@@ -112,3 +128,43 @@
     CHECK(larger.control_bytes_per_second <=
           1.2 * smaller.control_bytes_per_second);
 }
+
+// Guards against readers that leave the origin's link idle: by waiting for
+// announcements of a version that nobody can have, or because only some of the
+// readers that the settings state are chosen.
+TEST_CASE("swarm_spread - a new version leaves the origin without gaps") {
+    const auto members = GENERATE(20U, 60U, 270U);
+    const auto seed = GENERATE(1U, 2U, 3U);
+    swarm_scenario scenario = publication(members);
+    scenario.seed = seed;
+    const auto result = run_experiment(scenario);
+    CAPTURE(members, seed, result.origin_time, result.time);
+    check_complete(result);
+    CHECK(result.origin_copies <= one_copy_max_origin_copies);
+    // A copy takes 2,097 ms on the origin's link and 2,008 ms on an agent's.
+    WARN(members << " agents: " << result.origin_time.count() << " ms, "
+                 << result.time.count() << " ms");
+    CHECK(result.origin_time <= milliseconds(2500));
+    CHECK(result.time <= milliseconds(4105) * 115 / 100);
+}
+
+// Guards against backoffs and long timeouts that keep readers from an origin
+// that is back.
+TEST_CASE("swarm_spread - the rest of a version is read when the origin is "
+          "back") {
+    const auto members = GENERATE(20U, 60U);
+    const auto seed = GENERATE(1U, 2U, 3U);
+    swarm_scenario scenario = publication(members);
+    scenario.seed = seed;
+    scenario.outage = origin_outage{milliseconds(1500), milliseconds(7500)};
+    const auto result = run_experiment(scenario);
+    CAPTURE(members, seed, result.origin_time, result.time);
+    check_complete(result);
+    WARN(members << " agents: " << result.resume_time.count() << " ms, "
+                 << result.origin_time.count() << " ms, "
+                 << result.origin_copies << " copies");
+    CHECK(result.resume_time <= milliseconds(100));
+    // Reads that the outage ended have used part of the link.
+    CHECK(result.origin_copies <= max_outage_copies);
+    CHECK(result.origin_time <= scenario.outage->end + milliseconds(1700));
+}
