Estimate the pace of each server

Cause: engines that are several times slower than others get their full share of requests, since nothing tells an entry that they are slow.

Change: agents read `pace` from the engine's report and send `server_condition`; entries relay it in `condition_digest` as they do reports. `serving/server_pace` (pure) estimates a factor for each start of a server from these statements, from the fourth figure of X-Worker-Load and from the entry's own attempts, with source and age. The choice of servers does not change yet.

--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/core/clock.hpp>
 #include <ospreystage/fleet/backend_registry.hpp>
 #include <ospreystage/routing/routing_configuration.hpp>
+#include <ospreystage/serving/server_pace.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -57,6 +58,10 @@
     milliseconds backlog{};       ///< Prefill time of the prompts sent before.
     milliseconds expected_wait{}; ///< Estimated time to the first event.
     microseconds prefill_time{};  ///< Estimated prefill time of this prompt.
+    /// Engines: the same as `expected_wait`, and the time between two passes,
+    /// at a server of the usual pace.
+    milliseconds usual_first_event{};
+    microseconds usual_gap{};
 };
 /// No server can take the request in time.
 struct no_capacity {
@@ -134,6 +139,10 @@
     [[nodiscard]] std::optional<engine_status> status(const std::string& server,
                                                       instant now) const;
 
+    /// Returns what is known of the pace of the servers.
+    [[nodiscard]] server_pace& pace() noexcept { return pace_; }
+    [[nodiscard]] const server_pace& pace() const noexcept { return pace_; }
+
   private:
     struct load_record {
         std::uint32_t outstanding = 0; ///< Requests of this entry in flight.
@@ -156,6 +165,7 @@
 
     options limits_;
     std::mt19937_64 random_;
+    server_pace pace_;
     absl::flat_hash_map<std::string, load_record> records_;
 };
 
--- a/include/ospreystage/serving/caller_protocol.hpp
+++ b/include/ospreystage/serving/caller_protocol.hpp
@@ -72,6 +72,9 @@
     std::function<limit_statement(const http_response&)> limit_of;
     /// Returns what the response states about its server's availability.
     std::function<availability_statement(const http_response&)> availability_of;
+    /// Returns the time that the response states work to take at its server,
+    /// 1 being usual; nothing if it states none.
+    std::function<std::optional<double>(const http_response&)> pace_of;
     /// Returns true if the response's status promises callers that the request
     /// has not run.
     std::function<bool(const http_response&)> is_promise;
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -116,6 +116,7 @@
         std::optional<std::uint64_t> resumed_after;
         /// Last numbered event of the attempt.
         std::optional<std::uint64_t> attempt_event_id;
+        attempt_pace pace; ///< Its progress, to judge its server's pace.
     };
 
     /// Choice of a server for which a permit has been requested.
--- a/include/ospreystage/serving/load_exchange.hpp
+++ b/include/ospreystage/serving/load_exchange.hpp
@@ -59,10 +59,15 @@
     /// Handles a notice that an entry has sent to this one.
     void on_notice(const attempt_notice& notice, instant now);
     void on_digest(const load_digest& digest, instant now);
+    /// Handles a condition that an agent has sent to this entry.
+    void on_condition(const server_condition& condition, instant now);
+    void on_conditions(const condition_digest& digest, instant now);
 
     /// Returns what was collected for the other entries of the region, if
     /// anything, and begins a new digest.
     [[nodiscard]] std::optional<outgoing> take_digest();
+    /// Returns the conditions to pass on; call it until there are none.
+    [[nodiscard]] std::optional<outgoing> take_conditions();
 
   private:
     /// Returns true if the region has entries that do not deal with an engine.
@@ -77,6 +82,7 @@
     [[nodiscard]] bool is_own(const attempt_notice& notice, instant now);
     void apply(const engine_report& report, instant now);
     void apply(const attempt_notice& notice, instant now);
+    void apply(const server_condition& condition, instant now);
     [[nodiscard]] std::vector<const site_entry*>
     without_self(std::vector<const site_entry*> entries) const;
 
@@ -86,6 +92,7 @@
     const backend_registry& servers_;
     backend_load& load_;
     load_digest digest_;
+    condition_digest conditions_;
     /// Recent notices of this entry, which come back in digests.
     std::deque<std::pair<instant, attempt_notice>> own_notices_;
     /// Last time at which another entry passed on a report, by the host of the
--- a/include/ospreystage/serving/server_selector.hpp
+++ b/include/ospreystage/serving/server_selector.hpp
@@ -42,6 +42,10 @@
     [[nodiscard]] selection_result choose(const selection_request& request,
                                           instant now);
 
+    /// Records what an answer of a server states about its availability.
+    void on_availability(const server_start& server,
+                         const availability_statement& statement, instant now);
+
   private:
     /// Servers that were left out, to explain a refusal.
     struct candidates {
--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -72,6 +72,16 @@
            running * prefill_ms(engine, engine.typical_prompt_tokens);
 }
 
+/// Returns the average time between two passes of an engine with `in_flight`
+/// other requests, which the prefill of their prompts delays.
+double gap_ms(const engine_profile& engine, double in_flight) {
+    const double slots = std::max(1U, engine.slots);
+    const double passes =
+        engine.typical_answer_tokens / std::max(1U, engine.steps_per_pass);
+    return service_ms(engine, std::min(in_flight, slots)) /
+           std::max(1.0, passes);
+}
+
 } // namespace
 
 backend_load::backend_load(const options& limits, std::uint64_t seed)
@@ -215,10 +225,14 @@
     const candidate& chosen = ready[draw(random_)];
     placement result{chosen.server->id, chosen.version, chosen.load,
                      chosen.backlog, chosen.wait};
-    if (engine)
+    if (engine) {
         result.prefill_time = to_time<microseconds>(
             prefill_ms(*engine, request.prompt_tokens) * us_per_ms,
             max_backlog);
+        result.usual_first_event = chosen.wait;
+        result.usual_gap = to_time<microseconds>(
+            gap_ms(*engine, chosen.load) * us_per_ms, max_wait);
+    }
     return result;
 }
 
@@ -281,6 +295,7 @@
     absl::erase_if(records_, [&](const auto& item) {
         return !listed.contains(item.first) && item.second.outstanding == 0;
     });
+    pace_.retain(listed);
 }
 
 } // namespace ospreystage
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -450,6 +450,8 @@
     record.resumed_after = record.last_event_id;
     record.version = chosen.version;
     record.sent_at = now;
+    record.pace = {server->start(), now, chosen.usual_first_event,
+                   chosen.usual_gap};
     ++record.sent_attempts;
     ++record.possible_runs;
     last_received_.try_emplace(chosen.server, now);
@@ -518,8 +520,9 @@
     if (std::holds_alternative<limit_named>(statement))
         metrics_.count("ospreystage_limit_answers_total");
     limits_.on_answer(server, statement, now);
-    on_availability({server, attempt.server_started_unix_ms},
-                    protocol_.availability_of(head));
+    if (const auto pace = protocol_.pace_of(head))
+        load_.pace().on_answer(attempt.pace.server, *pace, now);
+    on_availability(attempt.pace.server, protocol_.availability_of(head));
 }
 
 void gateway::on_availability(const server_start& server,
@@ -528,15 +531,7 @@
         metrics_.count("ospreystage_leaving_answers_total");
     if (statement.pause)
         metrics_.count("ospreystage_pause_answers_total");
-    const instant now = steady::now();
-    availability_.on_answer(server, statement, now);
-    const backend_server* listed = servers_.find(server.id);
-    if (!statement.is_leaving || !statement.is_misdirected || listed == nullptr)
-        return;
-    // The server that answered may be the other one listed at the address.
-    for (const std::string& id : servers_.ids_at(listed->endpoint))
-        if (id != server.id)
-            availability_.on_answer(servers_.find(id)->start(), statement, now);
+    selector_.on_availability(server, statement, steady::now());
 }
 
 void gateway::on_body(exchange_id exchange, std::string_view data) {
@@ -567,6 +562,7 @@
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
+            load_.pace().on_event(record->pace, record->last_received);
             ++record->events_received;
             check_answered(*record);
             drop_silent_attempt(*record);
@@ -701,6 +697,8 @@
         return;
     record->is_paused = false;
     record->last_received = steady::now();
+    if (record->pace.last_event) // The caller has caused the gap.
+        record->pace.last_event = record->last_received;
     client_.set_reading(*record->call, true);
 }
 
--- a/src/serving/load_exchange.cpp
+++ b/src/serving/load_exchange.cpp
@@ -131,6 +131,32 @@
                     std::exchange(digest_, {})};
 }
 
+void load_exchange::on_condition(const server_condition& condition,
+                                 instant now) {
+    apply(condition, now);
+    if (has_other_entries() && passes_on(condition.server.host, now))
+        conditions_.conditions.push_back(condition);
+}
+
+void load_exchange::on_conditions(const condition_digest& digest, instant now) {
+    for (const server_condition& condition : digest.conditions)
+        if (!deals_with(condition.server.host))
+            apply(condition, now);
+}
+
+std::optional<load_exchange::outgoing> load_exchange::take_conditions() {
+    auto& waiting = conditions_.conditions;
+    if (waiting.empty())
+        return std::nullopt;
+    const auto end =
+        waiting.begin() +
+        static_cast<std::ptrdiff_t>(std::min(waiting.size(), max_digest_items));
+    condition_digest digest{{waiting.begin(), end}};
+    waiting.erase(waiting.begin(), end);
+    return outgoing{without_self(duties_.entries_of(region_)),
+                    std::move(digest)};
+}
+
 /// Adds a notice to the digest if this entry is the one that passes it on.
 void load_exchange::collect(const attempt_notice& notice) {
     if (!has_other_entries())
@@ -173,6 +199,18 @@
         load_.on_sent_by_peer(id, microseconds(notice.prefill_us), now);
 }
 
+void load_exchange::apply(const server_condition& condition, instant now) {
+    const double factor =
+        static_cast<double>(condition.pace_percent) /
+        static_cast<double>(server_condition::usual_pace_percent);
+    std::optional<milliseconds> started_ago;
+    if (condition.started_ms_ago != server_condition::unknown_start)
+        started_ago = milliseconds(condition.started_ms_ago);
+    for (const std::string& id : servers_.ids_at(condition.server))
+        load_.pace().on_condition(servers_.find(id)->start(), factor,
+                                  started_ago, now);
+}
+
 std::vector<const site_entry*>
 load_exchange::without_self(std::vector<const site_entry*> entries) const {
     std::erase_if(
--- a/src/serving/server_selector.cpp
+++ b/src/serving/server_selector.cpp
@@ -44,6 +44,19 @@
     return refuse(all, decision, request.entries, now);
 }
 
+void server_selector::on_availability(const server_start& server,
+                                      const availability_statement& statement,
+                                      instant now) {
+    availability_.on_answer(server, statement, now);
+    const backend_server* listed = servers_.find(server.id);
+    if (!statement.is_leaving || !statement.is_misdirected || listed == nullptr)
+        return;
+    // The server that answered may be the other one listed at the address.
+    for (const std::string& id : servers_.ids_at(listed->endpoint))
+        if (id != server.id)
+            availability_.on_answer(servers_.find(id)->start(), statement, now);
+}
+
 placement_decision
 server_selector::place(const selection_request& request,
                        std::vector<const backend_server*> servers,
--- a/tests/load_exchange.cpp
+++ b/tests/load_exchange.cpp
@@ -62,6 +62,9 @@
             if (const auto* notice =
                     std::get_if<attempt_notice>(&datagram.value))
                 receiver.on_notice(*notice, now);
+            else if (const auto* conditions =
+                         std::get_if<condition_digest>(&datagram.value))
+                receiver.on_conditions(*conditions, now);
             else
                 receiver.on_digest(std::get<load_digest>(datagram.value), now);
         }
@@ -113,6 +116,24 @@
             return load.status("i-1", now).has_value();
         });
     }
+    /// Delivers an agent's condition, and then the digests with it.
+    void report(const server_condition& sent) {
+        for (const std::string& name : dealing_with_engine(sent.server.host))
+            at(name).on_condition(sent, now);
+        for (auto& [name, exchange] : exchanges_)
+            while (const auto digest = exchange.take_conditions()) {
+                ++condition_digests;
+                deliver(*digest);
+            }
+    }
+    /// Returns the entries that take the engine for slower by `factor`.
+    [[nodiscard]] std::size_t with_pace(double factor) const {
+        return count([&](const backend_load& load) {
+            return load.pace().estimate(server().start(), now).factor == factor;
+        });
+    }
+    std::size_t condition_digests = 0;
+
     /// Returns the entries that expect the engine to prefill for `time`.
     [[nodiscard]] std::size_t with_backlog(milliseconds time) const {
         return count([&](const backend_load& load) {
@@ -277,3 +298,37 @@
     CHECK(digest->receivers.size() == 7);
     CHECK_FALSE(exchange.take_digest());
 }
+
+// Guards against entries that go on sending to a slow engine because its agent
+// reports to a few entries only.
+TEST_CASE("load exchange - the pace that an agent reports reaches all entries, "
+          "in one digest a region") {
+    site entries(8);
+    // The entries find out which of them passes reports on.
+    entries.report({engine, 3, 1, 2, false});
+    entries.deliver_digests();
+    entries.report(server_condition{engine, 300});
+    CHECK(entries.with_pace(3) == entries.size());
+    CHECK(entries.condition_digests == 2);
+    site small(2);
+    small.report(server_condition{engine, 300});
+    CHECK(small.with_pace(3) == small.size());
+    CHECK(small.condition_digests == 0);
+}
+
+// Guards against a list of conditions that does not fit into a datagram.
+TEST_CASE("load exchange - many conditions are passed on in several digests") {
+    site entries(8, 60);
+    const auto name = entries.responsible("north").front()->name;
+    load_exchange& relay = entries.at(name);
+    for (int repetition = 0; repetition < 40; ++repetition)
+        relay.on_condition(server_condition{engine, 300}, now);
+    std::size_t total = 0;
+    while (const auto digest = relay.take_conditions()) {
+        const auto size =
+            std::get<condition_digest>(digest->value).conditions.size();
+        CHECK(size <= 16);
+        total += size;
+    }
+    CHECK(total == 40);
+}
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -326,3 +326,41 @@
         CHECK_FALSE(pause("1"));
     }
 }
+
+// Guards against a pace that makes estimates infinite or negative.
+TEST_CASE("engine report - an invalid pace counts as the usual one") {
+    const auto pace_of = [](const std::string& value) {
+        return decoded([&] {
+                   return decode_engine_report(
+                       R"({"models":[],"running":3,"pace":)" + value + "}", 16);
+               })
+            .value()
+            .pace;
+    };
+    CHECK(pace_of("2.5") == 2.5);
+    CHECK(pace_of("1") == 1);
+    for (const char* value :
+         {"0", "-2", "1e300", "\"3\"", "null", "[]", "true"})
+        CHECK(pace_of(value) == 1);
+}
+
+// Guards against a fourth figure that is taken from other fields or that no
+// server can mean.
+TEST_CASE("caller protocol - the fourth figure of the load is the pace") {
+    const caller_protocol protocol = make_caller_protocol();
+    http_response response;
+    response.status = 200;
+    CHECK_FALSE(protocol.pace_of(response));
+    const auto pace = [&](const std::string& value) {
+        response.fields = {{"X-Worker-Load", value}};
+        return protocol.pace_of(response);
+    };
+    CHECK(pace("1,0,4,100") == 1);
+    CHECK(pace("1, 0, 4, 250") == 2.5);
+    for (const char* value :
+         {"", "1", "1,0,4", "1,0,4,", "1,0,4,0", "1,0,4,-5", "1,0,4,nan",
+          "1,0,4,inf", "1,0,4,1e12", "a,b,c,d"})
+        CHECK_FALSE(pace(value));
+    response.status = 421;
+    CHECK_FALSE(pace("1,0,4,250"));
+}
