--- a/tests/route_table.cpp
+++ b/tests/route_table.cpp
@@ -19,7 +19,8 @@
     routing_configuration result;
     result.version = version;
     result.routes = {make_route("/x/", "wide"), make_route("/x/y/", "narrow")};
-    result.organisations = {{"mills", {"key-1"}, 1}, {"dairy", {"key-2"}, {}}};
+    result.organisations = {{"mills", {"key-1"}, 1, {}},
+                            {"dairy", {"key-2"}, {}, {}}};
     return result;
 }
 
