--- a/include/ospreystage/serving/server_selector.hpp
+++ b/include/ospreystage/serving/server_selector.hpp
@@ -68,6 +68,10 @@
     /// Counts a refusal that a caller gets.
     void count(const selection_refusal& refusal);
 
+    /// Records what an answer of a server states about its availability.
+    void on_availability(const server_start& server,
+                         const availability_statement& statement, instant now);
+
   private:
     [[nodiscard]] std::vector<const backend_server*>
     allowed_servers(const selection_request& request) const;
