Place requests by when their server would complete them

Cause: engines that are slow appear idle, get their full share, and their requests end at the caller's time limit with a stream in progress.

Change: backend_load divides the pace factors of the candidates by the smallest one and scales its estimates and the announced prefill with the result. A slower server is left out where its answer would end after the time left, or its passes are longer than `target_gap`, while another server is in time. The answer's length is the caller's stated maximum, at most three usual answers. A plain server costs (load x factor + factor - 1) / slots. An idle slow server of which an entry has no sample for a while is tried with a real request that ends in time at the slow pace as well. With equal factors the estimates are those of before.

--- a/include/ospreystage/serving/backend_load.hpp
+++ b/include/ospreystage/serving/backend_load.hpp
@@ -42,6 +42,11 @@
     const service_description* service = nullptr;
     std::uint32_t prompt_tokens = 0;
     milliseconds target_latency{};
+    /// Longest pause between two events that the caller accepts; 0 for any.
+    milliseconds target_gap{};
+    milliseconds time_left{}; ///< Until the caller's time limit; 0 for any.
+    /// Tokens of the longest answer that the caller expects; 0: not stated.
+    std::uint32_t max_answer_tokens = 0;
     /// The caller was refused before and its target latency has passed.
     bool is_late = false;
     /// Oldest weight version that may answer; 0 for any.
@@ -90,6 +95,7 @@
         /// further failure up to `max_backoff`.
         milliseconds min_backoff{500};
         milliseconds max_backoff{4000};
+        server_pace::options pace{};
     };
 
     backend_load(const options& limits, std::uint64_t seed);
@@ -103,11 +109,11 @@
 
     /// Estimates the time to the first event of a request that is sent to an
     /// engine with `in_flight` other requests, which takes `backlog` to
-    /// prefill their prompts.
+    /// prefill their prompts, if its work takes `factor` times the usual.
     [[nodiscard]] milliseconds
     estimate_first_event(const engine_profile& engine, double in_flight,
-                         milliseconds backlog,
-                         std::uint32_t prompt_tokens) const;
+                         milliseconds backlog, std::uint32_t prompt_tokens,
+                         double factor = 1) const;
 
     /// Returns the estimated time until an engine has prefilled the prompts
     /// that it was sent.
@@ -144,6 +150,21 @@
     [[nodiscard]] const server_pace& pace() const noexcept { return pace_; }
 
   private:
+    /// Server that may take a request.
+    struct candidate {
+        const backend_server* server = nullptr;
+        std::uint64_t version = 0;
+        double load = 0;
+        milliseconds backlog{};
+        /// Time that work takes there; relative to the fastest candidate.
+        double factor = 1;
+        milliseconds wait{};
+        double cost = 0;
+        bool has_capacity = false;
+        bool ends_in_time = true;
+        bool is_trial = false;
+    };
+
     struct load_record {
         std::uint32_t outstanding = 0; ///< Requests of this entry in flight.
         std::optional<engine_status> status;
@@ -155,6 +176,15 @@
     };
 
     [[nodiscard]] const load_record* find(const std::string& server) const;
+    [[nodiscard]] std::optional<candidate>
+    make_candidate(const placement_request& request,
+                   const backend_server& server, std::uint32_t entries,
+                   instant now) const;
+    void rate(candidate& item, const placement_request& request,
+              std::uint32_t entries, instant now) const;
+    void rate_engine(candidate& item, const placement_request& request,
+                     const engine_profile& engine, std::uint32_t entries,
+                     instant now) const;
     static void add_prefill(load_record& record, microseconds prefill_time,
                             instant now);
     [[nodiscard]] bool has_fresh_status(const load_record& record,
--- a/src/serving/backend_load.cpp
+++ b/src/serving/backend_load.cpp
@@ -23,6 +23,11 @@
 /// Added to the cost of a server in another data centre, because bandwidth
 /// between data centres is limited and billed.
 constexpr double remote_penalty_ms = 10;
+/// Part of the caller's limits that a slow server may use. The rest covers
+/// noise: 15 % of the time with 2.5 times the duration is 1.2 on average.
+constexpr double slow_time_share = 0.8;
+/// Answers as long as this many usual ones are rare.
+constexpr double max_usual_answers = 3;
 /// Range of the random delay after which a refused caller should retry.
 constexpr milliseconds min_retry_after{1000};
 constexpr milliseconds max_retry_after{2000};
@@ -82,10 +87,19 @@
            std::max(1.0, passes);
 }
 
+/// Returns the tokens of an answer for which there should be time. Callers
+/// state generous limits, so a multiple of the usual answer suffices.
+double answer_tokens(const engine_profile& engine, std::uint32_t max_tokens) {
+    const double usual = engine.typical_answer_tokens;
+    return max_tokens == 0 ? usual
+                           : std::min(static_cast<double>(max_tokens),
+                                      usual * max_usual_answers);
+}
+
 } // namespace
 
 backend_load::backend_load(const options& limits, std::uint64_t seed)
-    : limits_(limits), random_(seed) {}
+    : limits_(limits), random_(seed), pace_(limits.pace) {}
 
 const backend_load::load_record*
 backend_load::find(const std::string& server) const {
@@ -139,74 +153,130 @@
                                                     now);
 }
 
-milliseconds
-backend_load::estimate_first_event(const engine_profile& engine,
-                                   double in_flight, milliseconds backlog,
-                                   std::uint32_t prompt_tokens) const {
+milliseconds backend_load::estimate_first_event(const engine_profile& engine,
+                                                double in_flight,
+                                                milliseconds backlog,
+                                                std::uint32_t prompt_tokens,
+                                                double factor) const {
     const double slots = std::max(1U, engine.slots);
     const double running = std::min(in_flight, slots);
     // Half a pass on average until the one in progress ends, the prefill of
     // the earlier prompts and of this one, and a pass that produces the event.
-    double wait = 1.5 * pass_ms(engine, running) +
-                  prefill_ms(engine, prompt_tokens) +
-                  static_cast<double>(backlog.count());
+    double wait =
+        (1.5 * pass_ms(engine, running) + prefill_ms(engine, prompt_tokens)) *
+            factor +
+        static_cast<double>(backlog.count());
     const double queued_ahead = in_flight - slots + 1;
     if (queued_ahead > 0)
-        wait += queued_ahead * service_ms(engine, slots) / slots;
+        wait += queued_ahead * service_ms(engine, slots) / slots * factor;
     return to_time<milliseconds>(wait, max_wait);
 }
 
+/// Returns a server as a candidate without ratings, if it can answer.
+std::optional<backend_load::candidate>
+backend_load::make_candidate(const placement_request& request,
+                             const backend_server& server,
+                             std::uint32_t entries, instant now) const {
+    if (request.tried != nullptr && request.tried->contains(server.id))
+        return std::nullopt;
+    candidate result{&server};
+    result.load = in_flight(server.id, entries, now);
+    result.factor = pace_.estimate(server.start(), now).factor;
+    if (const auto& engine = request.service->engine) {
+        result.version = version_of(server, *engine, now);
+        if (result.version == 0 || result.version < request.min_version)
+            return std::nullopt;
+        result.backlog = backlog(server.id, now);
+    }
+    return result;
+}
+
+void backend_load::rate_engine(candidate& item,
+                               const placement_request& request,
+                               const engine_profile& engine,
+                               std::uint32_t entries, instant now) const {
+    const auto first_event = [&](double factor) {
+        return estimate_first_event(engine, item.load, item.backlog,
+                                    request.prompt_tokens, factor);
+    };
+    item.wait = first_event(item.factor);
+    const double passes = answer_tokens(engine, request.max_answer_tokens) /
+                          std::max(1U, engine.steps_per_pass);
+    const double gap = gap_ms(engine, item.load) * item.factor;
+    const double end = static_cast<double>(item.wait.count()) + passes * gap;
+    const auto is_within = [&](double time, milliseconds limit) {
+        const double share = item.factor > 1 ? slow_time_share : 1;
+        return limit <= milliseconds(0) ||
+               time <= static_cast<double>(limit.count()) * share;
+    };
+    item.ends_in_time =
+        is_within(end, request.time_left) && is_within(gap, request.target_gap);
+    // Only an idle server is tried: the entries do so without each other.
+    item.is_trial = item.factor > 1 && item.load < 1 && item.ends_in_time &&
+                    pace_.is_trial_due(item.server->start(), entries, now);
+    const milliseconds wait = item.is_trial ? first_event(1) : item.wait;
+    item.cost = static_cast<double>(wait.count());
+    item.has_capacity =
+        request.is_late
+            ? item.load < engine.slots * late_slots_share
+            : item.cost <= static_cast<double>(request.target_latency.count()) *
+                               target_latency_share;
+    if (item.server->data_centre != limits_.data_centre)
+        item.cost += remote_penalty_ms;
+}
+
+void backend_load::rate(candidate& item, const placement_request& request,
+                        std::uint32_t entries, instant now) const {
+    if (const auto& engine = request.service->engine) {
+        rate_engine(item, request, *engine, entries, now);
+        return;
+    }
+    const double slots = std::max(1U, item.server->slots);
+    item.has_capacity = item.load / slots < plain_queue_factor;
+    item.is_trial = item.factor > 1 && item.load < 1 &&
+                    pace_.is_trial_due(item.server->start(), entries, now);
+    item.cost = item.load / slots;
+    // The request itself takes longer, too, at a slow server.
+    if (!item.is_trial)
+        item.cost = item.cost * item.factor + (item.factor - 1) / slots;
+}
+
 placement_decision
 backend_load::place(const placement_request& request,
                     const std::vector<const backend_server*>& servers,
                     std::uint32_t entries, instant now) {
-    struct candidate {
-        const backend_server* server = nullptr;
-        std::uint64_t version = 0;
-        double cost = 0;
-        bool has_capacity = false;
-        double load = 0;
-        milliseconds backlog{};
-        milliseconds wait{};
-    };
     const auto& engine = request.service->engine;
     std::vector<candidate> backing_off;
     std::vector<candidate> ready;
     for (const backend_server* server : servers) {
-        if (request.tried != nullptr && request.tried->contains(server->id))
+        const auto next = make_candidate(request, *server, entries, now);
+        if (!next)
             continue;
-        candidate next{server};
-        const double load = in_flight(server->id, entries, now);
-        next.load = load;
-        if (engine) {
-            next.version = version_of(*server, *engine, now);
-            if (next.version == 0 || next.version < request.min_version)
-                continue;
-            next.backlog = backlog(server->id, now);
-            next.wait = estimate_first_event(*engine, load, next.backlog,
-                                             request.prompt_tokens);
-            next.cost = static_cast<double>(next.wait.count());
-            next.has_capacity =
-                request.is_late
-                    ? load < engine->slots * late_slots_share
-                    : next.cost <=
-                          static_cast<double>(request.target_latency.count()) *
-                              target_latency_share;
-            if (server->data_centre != limits_.data_centre)
-                next.cost += remote_penalty_ms;
-        } else {
-            next.cost = load / std::max(1U, server->slots);
-            next.has_capacity = next.cost < plain_queue_factor;
-        }
         const load_record* record = find(server->id);
         const bool is_backing_off =
             record != nullptr && record->backoff_until > now;
-        (is_backing_off ? backing_off : ready).push_back(next);
+        (is_backing_off ? backing_off : ready).push_back(*next);
     }
     if (ready.empty())
         ready = std::move(backing_off);
     if (ready.empty())
         return no_server{};
+    // If all servers are slow, none is avoided.
+    const double fastest =
+        std::min_element(ready.begin(), ready.end(),
+                         [](const candidate& left, const candidate& right) {
+                             return left.factor < right.factor;
+                         })
+            ->factor;
+    for (candidate& item : ready) {
+        item.factor /= fastest;
+        rate(item, request, entries, now);
+    }
+    if (std::any_of(ready.begin(), ready.end(),
+                    [](const candidate& item) { return item.ends_in_time; }))
+        std::erase_if(ready, [](const candidate& item) {
+            return item.factor > 1 && !item.ends_in_time;
+        });
     const auto best =
         std::min_element(ready.begin(), ready.end(),
                          [](const candidate& left, const candidate& right) {
@@ -225,11 +295,15 @@
     const candidate& chosen = ready[draw(random_)];
     placement result{chosen.server->id, chosen.version, chosen.load,
                      chosen.backlog, chosen.wait};
+    if (chosen.is_trial)
+        pace_.on_trial(chosen.server->start(), now);
     if (engine) {
-        result.prefill_time = to_time<microseconds>(
-            prefill_ms(*engine, request.prompt_tokens) * us_per_ms,
-            max_backlog);
-        result.usual_first_event = chosen.wait;
+        result.prefill_time =
+            to_time<microseconds>(prefill_ms(*engine, request.prompt_tokens) *
+                                      chosen.factor * us_per_ms,
+                                  max_backlog);
+        result.usual_first_event = std::chrono::duration_cast<milliseconds>(
+            chosen.wait / chosen.factor);
         result.usual_gap = to_time<microseconds>(
             gap_ms(*engine, chosen.load) * us_per_ms, max_wait);
     }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -262,14 +262,16 @@
 
 /// Chooses a server that the request has not been sent to.
 selection_result gateway::choose_server(const request_record& record) {
-    const service_description& service = *record.description;
     selection_request request;
     request.service = record.service;
-    request.placement.service = &service;
+    request.placement.service = &*record.description;
     request.placement.prompt_tokens = record.caller.prompt_tokens;
+    request.placement.max_answer_tokens = record.caller.max_answer_tokens;
     request.placement.target_latency = record.target_latency;
+    request.placement.target_gap = record.target_gap;
+    request.placement.time_left = left_until(record.deadline);
     request.placement.is_late = record.is_late;
-    request.placement.min_version = context_.min_version(service);
+    request.placement.min_version = context_.min_version(*record.description);
     request.placement.tried = &record.tried;
     request.entries = std::max(1U, context_.entries());
     return selector_.choose(request, steady::now());
--- a/tests/backend_load.cpp
+++ b/tests/backend_load.cpp
@@ -326,3 +326,70 @@
             load.place(make_request(service), pointers(servers), 1, later)));
     }
 }
+
+// Guards against long answers that slow servers cannot end in time.
+TEST_CASE("backend load - a long answer goes to a fast server, a short one may "
+          "go to a slow one") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(2);
+    backend_load load({}, 1);
+    load.pace().on_condition(servers[0].start(), 4, std::nullopt, start);
+    // The fast server is busy, so that the slow one is the sooner one.
+    load.on_status("i-1", {15, 0, 1, false}, start);
+    load.on_sent_by_peer("i-1", milliseconds(900), start);
+    placement_request request = make_request(service);
+    request.target_latency = milliseconds(2000);
+    request.time_left = milliseconds(6000);
+    request.max_answer_tokens = 40;
+    const auto server_of = [&] {
+        return std::get<placement>(
+                   load.place(request, pointers(servers), 1, start))
+            .server;
+    };
+    CHECK(server_of() == "i-0");
+    request.max_answer_tokens = 250;
+    CHECK(server_of() == "i-1");
+    // Its gaps are longer than the caller's longest pause.
+    request.max_answer_tokens = 40;
+    request.target_gap = milliseconds(150);
+    CHECK(server_of() == "i-1");
+}
+
+// Guards against refusals where a service as a whole is slow.
+TEST_CASE("backend load - if all servers are slow, none is avoided") {
+    const service_description service = make_service();
+    const std::vector<backend_server> servers = make_servers(4);
+    backend_load usual({}, 1);
+    backend_load slow({}, 1);
+    for (const backend_server& server : servers)
+        slow.pace().on_condition(server.start(), 6, std::nullopt, start);
+    placement_request request = make_request(service);
+    request.time_left = milliseconds(500);
+    request.target_gap = milliseconds(10);
+    for (int attempt = 0; attempt < 50; ++attempt) {
+        const auto expected = usual.place(request, pointers(servers), 1, start);
+        const auto decision = slow.place(request, pointers(servers), 1, start);
+        REQUIRE(std::holds_alternative<placement>(decision));
+        CHECK(std::get<placement>(decision).server ==
+              std::get<placement>(expected).server);
+    }
+}
+
+// Guards against equal shares for plain servers of different pace.
+TEST_CASE("backend load - a slow plain server gets less") {
+    service_description service = make_service();
+    service.engine.reset();
+    const std::vector<backend_server> servers = make_servers(2);
+    placement_request request = make_request(service);
+    backend_load load({}, 1);
+    load.pace().on_condition(servers[0].start(), 4, std::nullopt, start);
+    std::vector<int> counts(2);
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        const auto chosen = std::get<placement>(
+            load.place(request, pointers(servers), 1, start));
+        load.on_sent(chosen.server, microseconds(0), start);
+        ++counts[std::stoul(chosen.server.substr(2))];
+    }
+    CHECK(counts[0] == 4);
+    CHECK(counts[1] == 16);
+}
