--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -264,17 +264,19 @@
 }
 
 selection_request gateway::selection_of(const request_record& record) const {
-    const service_description& service = *record.description;
     selection_request request;
     request.service = record.service;
     request.regions =
         current_regions(record.regions, record.caller.host,
                         record.request.target, record.organisation, routes_);
-    request.placement.service = &service;
+    request.placement.service = &*record.description;
     request.placement.prompt_tokens = record.caller.prompt_tokens;
+    request.placement.max_answer_tokens = record.caller.max_answer_tokens;
     request.placement.target_latency = record.target_latency;
+    request.placement.target_gap = record.target_gap;
+    request.placement.time_left = left_until(record.deadline);
     request.placement.is_late = record.is_late;
-    request.placement.min_version = context_.min_version(service);
+    request.placement.min_version = context_.min_version(*record.description);
     request.placement.tried = &record.tried;
     return request;
 }
