Test processes against clients that nobody controls

Clients whose connections are each within their limits exceed the memory and the descriptors of a process together: bodies are bounded for each connection, and nothing bounds the process.

--- a/tests/support/process_usage.cpp
+++ b/tests/support/process_usage.cpp
@@ -2,9 +2,12 @@
 #include <tests/support/process_usage.hpp>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <string>
+#include <system_error>
 
 namespace ospreystage::support {
 
@@ -36,4 +39,23 @@
                          resident_pages * page};
 }
 
+std::optional<std::uint64_t> peak_resident_bytes(pid_t pid) {
+    constexpr std::uint64_t bytes_per_kib = 1024;
+    std::ifstream status(fmt::format("/proc/{}/status", pid));
+    std::string word;
+    std::uint64_t kib = 0;
+    while (status >> word)
+        if (word == "VmHWM:" && status >> kib)
+            return kib * bytes_per_kib;
+    return std::nullopt;
+}
+
+std::size_t open_descriptors(pid_t pid) {
+    std::error_code problem;
+    const std::filesystem::directory_iterator found(
+        fmt::format("/proc/{}/fd", pid), problem);
+    return static_cast<std::size_t>(
+        std::distance(begin(found), std::filesystem::directory_iterator()));
+}
+
 } // namespace ospreystage::support
