Bound the memory and the connections that a process holds for its peers

Bodies and heads are bounded for each connection, and nothing bounds their sum: 40 bodies that stop just short of 4 MB brought an entry whose settings say 64 MB to 187 MiB.

A memory budget with accounts follows from limits.memory_mb. The server charges heads, bodies and unread answers by capacity, the client charges output towards servers, links charge unfinished frames, and a request's charge moves with it to the gateway. Large holdings are refused with 503 and Retry-After before their request is passed on; small requests are always admitted; if the reserve is used up, connections are closed in the order of held bytes and time without progress. Large request bodies are sent without copies, body buffers grow by a quarter, and large empty buffers are freed. From limits.max_fds follow numbers of connections; accepting pauses at them and resumes with the next close. Settings that lack both leave the limits off.

--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <ospreystage/core/memory_budget.hpp>
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,8 +29,19 @@
     std::string body;
     bool keep_alive = true;     ///< The peer permits reuse of the connection.
     bool accepts_chunks = true; ///< The peer reads chunked bodies (HTTP/1.1).
+    /// Body that is sent in place of `body`, without a copy. Optional.
+    std::shared_ptr<const std::string> shared_body = nullptr;
+    /// Memory that the request takes, for as long as it is kept. Optional.
+    std::shared_ptr<memory_charge> charge = nullptr;
 };
 
+/// Returns the body that is sent.
+[[nodiscard]] const std::string& body_of(const http_request& request) noexcept;
+
+/// Returns the request with its body moved to `shared_body`, so that it can be
+/// sent several times without a copy.
+[[nodiscard]] http_request with_shared_body(http_request request);
+
 /// How the end of a message's body is marked.
 enum class http_framing : std::uint8_t {
     length,     ///< By its size, or the message has no body.
@@ -82,6 +96,11 @@
 /// Returns the standard reason phrase of a status code.
 [[nodiscard]] std::string_view reason_phrase(std::uint16_t status) noexcept;
 
+/// Encodes the head of a request with `Content-Length` framing; adds
+/// `Host: host` if the request has no `Host` field.
+[[nodiscard]] std::string encode_request_head(const http_request& request,
+                                              const std::string& host);
+
 /// Encodes a request with `Content-Length` framing; adds `Host: host` if the
 /// request has no `Host` field.
 [[nodiscard]] std::string encode_request(const http_request& request,
--- a/include/ospreystage/http/message_parser.hpp
+++ b/include/ospreystage/http/message_parser.hpp
@@ -36,6 +36,8 @@
 
     [[nodiscard]] bool is_head_complete() const noexcept;
     [[nodiscard]] http_request& request() noexcept;
+    /// Returns the memory that the parsed part of the request takes.
+    [[nodiscard]] std::size_t memory() const noexcept;
 
   private:
     struct state;
--- a/include/ospreystage/http/stream_socket.hpp
+++ b/include/ospreystage/http/stream_socket.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/memory_budget.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +51,13 @@
     /// are pending.
     void write(std::string_view bytes);
 
+    /// Queues bytes that others keep as well: if there are many, they are not
+    /// copied.
+    void write(std::shared_ptr<const std::string> bytes);
+
+    /// Charges the memory of queued output to an account.
+    void charge_output(memory_charge charge);
+
     /// Reads what has arrived already, without waiting for the kernel to report
     /// it; handlers are called as usual.
     void read_available();
@@ -77,7 +85,16 @@
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
     /// Bytes queued and not yet passed to the system.
     [[nodiscard]] std::size_t pending_bytes() const noexcept {
-        return output_.size() - written_;
+        return output_.size() - written_ +
+               (shared_output_ ? shared_output_->size() - shared_written_ : 0);
+    }
+    /// Memory that queued output takes, without what others keep.
+    [[nodiscard]] std::size_t output_memory() const noexcept {
+        return output_charge_.bytes();
+    }
+    /// Bytes passed to the system since the start.
+    [[nodiscard]] std::uint64_t sent_bytes() const noexcept {
+        return sent_bytes_;
     }
 
     std::string input; ///< Bytes received and not yet consumed.
@@ -88,7 +105,11 @@
     void on_events(std::uint32_t events);
     void read_all();
     void flush();
+    void queue_flush();
     void flush_at_turn_end();
+    void discard_output();
+    void update_output_charge();
+    [[nodiscard]] bool send_part(std::string_view bytes, std::size_t& written);
     /// Sends as much pending output as the system accepts; returns false if
     /// the connection is broken.
     bool send_pending();
@@ -102,6 +123,11 @@
     handlers handlers_;
     std::string output_;
     std::size_t written_ = 0;
+    /// Follows `output_`.
+    std::shared_ptr<const std::string> shared_output_;
+    std::size_t shared_written_ = 0;
+    std::uint64_t sent_bytes_ = 0;
+    memory_charge output_charge_;
     int descriptor_ = -1;
     std::uint32_t events_ = 0;
     bool connected_ = false;
--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -2,6 +2,7 @@
 
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/memory_budget.hpp>
 #include <ospreystage/http/message.hpp>
 #include <ospreystage/http/message_parser.hpp>
 #include <ospreystage/http/stream_socket.hpp>
@@ -145,6 +146,8 @@
     struct call_record {
         std::uint64_t connection = 0;
         std::string output;
+        /// Follows `output`. Optional.
+        std::shared_ptr<const std::string> shared_body;
         std::function<bool()> may_send;
         bool is_head_request = false;
         std::string echoed_field;
@@ -171,6 +174,7 @@
                   std::optional<std::size_t> max_body_bytes);
     [[nodiscard]] std::uint64_t acquire(const address& server, bool reuse,
                                         const call_record& call);
+    [[nodiscard]] bool make_room();
     void begin(std::uint64_t connection, call_id call);
     void on_connected(std::uint64_t id);
     void on_readable(std::uint64_t id);
@@ -191,6 +195,8 @@
     void sweep();
 
     kernel& core_;
+    memory_budget* budget_;
+    std::size_t max_connections_ = 0; ///< 0: not limited.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<connection_record>>
         connections_;
     absl::flat_hash_map<std::string, std::vector<std::uint64_t>> idle_;
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/error.hpp>
 #include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/memory_budget.hpp>
 #include <ospreystage/http/message.hpp>
 #include <ospreystage/http/message_parser.hpp>
 #include <ospreystage/http/server_limits.hpp>
@@ -67,6 +68,12 @@
 
     // ---- Modifiers ---------------------------------------------------------
 
+    /// Sets the number of connections at which accepting pauses; 0: not
+    /// limited.
+    void set_max_connections(std::size_t count) noexcept {
+        max_connections_ = count;
+    }
+
     /// Sets the limits that apply from now on. Longer times hold for open
     /// connections at once, shorter ones from their next request on, since
     /// callers may know either value.
@@ -128,9 +135,24 @@
         bool is_refused = false;
         instant waiting_since{};
         instant deadline{}; ///< For the next request, or the rest of it.
+        /// Of the input; a request that is passed on has its own charge.
+        memory_charge input_charge;
+        std::weak_ptr<memory_charge> request_charge;
+        instant progressed_at{};      ///< Bytes were received or sent.
+        std::uint64_t sent_bytes = 0; ///< By then.
+        [[nodiscard]] std::size_t memory() const;
     };
 
     void accept_all();
+    void pause_accepting();
+    void resume_accepting();
+    void update_charge(connection_record& record);
+    void schedule_relief();
+    void relieve();
+    void end_slow_connections(instant now);
+    void make_room(instant now);
+    void close_for_memory(std::uint64_t id, std::uint16_t status);
+    void log_bound(const char* bound, std::size_t value);
     static void await_input(connection_record& record, milliseconds timeout);
     void on_readable(std::uint64_t id);
     void on_ended(std::uint64_t id);
@@ -146,6 +168,7 @@
     [[nodiscard]] connection_record* find(exchange_id exchange);
 
     kernel& core_;
+    memory_budget* budget_;
     callbacks handlers_;
     server_limits limits_;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<connection_record>>
@@ -156,6 +179,12 @@
     std::uint64_t next_connection_ = 1;
     std::uint64_t next_exchange_ = 1;
     std::uint64_t refused_ = 0;
+    std::uint64_t closed_for_memory_ = 0;
+    std::size_t max_connections_ = 0;
+    instant bound_logged_at_{};
+    std::uint64_t unlogged_bounds_ = 0;
+    bool is_accepting_paused_ = false;
+    bool is_relief_scheduled_ = false;
     int listener_ = -1;
     bool is_draining_ = false;
 };
--- a/include/ospreystage/network/network.hpp
+++ b/include/ospreystage/network/network.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/core/address.hpp>
 #include <ospreystage/core/error.hpp>
 #include <ospreystage/core/kernel.hpp>
+#include <ospreystage/core/memory_budget.hpp>
 #include <ospreystage/network/messages.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -99,7 +100,9 @@
     struct connection_record {
         int descriptor = -1;
         bool connecting = false;
+        bool is_accepted = false;
         std::string label;
+        memory_charge charge;
         std::string input;
         std::string output;
         std::size_t written = 0;
@@ -117,8 +120,10 @@
     void flush(connection_id id);
     void drop(connection_id id, const std::string& reason);
     void read_datagrams();
+    [[nodiscard]] bool charge(connection_record& record);
 
     kernel& core_;
+    memory_budget* budget_;
     callbacks handlers_;
     absl::flat_hash_map<std::uint64_t, connection_record> connections_;
     std::uint64_t next_connection_ = 1;
@@ -128,6 +133,8 @@
     bytes_by_type received_by_type_{};
     std::uint64_t rejected_datagrams_ = 0;
     std::string datagram_key_;
+    std::size_t accepted_ = 0; ///< Open connections that others opened.
+    std::size_t max_accepted_ = 0;
     int listener_socket_ = -1;
     int datagram_socket_ = -1;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <utility>
 
 namespace ospreystage {
@@ -99,19 +100,34 @@
     return {phrase.data(), phrase.size()};
 }
 
-std::string encode_request(const http_request& request,
-                           const std::string& host) {
+const std::string& body_of(const http_request& request) noexcept {
+    return request.shared_body ? *request.shared_body : request.body;
+}
+
+http_request with_shared_body(http_request request) {
+    request.shared_body =
+        std::make_shared<const std::string>(std::move(request.body));
+    request.body.clear();
+    return request;
+}
+
+std::string encode_request_head(const http_request& request,
+                                const std::string& host) {
     std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
     append_fields(out, request.fields);
     if (find_field(request.fields, "Host") == nullptr)
         append_fields(out, {{"Host", host}});
     const bool may_be_empty =
         request.method == "GET" || request.method == "HEAD";
-    if (!request.body.empty() || !may_be_empty)
-        out += fmt::format("Content-Length: {}\r\n", request.body.size());
-    out += "\r\n";
-    out += request.body;
-    return out;
+    const std::size_t body_bytes = body_of(request).size();
+    if (body_bytes > 0 || !may_be_empty)
+        out += fmt::format("Content-Length: {}\r\n", body_bytes);
+    return out + "\r\n";
+}
+
+std::string encode_request(const http_request& request,
+                           const std::string& host) {
+    return encode_request_head(request, host) + body_of(request);
 }
 
 std::string encode_response(const http_response& response, bool keep_alive) {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -22,6 +22,11 @@
 /// HTTP/1.1 in the form that the parser reports.
 constexpr int http_1_1 = 11;
 
+/// A body grows by this part of its size.
+constexpr std::size_t body_growth_divisor = 4;
+/// Memory of a parser without a request.
+constexpr std::size_t parser_bytes = 512;
+
 std::string to_text(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -107,7 +112,20 @@
     std::size_t max_header_bytes = 0;
 
     http_fields& fields() override { return request.fields; }
-    void append_body(text body) override { request.body.append(body); }
+    std::size_t fields_bytes = 0;
+
+    void append_body(text body) override {
+        const std::size_t size = request.body.size() + body.size();
+        // Doubling would take up to twice the bytes received.
+        if (size > request.body.capacity())
+            request.body.reserve(size + size / body_growth_divisor);
+        request.body.append(body);
+    }
+    void on_field_impl(beast_http::field name, text name_text, text value,
+                       error_code& problem) override {
+        fields_bytes += sizeof(http_field) + name_text.size() + value.size();
+        parser_base::on_field_impl(name, name_text, value, problem);
+    }
     void on_head_complete() override { request.keep_alive = keep_alive(); }
 
     void on_request_impl(beast_http::verb, text method, text target,
@@ -145,6 +163,11 @@
     return state_->request;
 }
 
+std::size_t request_parser::memory() const noexcept {
+    return parser_bytes + state_->fields_bytes +
+           state_->request.target.capacity() + state_->request.body.capacity();
+}
+
 // ---- Responses -------------------------------------------------------------
 
 struct response_parser::state final : parser_base<false> {
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -23,6 +23,16 @@
 /// size of one read.
 constexpr std::size_t max_deferred_bytes = 16 * 1024;
 
+/// Largest capacity of an empty buffer that is kept for later. Equals the size
+/// of one read.
+constexpr std::size_t max_empty_capacity = 16 * 1024;
+
+/// Returns the memory of a large empty buffer to the system.
+void release_if_empty(std::string& buffer) {
+    if (buffer.empty() && buffer.capacity() > max_empty_capacity)
+        std::string().swap(buffer);
+}
+
 bool would_block() noexcept {
     return errno == EAGAIN || errno == EWOULDBLOCK;
 }
@@ -46,9 +56,10 @@
 }
 
 void stream_socket::connect(const address& remote) {
-    descriptor_ =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const auto raw = to_socket_address(remote);
+    if (raw)
+        descriptor_ =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     bool is_started = descriptor_ >= 0 && raw;
     if (is_started) {
@@ -72,7 +83,46 @@
 void stream_socket::write(std::string_view bytes) {
     if (!is_open() || closing_)
         return;
+    if (shared_output_) {
+        output_.append(*shared_output_, shared_written_);
+        shared_output_.reset();
+    }
     output_.append(bytes);
+    queue_flush();
+}
+
+void stream_socket::write(std::shared_ptr<const std::string> bytes) {
+    if (bytes->size() <= max_deferred_bytes || shared_output_) {
+        write(std::string_view(*bytes));
+        return;
+    }
+    if (!is_open() || closing_)
+        return;
+    shared_output_ = std::move(bytes);
+    shared_written_ = 0;
+    queue_flush();
+}
+
+void stream_socket::charge_output(memory_charge charge) {
+    output_charge_ = std::move(charge);
+    update_output_charge();
+}
+
+/// A small buffer is part of what a connection takes anyway.
+void stream_socket::update_output_charge() {
+    const std::size_t capacity = output_.capacity();
+    output_charge_.set(capacity > sizeof(output_) ? capacity : 0);
+}
+
+void stream_socket::discard_output() {
+    std::string().swap(output_);
+    written_ = 0;
+    shared_output_.reset();
+    update_output_charge();
+}
+
+void stream_socket::queue_flush() {
+    update_output_charge();
     if (!connected_)
         return;
     if (pending_bytes() > max_deferred_bytes)
@@ -111,13 +161,13 @@
     core_.close(descriptor_);
     descriptor_ = -1;
     connected_ = false;
+    discard_output();
 }
 
 void stream_socket::abort() {
     if (descriptor_ < 0)
         return;
-    output_.clear();
-    written_ = 0;
+    discard_output();
     const linger reset_on_close{1, 0};
     setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset_on_close,
                sizeof(reset_on_close));
@@ -221,19 +271,31 @@
     }
     if (has_input && handlers_.readable)
         handlers_.readable();
+    if (!alive.expired())
+        release_if_empty(input);
     if (is_ended && !alive.expired() && is_open())
         end(kind);
 }
 
 bool stream_socket::send_pending() {
-    while (pending_bytes() > 0) {
-        const ssize_t count = ::send(descriptor_, output_.data() + written_,
-                                     pending_bytes(), MSG_NOSIGNAL);
+    if (!send_part(output_, written_))
+        return false;
+    return written_ < output_.size() || !shared_output_ ||
+           send_part(*shared_output_, shared_written_);
+}
+
+/// Sends as much of a buffer as the system accepts; returns false if the
+/// connection is broken.
+bool stream_socket::send_part(std::string_view bytes, std::size_t& written) {
+    while (written < bytes.size()) {
+        const ssize_t count = ::send(descriptor_, bytes.data() + written,
+                                     bytes.size() - written, MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR)
             continue;
         if (count < 0)
             return would_block();
-        written_ += static_cast<std::size_t>(count);
+        written += static_cast<std::size_t>(count);
+        sent_bytes_ += static_cast<std::uint64_t>(count);
     }
     return true;
 }
@@ -245,8 +307,7 @@
         // Input that the peer sent before is still read. The failed send has
         // consumed the socket's error, so reading then reports an orderly end.
         is_send_failed_ = true;
-        output_.clear();
-        written_ = 0;
+        discard_output();
         if (closing_)
             end(end_kind::reset);
         else
@@ -256,6 +317,9 @@
     if (pending_bytes() == 0) {
         output_.clear();
         written_ = 0;
+        shared_output_.reset();
+        release_if_empty(output_);
+        update_output_charge();
         if (closing_) {
             end(end_kind::closed);
             return;
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/core/resource_limits.hpp>
 #include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/http/web_client.hpp>
 
@@ -100,7 +101,12 @@
     return "unnamed";
 }
 
-web_client::web_client(kernel& core) : core_(core) {
+web_client::web_client(kernel& core)
+    : core_(core), budget_(memory_budget_of(core)) {
+    const auto* limits =
+        core.find_if<resource_limits>(resource_limits::service_name);
+    if (limits != nullptr)
+        max_connections_ = limits->max_client_connections();
     core_.every(service_name, sweep_interval, [this] { sweep(); });
 }
 
@@ -119,7 +125,10 @@
     record->is_head_request = request.method == "HEAD";
     record->echoed_field = options.echoed_field;
     record->echoed_values = field_values(request.fields, options.echoed_field);
-    record->output = encode_request(request, to_string(server));
+    record->output = request.shared_body
+                         ? encode_request_head(request, to_string(server))
+                         : encode_request(request, to_string(server));
+    record->shared_body = request.shared_body;
     record->handlers = std::move(handlers);
     record->may_send = options.may_send;
     record->keeps_connection = options.keep;
@@ -261,9 +270,12 @@
             return id;
         }
     }
+    const bool has_room = make_room();
     const std::uint64_t id = next_connection_++;
     auto record = std::make_unique<connection_record>(core_);
     record->server = server;
+    record->socket.charge_output(
+        memory_charge(budget_, memory_account::forwarded));
     record->socket.set_handlers(
         {[this, id] { on_connected(id); }, [this, id] { on_readable(id); },
          [this, id](stream_socket::end_kind kind) { on_ended(id, kind); },
@@ -271,10 +283,30 @@
     stream_socket& socket = record->socket;
     connections_.emplace(id, std::move(record));
     ++connection_counts_[key];
-    socket.connect(server);
+    // Without an address, the connection fails before anything is sent.
+    socket.connect(has_room ? server : address{});
     return id;
 }
 
+/// Drops an idle connection if there are as many as allowed; returns false if
+/// none is idle.
+bool web_client::make_room() {
+    if (max_connections_ == 0 || connections_.size() < max_connections_)
+        return true;
+    for (auto& [server, ids] : idle_) {
+        if (ids.empty())
+            continue;
+        const std::uint64_t oldest = ids.front();
+        ids.erase(ids.begin());
+        drop(oldest);
+        return true;
+    }
+    log_event(
+        log_level::warn, "resource_limit_reached",
+        {{"bound", "connections to servers"}, {"value", connections_.size()}});
+    return false;
+}
+
 void web_client::on_connected(std::uint64_t id) {
     const connection_record& record = *connections_.at(id);
     if (!record.call)
@@ -302,7 +334,9 @@
         if (target.carried_values.size() > max_carried_values)
             target.carried_values.erase(target.carried_values.begin());
     }
-    target.socket.write(record.output);
+    target.socket.write(std::exchange(record.output, ""));
+    if (record.shared_body)
+        target.socket.write(std::exchange(record.shared_body, nullptr));
     if (record.idle_timeout)
         check_idle(call);
 }
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -1,4 +1,5 @@
 #include <ospreystage/core/log.hpp>
+#include <ospreystage/core/resource_limits.hpp>
 #include <ospreystage/http/web_server.hpp>
 #include <ospreystage/network/socket_address.hpp>
 
@@ -28,12 +29,36 @@
 /// A new connection is kept for this long while draining, since its first
 /// request may be on the way.
 constexpr milliseconds first_request_time{500};
+/// Memory of a connection without its buffers: its record, its handlers and
+/// its entry in the kernel.
+constexpr std::size_t connection_bytes = 2048;
+/// Capacity of an input buffer that is kept beyond twice its content.
+constexpr std::size_t max_spare_capacity = 16 * 1024;
+/// While memory is short, a connection that holds more than a small request is
+/// closed after this time without progress. A third of the usual header
+/// timeout of 3 s.
+constexpr milliseconds stalled_time{1000};
+/// A connection without a request that may give way to a new one at the limit
+/// of connections.
+constexpr milliseconds replaceable_idle_time{1000};
+constexpr std::uint16_t status_timeout = 408;
+constexpr std::uint16_t status_unavailable = 503;
+/// Retry time of requests that are refused for lack of memory, in seconds.
+constexpr const char* memory_retry_after = "1";
+/// Shortest time between two log lines about bounds that were reached.
+constexpr milliseconds bound_log_interval{1000};
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
 web_server::web_server(kernel& core, callbacks handlers)
-    : core_(core), handlers_(std::move(handlers)) {}
+    : core_(core), budget_(memory_budget_of(core)),
+      handlers_(std::move(handlers)) {
+    const auto* limits =
+        core.find_if<resource_limits>(resource_limits::service_name);
+    if (limits != nullptr)
+        max_connections_ = limits->max_internal_connections();
+}
 
 web_server::~web_server() {
     if (listener_ >= 0) {
@@ -64,6 +89,8 @@
     return {{"connections", connections_.size()},
             {"exchanges", exchanges_.size()},
             {"refused", refused_},
+            {"closed_for_memory", closed_for_memory_},
+            {"max_connections", max_connections_},
             {"draining", is_draining_}};
 }
 
@@ -131,21 +158,47 @@
 
 // ---- Connections -----------------------------------------------------------
 
+void web_server::pause_accepting() {
+    if (std::exchange(is_accepting_paused_, true))
+        return;
+    core_.rewatch(listener_, 0);
+}
+
+void web_server::resume_accepting() {
+    if (listener_ < 0 || !is_accepting_paused_)
+        return;
+    is_accepting_paused_ = false;
+    core_.rewatch(listener_, EPOLLIN);
+}
+
 void web_server::accept_all() {
     while (true) {
+        if (max_connections_ > 0 && connections_.size() >= max_connections_) {
+            log_bound("connections", connections_.size());
+            pause_accepting();
+            return;
+        }
         const int descriptor =
             accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
             if (errno == EINTR || errno == ECONNABORTED)
                 continue;
-            if (errno != EAGAIN && errno != EWOULDBLOCK)
+            if (errno != EAGAIN && errno != EWOULDBLOCK) {
                 log_event(log_level::warn, "accept_failed",
                           {{"error", std::strerror(errno)}});
+                // Without a pause, the listener is reported as ready at once.
+                pause_accepting();
+            }
             return;
         }
         const std::uint64_t id = next_connection_++;
         auto record = std::make_unique<connection_record>(core_);
         record->accepted_at = steady::now();
+        record->progressed_at = record->accepted_at;
+        record->input_charge =
+            memory_charge(budget_, memory_account::heads, connection_bytes);
+        record->socket.charge_output(
+            memory_charge(budget_, memory_account::answers));
         await_input(*record, limits_.idle_timeout);
         record->socket.set_handlers(
             {nullptr, [this, id] { on_readable(id); },
@@ -166,13 +219,33 @@
         record.socket.input.clear();
         return;
     }
+    record.progressed_at = steady::now();
     if (!record.is_busy) {
         parse(id);
         return;
     }
     // Pipelined requests wait; reading stops when they exceed the limit.
-    if (record.socket.input.size() > limits_.max_header_bytes)
+    if (record.socket.input.size() > limits_.max_header_bytes) {
         record.socket.set_reading(false);
+        record.socket.input.shrink_to_fit();
+    }
+    update_charge(record);
+}
+
+/// Charges the input of a connection.
+void web_server::update_charge(connection_record& record) {
+    if (budget_ == nullptr)
+        return;
+    std::string& input = record.socket.input;
+    if (input.capacity() > 2 * input.size() + max_spare_capacity)
+        input.shrink_to_fit();
+    const bool has_head = record.parser && record.parser->is_head_complete();
+    record.input_charge.set(has_head ? memory_account::bodies
+                                     : memory_account::heads,
+                            connection_bytes + input.capacity() +
+                                (record.parser ? record.parser->memory() : 0));
+    if (budget_->is_exhausted())
+        schedule_relief();
 }
 
 void web_server::parse(std::uint64_t id) {
@@ -193,6 +266,11 @@
                record.parser->request().target);
         return;
     }
+    update_charge(record);
+    if (!record.input_charge.admit()) {
+        close_for_memory(id, status_unavailable);
+        return;
+    }
     if (!progress.is_complete) {
         if (record.parser->is_head_complete() && !record.is_expect_checked) {
             record.is_expect_checked = true;
@@ -204,7 +282,13 @@
         return;
     }
     http_request request = std::move(record.parser->request());
+    if (budget_ != nullptr) {
+        request.charge = std::make_shared<memory_charge>(
+            budget_, memory_account::requests, record.parser->memory());
+        record.request_charge = request.charge;
+    }
     record.parser.reset();
+    update_charge(record);
     record.is_expect_checked = false;
     record.is_busy = true;
     record.framing = request.accepts_chunks ? http_framing::chunked
@@ -229,12 +313,15 @@
         response.body = reason + "\n";
     }
     response.status = status;
+    if (status == status_unavailable)
+        response.fields.push_back({"Retry-After", memory_retry_after});
     record.socket.write(encode_response(response, false));
     // The connection is closed later: closing it with unread input sends a
     // reset, which may discard the response before the caller has read it.
     record.socket.shutdown_output();
-    record.socket.input.clear();
+    std::string().swap(record.socket.input);
     record.parser.reset();
+    update_charge(record);
     record.is_refused = true;
     await_input(record, refusal_linger);
 }
@@ -267,6 +354,7 @@
     connections_.erase(found);
     exchanges_.erase(static_cast<std::uint64_t>(record->exchange));
     record->socket.close();
+    resume_accepting();
     if (dropped_.empty())
         core_.after(service_name, std::chrono::nanoseconds(0),
                     [this] { dropped_.clear(); });
@@ -281,6 +369,120 @@
             expired.push_back(id);
     for (const std::uint64_t id : expired)
         expire(id, now);
+    end_slow_connections(now);
+    if (is_accepting_paused_) {
+        make_room(now);
+        resume_accepting();
+    }
+}
+
+// ---- Shortage --------------------------------------------------------------
+
+std::size_t web_server::connection_record::memory() const {
+    const auto request = request_charge.lock();
+    return input_charge.bytes() + socket.output_memory() +
+           (request ? request->bytes() : 0);
+}
+
+/// While memory is short, ends connections that hold more than a small request
+/// takes and neither send nor read.
+void web_server::end_slow_connections(instant now) {
+    if (budget_ == nullptr)
+        return;
+    std::vector<std::uint64_t> slow;
+    for (const auto& [id, record] : connections_) {
+        const std::uint64_t sent = record->socket.sent_bytes();
+        if (std::exchange(record->sent_bytes, sent) != sent)
+            record->progressed_at = now;
+        // Without output, a request in progress waits for its server.
+        const bool awaits_peer =
+            !record->is_busy || record->socket.pending_bytes() > 0;
+        if (awaits_peer && !record->is_refused &&
+            record->memory() > memory_budget::small_bytes &&
+            now - record->progressed_at >= stalled_time)
+            slow.push_back(id);
+    }
+    for (const std::uint64_t id : slow)
+        if (budget_->is_short())
+            close_for_memory(id, status_timeout);
+    if (budget_->is_exhausted())
+        relieve();
+}
+
+void web_server::schedule_relief() {
+    if (std::exchange(is_relief_scheduled_, true))
+        return;
+    // Deferred, since the handlers of a connection may be on the stack.
+    core_.after(service_name, std::chrono::nanoseconds(0), [this] {
+        is_relief_scheduled_ = false;
+        relieve();
+    });
+}
+
+/// Closes the connections that hold most and have progressed least until the
+/// reserve for small requests is no longer used up.
+void web_server::relieve() {
+    if (!budget_->is_exhausted())
+        return;
+    const instant now = steady::now();
+    std::vector<std::pair<double, std::uint64_t>> candidates;
+    for (const auto& [id, record] : connections_) {
+        const std::chrono::duration<double> age =
+            now - record->progressed_at + milliseconds(1);
+        candidates.emplace_back(
+            static_cast<double>(record->memory()) * age.count(), id);
+    }
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    for (const auto& [weight, id] : candidates) {
+        if (!budget_->is_exhausted())
+            return;
+        close_for_memory(id, status_unavailable);
+    }
+}
+
+/// Drops connections without a request in favour of new ones.
+void web_server::make_room(instant now) {
+    std::vector<std::uint64_t> idle;
+    for (const auto& [id, record] : connections_)
+        if (!record->is_busy && !record->is_refused && !record->parser &&
+            record->socket.pending_bytes() == 0 &&
+            now - record->waiting_since >= replaceable_idle_time)
+            idle.push_back(id);
+    for (const std::uint64_t id : idle)
+        drop(id);
+}
+
+/// Refuses a request that has not been passed on, with `status`; closes the
+/// connection of any other.
+void web_server::close_for_memory(std::uint64_t id, std::uint16_t status) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    connection_record& record = *found->second;
+    ++closed_for_memory_;
+    log_bound("memory", record.memory());
+    if (!record.is_busy && !record.is_refused && record.parser) {
+        refuse(id, status, "memory limit reached",
+               record.parser->request().target);
+        return;
+    }
+    record.socket.abort();
+    on_ended(id);
+}
+
+void web_server::log_bound(const char* bound, std::size_t value) {
+    const instant now = steady::now();
+    if (now - bound_logged_at_ < bound_log_interval) {
+        ++unlogged_bounds_;
+        return;
+    }
+    bound_logged_at_ = now;
+    log_event(log_level::warn, "resource_limit_reached",
+              {{"bound", bound},
+               {"value", value},
+               {"connections", connections_.size()},
+               {"memory_bytes", budget_ == nullptr ? 0 : budget_->used()},
+               {"not_logged", std::exchange(unlogged_bounds_, 0)}});
 }
 
 /// Ends a connection whose deadline has passed, unless the request that it
@@ -352,6 +554,8 @@
     if (record->framing == http_framing::length)
         record->unsent_bytes -=
             std::min<std::uint64_t>(record->unsent_bytes, data.size());
+    if (budget_ != nullptr && budget_->is_exhausted())
+        schedule_relief();
     record->awaits_drain = record->socket.pending_bytes() > max_unread_bytes;
     return !record->awaits_drain;
 }
--- a/src/network/network.cpp
+++ b/src/network/network.cpp
@@ -1,3 +1,4 @@
+#include <ospreystage/core/resource_limits.hpp>
 #include <ospreystage/network/codec.hpp>
 #include <ospreystage/network/network.hpp>
 #include <ospreystage/network/socket_address.hpp>
@@ -40,7 +41,12 @@
 
 } // namespace
 
-network::network(kernel& core) : core_(core) {}
+network::network(kernel& core) : core_(core), budget_(memory_budget_of(core)) {
+    const auto* limits =
+        core.find_if<resource_limits>(resource_limits::service_name);
+    if (limits != nullptr)
+        max_accepted_ = limits->max_internal_connections();
+}
 
 network::~network() {
     for (auto& [id, record] : connections_)
@@ -162,6 +168,8 @@
             ::send(record.descriptor, record.output.data() + record.written,
                    record.output.size() - record.written, MSG_NOSIGNAL));
     core_.close(record.descriptor);
+    if (record.is_accepted)
+        --accepted_;
     connections_.erase(found);
 }
 
@@ -197,9 +205,17 @@
                     SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
             return;
+        // Closed at once: peers connect again, and the backlog would only hold
+        // connections that nobody serves.
+        if (max_accepted_ > 0 && accepted_ >= max_accepted_) {
+            ::close(descriptor);
+            continue;
+        }
+        ++accepted_;
         const connection_id id{next_connection_++};
         add_connection(descriptor, id, false,
                        to_string(from_socket_address(raw)));
+        connections_.at(static_cast<std::uint64_t>(id)).is_accepted = true;
         handlers_.opened(id, false);
     }
 }
@@ -211,6 +227,7 @@
     record.descriptor = descriptor;
     record.connecting = connecting;
     record.label = std::move(label);
+    record.charge = memory_charge(budget_, memory_account::frames);
     connections_.emplace(static_cast<std::uint64_t>(id), std::move(record));
     core_.watch(descriptor, connecting ? EPOLLOUT : EPOLLIN,
                 [this, id](std::uint32_t events) { on_events(id, events); });
@@ -264,6 +281,19 @@
     received_bytes_ += static_cast<std::uint64_t>(count);
     found->second.input.append(buffer.data(), static_cast<std::size_t>(count));
     deliver_frames(id);
+    const auto remaining = connections_.find(static_cast<std::uint64_t>(id));
+    if (remaining != connections_.end() && !charge(remaining->second))
+        drop(id, "memory limit reached");
+}
+
+/// Charges the input of a connection; returns false if the budget refuses it.
+bool network::charge(connection_record& record) {
+    if (budget_ == nullptr)
+        return true;
+    if (record.input.empty())
+        std::string().swap(record.input);
+    record.charge.set(record.input.capacity());
+    return record.charge.admit();
 }
 
 void network::deliver_frames(connection_id id) {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -213,7 +213,7 @@
     record->is_resumable = record->kind == request_kind::streaming &&
                            routed.matched_route->is_resumable;
     record->arrived = now;
-    record->request = std::move(request);
+    record->request = with_shared_body(std::move(request));
     record->caller = caller;
     const milliseconds timeout = routed.matched_route->timeout > milliseconds(0)
                                      ? routed.matched_route->timeout
@@ -411,7 +411,7 @@
     request.method = record.request.method;
     request.target = record.request.target;
     request.fields = protocol_.attempt_fields(record.request, metadata);
-    request.body = record.request.body;
+    request.shared_body = record.request.shared_body;
     call_options options;
     // The request's deadline timer normally ends the call first; this timeout
     // is a fallback.
--- a/src/serving/request_identity.cpp
+++ b/src/serving/request_identity.cpp
@@ -68,7 +68,7 @@
     hash.add(has_organisation ? "organisation" : "key");
     hash.add(has_organisation ? organisation : caller.key);
     hash.add(caller.prompt);
-    hash.add(request.body);
+    hash.add(body_of(request));
     return make_whole_request(hash.finish());
 }
 
