Give the connections of an agent the part of callers

Cause: an agent has no callers, yet its links were limited to 4 % of the descriptors, 73 of 2,048; a region of 90 agents exceeds that. Change: processes that serve no callers leave that part to internal connections.

--- a/include/ospreystage/core/resource_limits.hpp
+++ b/include/ospreystage/core/resource_limits.hpp
@@ -16,8 +16,12 @@
     static constexpr const char* service_name = "resource_limits";
 
     /// `memory` must outlive the kernel. `max_descriptors` of 0: not limited.
-    resource_limits(memory_budget& memory, std::size_t max_descriptors)
-        : memory_(memory), max_descriptors_(max_descriptors) {}
+    /// A process that serves no callers leaves their part to internal
+    /// connections.
+    resource_limits(memory_budget& memory, std::size_t max_descriptors,
+                    bool serves_callers)
+        : memory_(memory), max_descriptors_(max_descriptors),
+          serves_callers_(serves_callers) {}
 
     [[nodiscard]] memory_budget& memory() const noexcept { return memory_; }
 
@@ -34,6 +38,7 @@
 
     memory_budget& memory_;
     std::size_t max_descriptors_;
+    bool serves_callers_;
 };
 
 /// Returns the budget of the process, or null if it has none.
--- a/src/core/resource_limits.cpp
+++ b/src/core/resource_limits.cpp
@@ -38,7 +38,7 @@
 }
 
 std::size_t resource_limits::max_internal_connections() const noexcept {
-    return part(internal_percent);
+    return part(serves_callers_ ? internal_percent : caller_percent);
 }
 
 nlohmann::json resource_limits::dump() const {
