Count the answers of slow engines in the simulation of pace

Cause: the share of the slots in use does not tell placement by pace from the code as it was: beyond the capacity it is 1.00 for both, since slow engines are then full of answers that take too long.

Change: the test also counts their answers from 8 s on, in relation to the usual answers for which they have the capacity, and requires 0.7 with pace and less without it. Short answers count as whole ones, so the figure may exceed 1.

--- a/tests/server_pace_load.cpp
+++ b/tests/server_pace_load.cpp
@@ -70,6 +70,9 @@
     std::size_t refused = 0;
     std::size_t past_limit = 0;
     std::size_t late = 0; ///< First event after the target latency.
+    /// Answers of the slow engines in relation to the usual ones that they have
+    /// the capacity for; short answers count as whole ones.
+    double slow_answers = 0;
     /// Part of the slots of the slow engines that is in use.
     double slow_use = 0;
     /// Requests that recovered engines got, in relation to the others.
@@ -154,6 +157,7 @@
         std::vector<running_request> requests; ///< First those in slots.
         /// Slots in use at each tick since `use_from`, added up.
         std::size_t slots_used = 0;
+        std::size_t answers = 0; ///< Since `use_from`.
         std::size_t got_after_recovery = 0;
     };
 
@@ -277,6 +281,7 @@
             if (!is_complete && !is_past)
                 return false;
             result_.past_limit += is_complete ? 0 : 1;
+            server.answers += is_complete && elapsed_ >= use_from ? 1 : 0;
             entries_[item.entry]->on_ended(servers_[number].id,
                                            is_complete
                                                ? attempt_result::answered
@@ -288,8 +293,17 @@
 
     void finish() {
         std::size_t used = 0;
-        for (std::size_t number = 0; number < slow_engines; ++number)
+        double answers = 0;
+        double possible = 0;
+        const std::chrono::duration<double> measured = run_time - use_from;
+        const double speed = 1 - noise_share + noise_share / noise_factor;
+        for (std::size_t number = 0; number < slow_engines; ++number) {
             used += engines_[number].slots_used;
+            answers += static_cast<double>(engines_[number].answers);
+            possible += capacity() * speed * measured.count() /
+                        engines_[number].slow_factor;
+        }
+        result_.slow_answers = answers / possible;
         result_.slow_use = static_cast<double>(used) /
                            static_cast<double>(slow_engines * slot_count *
                                                ((run_time - use_from) / tick));
@@ -320,10 +334,11 @@
     const run_result result = pace_simulation(options).run();
     UNSCOPED_INFO(fmt::format(
         "{} entries, {:.0f} requests/s, pace {}: {} requests, {} refused, {} "
-        "past the limit, {} late, slow engines at {:.2f}, recovered at {:.2f}",
+        "past the limit, {} late, slots of slow engines in use {:.2f}, their "
+        "answers {:.2f}, recovered at {:.2f}",
         options.entries, options.per_s, options.states_pace, result.requests,
         result.refused, result.past_limit, result.late, result.slow_use,
-        result.recovered_share));
+        result.slow_answers, result.recovered_share));
     return result;
 }
 
@@ -360,6 +375,10 @@
         options.states_pace = false;
         const run_result before = simulate(options);
         CHECK(now.slow_use >= 0.7);
+        // Without pace their slots are full as well, of answers too long for
+        // them.
+        CHECK(now.slow_answers >= 0.7);
+        CHECK(before.slow_answers < 0.7);
         CHECK(part(now.past_limit, now) < part(before.past_limit, before));
     }
 }
