Keep connections that hold little when memory is used up

When the budget is used up, each server of a process closes connections until it is not. If another socket holds the memory, the metrics and the directory would lose all of theirs and release next to nothing. The log line about the bound on connections to servers is below `warn`, where the log bounds the number of lines per second.

--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -301,8 +301,9 @@
         drop(oldest);
         return true;
     }
+    // Of lines below `warn`, the log bounds the number per second.
     log_event(
-        log_level::warn, "resource_limit_reached",
+        log_level::info, "resource_limit_reached",
         {{"bound", "connections to servers"}, {"value", connections_.size()}});
     return false;
 }
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -427,6 +427,9 @@
     const instant now = steady::now();
     std::vector<std::pair<double, std::uint64_t>> candidates;
     for (const auto& [id, record] : connections_) {
+        // Closing these would release next to nothing.
+        if (record->memory() <= connection_bytes + max_spare_capacity / 2)
+            continue;
         const std::chrono::duration<double> age =
             now - record->progressed_at + milliseconds(1);
         candidates.emplace_back(
