Measure the capacity anew after a pause of the shares

Cause: shares are computed under shortage only. The average of the capacity went on from an earlier shortage, so a service that had gained servers began with the old capacity. Change: after 2 s without an update, capacity and differences begin anew.

--- a/src/serving/fair_shares.cpp
+++ b/src/serving/fair_shares.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr double unlimited = std::numeric_limits<double>::infinity();
-/// Longest time between two updates that counts: after a pause, older
-/// differences are not known.
-constexpr std::chrono::duration<double> max_step{1.0};
+/// Time between two updates after which the figures of before no longer count:
+/// shortage has ended meanwhile.
+constexpr seconds max_pause{2};
 
 std::chrono::duration<double> in_seconds(instant::duration time) {
     return time;
@@ -37,8 +37,9 @@
 void fair_shares::update(std::uint64_t service, const service_demand& demand,
                          instant now) {
     service_record& record = services_[service];
-    const bool is_first = record.updated_at == instant{};
-    const auto step = std::min(in_seconds(now - record.updated_at), max_step);
+    const bool is_first =
+        record.updated_at == instant{} || now - record.updated_at > max_pause;
+    const auto step = in_seconds(now - record.updated_at);
     record.updated_at = now;
     record.entries = demand.entries;
     record.oldest_age = demand.oldest_age;
--- a/tests/fair_shares.cpp
+++ b/tests/fair_shares.cpp
@@ -139,6 +139,24 @@
     CHECK(admitted(shares, museum) > admitted(shares, harbour) + 0.03);
 }
 
+// Guards against the capacity of an earlier shortage that limits a later one.
+TEST_CASE("fair shares - after a pause the capacity is measured anew") {
+    fair_shares shares =
+        shares_of({{harbour, demand_of(900, 80)}, {museum, demand_of(20, 20)}});
+    service_demand later;
+    later.organisations = {{harbour, demand_of(900, 480)},
+                           {museum, demand_of(20, 20)}};
+    shares.update(service, later, start + seconds(60));
+    CHECK(shares.figures(service, harbour, start + seconds(60)).capacity ==
+          Approx(500));
+    later.organisations.at(harbour).served = 380;
+    shares.update(service, later, start + milliseconds(60'500));
+    const double smoothed =
+        shares.figures(service, harbour, start + milliseconds(60'500)).capacity;
+    CHECK(smoothed < 500);
+    CHECK(smoothed > 450);
+}
+
 TEST_CASE("fair shares - the rate of an entry is its part of the share") {
     const fair_shares shares =
         shares_of({{harbour, demand_of(900, 80)}, {museum, demand_of(20, 20)}});
