--- a/tests/support/shortage_site.cpp
+++ b/tests/support/shortage_site.cpp
@@ -75,9 +75,9 @@
         const double level = (low + high) / 2;
         (total(level) > capacity ? high : low) = level;
     }
-    std::vector<double> result;
-    for (const double demand : demands)
-        result.push_back(std::min(demand, high));
+    std::vector<double> result(demands);
+    for (double& share : result)
+        share = std::min(share, high);
     return result;
 }
 
