Name entries of allowed regions to callers of restricted hosts

Cause: the directory named every entry whatever the host, so that requests on routes with allowed regions arrived at entries elsewhere.

--- a/include/ospreystage/fleet/entry_list.hpp
+++ b/include/ospreystage/fleet/entry_list.hpp
@@ -10,6 +10,13 @@
 
 namespace ospreystage {
 
+/// An entry that callers may be directed to.
+struct listed_entry {
+    address callers;    ///< At which it accepts requests.
+    std::string region; ///< Empty if not known.
+    friend bool operator==(const listed_entry&, const listed_entry&) = default;
+};
+
 /// Entries that callers may be directed to.
 ///
 /// After an outage of the store, entries whose registration expired meanwhile
@@ -21,8 +28,8 @@
         : reregistration_time_(reregistration_time) {}
 
     /// `callers` is the address at which the entry accepts requests.
-    void on_listed(const std::string& name, const address& callers,
-                   instant now);
+    void on_listed(const std::string& name, const address& callers, instant now,
+                   const std::string& region = "");
     void on_removed(const std::string& name, instant now);
     /// Treats every entry that is not in `names` as removed.
     void retain(const std::vector<std::string>& names, instant now);
@@ -33,11 +40,12 @@
     void advance(instant now);
 
     [[nodiscard]] std::vector<address> caller_addresses() const;
+    [[nodiscard]] std::vector<listed_entry> all() const;
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
   private:
     struct entry_record {
-        address caller_address;
+        listed_entry entry;
         instant listed_at{};
         std::optional<instant> remove_at;
     };
--- a/src/fleet/entry_list.cpp
+++ b/src/fleet/entry_list.cpp
@@ -5,8 +5,8 @@
 namespace ospreystage {
 
 void entry_list::on_listed(const std::string& name, const address& callers,
-                           instant now) {
-    entries_[name] = {callers, now, std::nullopt};
+                           instant now, const std::string& region) {
+    entries_[name] = {{callers, region}, now, std::nullopt};
 }
 
 void entry_list::on_removed(const std::string& name, instant now) {
@@ -39,7 +39,14 @@
 std::vector<address> entry_list::caller_addresses() const {
     std::vector<address> result;
     for (const auto& [name, record] : entries_)
-        result.push_back(record.caller_address);
+        result.push_back(record.entry.callers);
+    return result;
+}
+
+std::vector<listed_entry> entry_list::all() const {
+    std::vector<listed_entry> result;
+    for (const auto& [name, record] : entries_)
+        result.push_back(record.entry);
     return result;
 }
 
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -184,6 +184,22 @@
                            "allowed_regions of d: number"});
 }
 
+TEST_CASE("wire - a query of the directory is decoded, whatever it contains") {
+    const directory_query full = decode_directory_query(
+        "/v1/resolve?name=a.example&region=north%2Dwest&zone=hall+a%zz");
+    CHECK(full.host == "a.example");
+    CHECK(full.region == "north-west");
+    CHECK(full.data_centre == "hall a%zz");
+    for (const char* target :
+         {"", "/v1/resolve", "/v1/resolve?", "/v1/resolve?&=&name", "?%",
+          "/v1/resolve?name=&region=&more=1"}) {
+        const directory_query empty = decode_directory_query(target);
+        CHECK(empty.host.empty());
+        CHECK(empty.region.empty());
+        CHECK(empty.data_centre.empty());
+    }
+}
+
 TEST_CASE("wire - a configuration without version is refused") {
     CHECK_FALSE(decoded([] { return decode_configuration("{}"); }));
     CHECK_FALSE(decoded([] { return decode_configuration("not json"); }));
