Send nothing new into evacuated data centres

Cause: the operator evacuates a data centre by op/evacuate/ZONE; entries passed over that key and over all removals. Change: fleet/evacuations holds what the copy of the store lists; site_watch feeds it from reads, watches and other entries. Removed evacuations stay in site_copy with an empty text and their revision and are passed on so; a complete read shows a missing key as removed. An evacuation that an older copy of the store lacks holds for 2.2 s from the moment at which the era is learned. server_selector leaves the servers out and checks again before sending; without another server the request is refused (`data centre is evacuated`). Running streams go on. Not run: store drills, site feed and system tests with this change.

--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,7 +19,7 @@
 /// Document of the operators, as it is stored.
 struct site_document {
     std::string key;
-    std::string text;
+    std::string text;          ///< Empty if it has been removed.
     std::int64_t revision = 0; ///< Of its last change.
     friend bool operator==(const site_document&,
                            const site_document&) = default;
@@ -98,6 +99,17 @@
         return servers_digest_;
     }
 
+    /// Returns the keys of the documents that begin with `prefix`, without
+    /// those that have been removed.
+    [[nodiscard]] std::vector<std::string>
+    document_keys(const std::string& prefix) const;
+
+    /// Returns the removals of the documents that begin with `prefix` and that
+    /// a complete read at `revision` has not listed.
+    [[nodiscard]] std::vector<site_document>
+    removals(const std::string& prefix, const std::set<std::string>& listed,
+             std::int64_t revision) const;
+
     /// Returns what has changed since `known`. The servers are left out if
     /// their digest is `known_servers`.
     [[nodiscard]] site_changes
--- a/include/ospreystage/serving/server_selector.hpp
+++ b/include/ospreystage/serving/server_selector.hpp
@@ -36,15 +36,18 @@
 struct data_centre_view {
     /// Returns the region of a data centre.
     std::function<std::string(const std::string& data_centre)> region_of;
+    /// Returns true if no new attempt may be sent to a data centre.
+    std::function<bool(const std::string& data_centre)> is_evacuated;
 };
 
 /// Chooses the server of a request among those that may take it.
 ///
-/// Leaves out servers of regions in which the request must not run, at once and
-/// without a last resort. Leaves out servers that are leaving, ask for a pause,
-/// are at a limit that they have named, or to which this entry has its share of
-/// connections; of the others `backend_load` takes the best. A leaving server
-/// is used only where no other one can take the request.
+/// Leaves out servers of evacuated data centres, and of regions in which the
+/// request must not run, without a last resort. Leaves out servers that are
+/// leaving, ask for a pause, are at a limit that they have named, or to which
+/// this entry has its share of connections; of the others `backend_load` takes
+/// the best. A leaving server is used only where no other one can take the
+/// request.
 class server_selector {
   public:
     server_selector(const backend_registry& servers, web_client& client,
@@ -71,14 +74,18 @@
   private:
     [[nodiscard]] std::vector<const backend_server*>
     allowed_servers(const selection_request& request) const;
+    [[nodiscard]] bool is_in_regions(const backend_server& server,
+                                     const selection_request& request) const;
     [[nodiscard]] bool may_run_at(const backend_server& server,
                                   const selection_request& request) const;
+    [[nodiscard]] const char*
+    exclusion_of(const selection_request& request) const;
 
     /// Servers that were left out, to explain a refusal.
     struct candidates {
         available_servers servers;
-        /// All servers are in regions in which the request must not run.
-        bool are_outside_regions = false;
+        /// Why all servers are left out, whatever their state; or null.
+        const char* exclusion = nullptr;
         std::vector<const backend_server*> at_limit;
     };
 
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -141,6 +141,27 @@
     return std::max(*documents, *servers);
 }
 
+std::vector<std::string>
+site_copy::document_keys(const std::string& prefix) const {
+    std::vector<std::string> result;
+    for (auto at = documents_.lower_bound(prefix);
+         at != documents_.end() && at->first.starts_with(prefix); ++at)
+        if (!at->second.text.empty())
+            result.push_back(at->first);
+    return result;
+}
+
+std::vector<site_document>
+site_copy::removals(const std::string& prefix,
+                    const std::set<std::string>& listed,
+                    std::int64_t revision) const {
+    std::vector<site_document> result;
+    for (std::string& key : document_keys(prefix))
+        if (!listed.contains(key))
+            result.push_back({std::move(key), "", revision});
+    return result;
+}
+
 site_changes
 site_copy::changes_since(const site_revisions& known, instant now,
                          std::optional<std::uint64_t> known_servers) const {
--- a/src/serving/server_selector.cpp
+++ b/src/serving/server_selector.cpp
@@ -38,8 +38,8 @@
                                          instant now) {
     candidates all;
     const std::vector<const backend_server*> allowed = allowed_servers(request);
-    all.are_outside_regions =
-        allowed.empty() && !servers_.serving(request.service).empty();
+    if (allowed.empty())
+        all.exclusion = exclusion_of(request);
     all.servers = availability_.select(allowed, now);
     const placement_decision decision =
         place(request, all.servers.available, all, now);
@@ -87,12 +87,32 @@
     return result;
 }
 
-bool server_selector::may_run_at(const backend_server& server,
-                                 const selection_request& request) const {
+/// Returns why no server may run the request, or null if there are none anyway.
+const char*
+server_selector::exclusion_of(const selection_request& request) const {
+    const auto servers = servers_.serving(request.service);
+    if (servers.empty())
+        return nullptr;
+    const bool has_any = std::any_of(servers.begin(), servers.end(),
+                                     [&](const backend_server* server) {
+                                         return is_in_regions(*server, request);
+                                     });
+    return has_any ? "data centre is evacuated"
+                   : "no server in an allowed region";
+}
+
+bool server_selector::is_in_regions(const backend_server& server,
+                                    const selection_request& request) const {
     return request.regions.allows_all() ||
            request.regions.allows(data_centres_.region_of(server.data_centre));
 }
 
+bool server_selector::may_run_at(const backend_server& server,
+                                 const selection_request& request) const {
+    return is_in_regions(server, request) &&
+           !data_centres_.is_evacuated(server.data_centre);
+}
+
 placement_decision
 server_selector::place(const selection_request& request,
                        std::vector<const backend_server*> servers,
@@ -114,8 +134,8 @@
 selection_refusal server_selector::refuse(const candidates& all,
                                           const placement_decision& decision,
                                           std::uint32_t entries, instant now) {
-    if (all.are_outside_regions)
-        return {"no server in an allowed region", no_server_retry_after};
+    if (all.exclusion != nullptr)
+        return {all.exclusion, no_server_retry_after};
     if (const auto* full = std::get_if<no_capacity>(&decision))
         return {"no server has room in time", full->retry_after};
     if (!all.at_limit.empty())
--- a/tests/residency.cpp
+++ b/tests/residency.cpp
@@ -127,6 +127,74 @@
     }
 }
 
+TEST_CASE(
+    "evacuations - new requests and retries go to other data centres, and "
+    "streams that run there go on") {
+    std::atomic<int> runs{0};
+    std::atomic<int> other_runs{0};
+    const scripted_server first([&](const std::string&) {
+        ++runs;
+        scripted_answer answer;
+        answer.delayed_bytes = make_event_stream(1, 6, true);
+        answer.delay = milliseconds(150);
+        return answer;
+    });
+    const scripted_server second(counting(other_runs));
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::streaming, true);
+    fixture.add_servers_in({{first.endpoint(), "west-1"}});
+    fixture.core.every("test", milliseconds(5), [&] {
+        if (runs == 1 && fixture.evacuated.is_empty()) {
+            fixture.evacuated.update({"west-1"}, 1, steady::now());
+            fixture.add_servers_in(
+                {{first.endpoint(), "west-1"}, {second.endpoint(), "west-2"}});
+        }
+    });
+    const auto results = fixture.send_requests(4);
+    CHECK(results.front().response.body == event_text(1, 6));
+    for (std::size_t index = 1; index < results.size(); ++index)
+        CHECK(results[index].response.body == "done");
+    CHECK(runs == 1);
+    CHECK(other_runs == 3);
+}
+
+TEST_CASE("evacuations - neither a choice nor a permit from before sends a "
+          "request there; without another server it is refused at once") {
+    std::atomic<int> runs{0};
+    const scripted_server server([&](const std::string&) {
+        ++runs;
+        return scripted_answer{make_response(200, "Server-Limit: 5\r\n", "")};
+    });
+    for (const bool has_permit : {false, true}) {
+        runs = 0;
+        gateway_fixture fixture;
+        fixture.add_route(request_kind::non_idempotent, false);
+        fixture.add_entries({"edge-2"});
+        fixture.add_servers_in({{server.endpoint(), "west-1"}});
+        const auto evacuate = [&] {
+            fixture.evacuated.update({"west-1", "none-9"}, 1, steady::now());
+        };
+        if (!has_permit)
+            fixture.on_placing = evacuate;
+        fixture.core.every("issuer", milliseconds(1), [&] {
+            for (const permit_request& asked : fixture.permit_requests()) {
+                evacuate();
+                fixture.tested_gateway.on_permit_reply(
+                    {asked.server, asked.sequence, permit_verdict::granted, 0});
+            }
+        });
+        const auto results = fixture.send_requests(2);
+        CHECK(results.back().response.status == 503);
+        CHECK(results.back().duration < milliseconds(500));
+        CHECK(find_field(results.back().response.fields, "Retry-After") !=
+              nullptr);
+        CHECK(runs == (has_permit ? 1 : 0));
+        CHECK(fixture.gateway_metrics.text().find(
+                  "{reason=\"data centre is evacuated\"}") !=
+              std::string::npos);
+    }
+}
+
 TEST_CASE("residency - a request without an allowed server is refused at once "
           "and counted by its reason") {
     std::atomic<int> runs{0};
--- a/tests/site_watch.cpp
+++ b/tests/site_watch.cpp
@@ -847,3 +847,104 @@
     // An answer of an earlier era is not taken for one of this one.
     CHECK(ends[1].has_value() == (value == "Store-Era: 6\r\n"));
 }
+
+// ---- Evacuations -----------------------------------------------------------
+
+namespace {
+
+bool is_evacuated(const entry_view& entry, const std::string& data_centre) {
+    return entry.watch.evacuated().contains(data_centre, steady::now());
+}
+
+} // namespace
+
+TEST_CASE("site watch - evacuations are in force as long as their keys exist") {
+    platform_store store;
+    store.put("op/evacuate/hall-a", "{}");
+    store.put("op/evacuate/", "{}");
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto awaits = [&](const std::string& data_centre, bool expected) {
+        return running.until(
+            [&] { return is_evacuated(entry, data_centre) == expected; },
+            milliseconds(500));
+    };
+    CHECK(awaits("hall-a", true));
+    // Neither a value that is no JSON nor a data centre that does not exist
+    // disturbs the others.
+    store.put("op/evacuate/nowhere", "");
+    store.put("op/evacuate/hall-b", "not json");
+    CHECK(awaits("hall-b", true));
+    CHECK(awaits("nowhere", true));
+    CHECK(awaits("hall-c", false));
+    store.erase("op/evacuate/hall-a");
+    CHECK(awaits("hall-a", false));
+    CHECK(awaits("hall-b", true));
+    // The next read returns everything, without the key.
+    store.compact();
+    store.erase("op/evacuate/hall-b");
+    store.compact();
+    store.put("op/config", configuration_text(3));
+    CHECK(running.until([&] { return !is_evacuated(entry, "hall-b"); },
+                        seconds(4)));
+    CHECK(awaits("nowhere", true));
+}
+
+TEST_CASE("site watch - an evacuation that an older copy of the store lacks "
+          "holds for the time of registrations; one that it has is in force") {
+    platform_store store;
+    store.put("op/evacuate/hall-a", "{}");
+    store.keep_copy();
+    store.erase("op/evacuate/hall-a");
+    store.put("op/evacuate/hall-b", "{}");
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    REQUIRE(running.until([&] { return is_evacuated(entry, "hall-b"); },
+                          seconds(1)));
+    store.return_to_copy();
+    const instant returned = steady::now();
+    REQUIRE(running.until([&] { return is_evacuated(entry, "hall-a"); },
+                          milliseconds(2000)));
+    std::this_thread::sleep_until(returned + milliseconds(2000));
+    CHECK(running.ask([&] { return is_evacuated(entry, "hall-b"); }));
+    CHECK(running.until([&] { return !is_evacuated(entry, "hall-b"); },
+                        milliseconds(3000)));
+    CHECK(running.ask([&] { return is_evacuated(entry, "hall-a"); }));
+}
+
+TEST_CASE("site watch - a removal that another entry passes on ends an "
+          "evacuation") {
+    // As encoded for an entry of the release before, which passes over it.
+    site_copy source;
+    source.on_documents_era(1);
+    source.on_document({"op/evacuate/hall-a", "{}", 5});
+    source.on_documents_read({1, 5}, steady::now());
+    platform_store store;
+    store.set_status(503);
+    entry_view entry(store);
+    running_kernel running(entry.core);
+    const auto pass_on = [&] {
+        return running.ask([&] {
+            const site_changes changes = source.changes_since(
+                entry.watch.copy().revisions(), steady::now());
+            entry.watch.on_feed(
+                entry.watch.copy().apply(changes, steady::now(), "edge-2"));
+            return is_evacuated(entry, "hall-a");
+        });
+    };
+    CHECK(pass_on());
+    source.on_document({"op/evacuate/hall-a", "", 7});
+    source.on_documents_read({1, 7}, steady::now());
+    error failure;
+    const auto decoded = value_or_error(
+        [&] {
+            return decode_site_changes(
+                encode(source.changes_since({{1, 5}, {}, {}}, steady::now())),
+                "edge-2");
+        },
+        failure);
+    REQUIRE(decoded);
+    CHECK(decoded->documents ==
+          std::vector<site_document>{{"op/evacuate/hall-a", "", 7}});
+    CHECK_FALSE(pass_on());
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -58,8 +58,11 @@
            },
            [](const backend_server&, microseconds) {},
            {[](const std::string& data_centre) {
-               return data_centre.substr(0, data_centre.find('-'));
-           }}},
+                return data_centre.substr(0, data_centre.find('-'));
+            },
+            [this](const std::string& data_centre) {
+                return evacuated.contains(data_centre, steady::now());
+            }}},
           {0.2, 100, seconds(10)}),
       front_server(core, {[this](exchange_id exchange, http_request request) {
                               tested_gateway.on_request(exchange,
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <ospreystage/fleet/evacuations.hpp>
 #include <ospreystage/serving/gateway.hpp>
 #include <ospreystage/weights/published_versions.hpp>
 
@@ -91,6 +92,7 @@
     entry_duties duties;
     backend_availability availability;
     published_versions versions{version_limit};
+    evacuations evacuated;
     limit_exchange limits;
     prompt_quarantine quarantine{{}, 1};
     web_client client;
