--- a/tests/data_centres.cpp
+++ b/tests/data_centres.cpp
@@ -103,7 +103,8 @@
             }
         servers_.on_list(std::move(listed), now_);
         service_.name = "desk";
-        drill_at_ = options.has_drill ? 60 + static_cast<int>(random_() % 20) : -1;
+        drill_at_ =
+            options.has_drill ? 60 + static_cast<int>(random_() % 20) : -1;
         change_regions();
     }
 
