--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -14,6 +14,7 @@
 #include <ospreystage/serving/prompt_quarantine.hpp>
 #include <ospreystage/serving/retry_window.hpp>
 #include <ospreystage/serving/server_end_detector.hpp>
+#include <ospreystage/serving/server_selector.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -43,6 +44,7 @@
     /// `prefill_time`.
     std::function<void(const backend_server& server, microseconds prefill_time)>
         announce_attempt;
+    data_centre_view data_centres;
 };
 
 /// Forwards callers' requests to backend servers and returns the responses.
@@ -115,6 +117,7 @@
         std::optional<std::uint64_t> resumed_after;
         /// Last numbered event of the attempt.
         std::optional<std::uint64_t> attempt_event_id;
+        attempt_pace pace; ///< Its progress, to judge its server's pace.
     };
 
     /// Choice of a server for which a permit has been requested.
@@ -123,13 +126,6 @@
         placement chosen;
     };
 
-    /// Result of the search for a server, with what explains a refusal.
-    struct placement_choice {
-        placement_decision decision;
-        available_servers servers;
-        std::vector<const backend_server*> at_limit;
-    };
-
     /// A request without a final response. Its own attempt is the current one.
     struct request_record : attempt_record {
         http_request request;
@@ -139,6 +135,8 @@
         /// that did not describe the service.
         std::optional<service_description> description;
         std::string organisation;
+        /// Of the configuration under which the request was accepted.
+        allowed_regions regions;
         request_kind kind = request_kind::non_idempotent;
         milliseconds target_latency{};
         milliseconds target_gap{};
@@ -186,8 +184,9 @@
                        const caller_request& caller,
                        const routed_request& routed);
     void place(exchange_id exchange);
-    [[nodiscard]] placement_choice choose_server(const request_record& record);
-    void refuse_placement(exchange_id exchange, const placement_choice& choice);
+    [[nodiscard]] selection_request
+    selection_of(const request_record& record) const;
+    [[nodiscard]] selection_result choose_server(const request_record& record);
     [[nodiscard]] milliseconds retry_delay(const request_record& record);
     void await_permit(exchange_id exchange, const placement& chosen);
     void on_permit(exchange_id exchange, const placement& chosen,
@@ -289,6 +288,7 @@
     limit_exchange& limits_;
     prompt_quarantine& quarantine_;
     metrics& metrics_;
+    server_selector selector_;
     caller_protocol protocol_;
     gateway_context context_;
     server_end_detector server_ends_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -26,8 +26,6 @@
 /// Retry delay for callers before the first configuration or of a service that
 /// is not described, and for requests that fail without having run.
 constexpr milliseconds default_retry_after{500};
-/// Retry delay for callers when no server can answer.
-constexpr milliseconds no_server_retry_after{2500};
 /// The retry delay is at most a third of the time that the caller has left.
 constexpr int max_retry_after_divisor = 3;
 /// A request with a smaller share of its route's timeout left is taken for a
@@ -108,6 +106,8 @@
     : core_(core), client_(client), routes_(routes), servers_(servers),
       load_(load), availability_(availability), limits_(limits),
       quarantine_(quarantine), metrics_(request_metrics),
+      selector_(servers, client, load, availability, limits, request_metrics,
+                context.data_centres),
       protocol_(std::move(protocol)), context_(std::move(context)),
       server_ends_(
           core, client,
@@ -206,6 +206,7 @@
         record->description = *described;
     record->organisation =
         routed.organisation == nullptr ? "" : routed.organisation->name;
+    record->regions = regions_of(routed.matched_route, routed.organisation);
     record->kind = routed.matched_route->kind;
     record->target_latency = routed.matched_route->target_latency;
     record->target_gap = routed.matched_route->target_gap;
@@ -214,7 +215,7 @@
     record->is_resumable = record->kind == request_kind::streaming &&
                            routed.matched_route->is_resumable;
     record->arrived = now;
-    record->request = std::move(request);
+    record->request = with_shared_body(std::move(request));
     record->caller = caller;
     const milliseconds timeout = routed.matched_route->timeout > milliseconds(0)
                                      ? routed.matched_route->timeout
@@ -252,73 +253,39 @@
         refuse(exchange, "service is not described", default_retry_after);
         return;
     }
-    const placement_choice choice = choose_server(record);
-    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+    const selection_result result = choose_server(record);
+    if (const auto* chosen = std::get_if<placement>(&result)) {
         await_permit(exchange, *chosen);
-    else
-        refuse_placement(exchange, choice);
-}
-
-/// Chooses a server that the request has not been sent to; one that is leaving
-/// only where no other can take the request.
-gateway::placement_choice gateway::choose_server(const request_record& record) {
-    const service_description& service = *record.description;
-    placement_request placement_query;
-    placement_query.service = &service;
-    placement_query.prompt_tokens = record.caller.prompt_tokens;
-    placement_query.target_latency = record.target_latency;
-    placement_query.is_late = record.is_late;
-    placement_query.min_version = context_.min_version(service);
-    placement_query.tried = &record.tried;
-    // All entries share a server's connection limit; it resets connections
-    // above the limit.
-    const std::uint32_t entries = std::max(1U, context_.entries());
-    const std::size_t share =
-        service.max_connections == 0
-            ? 0
-            : std::max<std::size_t>(1, service.max_connections / entries);
-    const instant now = steady::now();
-    placement_choice choice;
-    choice.servers =
-        availability_.select(servers_.serving(record.service), now);
-    const auto choose = [&](std::vector<const backend_server*>& candidates) {
-        std::erase_if(candidates, [&](const backend_server* server) {
-            return !client_.has_free_connection(server->endpoint, share);
-        });
-        std::erase_if(candidates, [&](const backend_server* server) {
-            if (!limits_.is_closed(server->id, now))
-                return false;
-            choice.at_limit.push_back(server);
-            return true;
-        });
-        return load_.place(placement_query, candidates, entries, now);
-    };
-    choice.decision = choose(choice.servers.available);
-    if (std::holds_alternative<placement>(choice.decision))
-        return choice;
-    const placement_decision last_resort = choose(choice.servers.last_resort);
-    if (std::holds_alternative<placement>(last_resort))
-        choice.decision = last_resort;
-    return choice;
-}
-
-void gateway::refuse_placement(exchange_id exchange,
-                               const placement_choice& choice) {
-    const instant now = steady::now();
-    const available_servers& servers = choice.servers;
-    if (const auto* refusal = std::get_if<no_capacity>(&choice.decision))
-        refuse(exchange, "no server has room in time", refusal->retry_after);
-    else if (!choice.at_limit.empty())
-        refuse(exchange, "servers are at their limits",
-               limits_.retry_after(choice.at_limit, context_.entries(), now));
-    else if (servers.next_available)
-        refuse(exchange, "servers ask for a pause",
-               availability_.retry_after(*servers.next_available, now));
-    else if (servers.has_leaving)
-        refuse(exchange, "servers are leaving", no_server_retry_after);
-    else
-        // Servers take seconds to load weights, so this uses the longest delay.
-        refuse(exchange, "no server can answer", no_server_retry_after);
+        return;
+    }
+    const auto& refusal = std::get<selection_refusal>(result);
+    selector_.count(refusal);
+    refuse(exchange, refusal.reason, refusal.retry_after);
+}
+
+selection_request gateway::selection_of(const request_record& record) const {
+    selection_request request;
+    request.service = record.service;
+    request.regions =
+        current_regions(record.regions, record.caller.host,
+                        record.request.target, record.organisation, routes_);
+    request.placement.service = &*record.description;
+    request.placement.prompt_tokens = record.caller.prompt_tokens;
+    request.placement.max_answer_tokens = record.caller.max_answer_tokens;
+    request.placement.target_latency = record.target_latency;
+    request.placement.target_gap = record.target_gap;
+    request.placement.time_left = left_until(record.deadline);
+    request.placement.is_late = record.is_late;
+    request.placement.min_version = context_.min_version(*record.description);
+    request.placement.tried = &record.tried;
+    return request;
+}
+
+/// Chooses a server that the request has not been sent to.
+selection_result gateway::choose_server(const request_record& record) {
+    selection_request request = selection_of(record);
+    request.entries = std::max(1U, context_.entries());
+    return selector_.choose(request, steady::now());
 }
 
 // ---- Permits ---------------------------------------------------------------
@@ -402,17 +369,10 @@
 
 // ---- Attempts at a server --------------------------------------------------
 
-/// Returns true if a choice still holds: its server takes requests, and the
-/// version of its weights has not ended.
 bool gateway::may_send(const request_record& record,
                        const placement& chosen) const {
-    const bool is_current =
-        chosen.version == 0 ||
-        chosen.version >= context_.min_version(*record.description);
-    const backend_server* server = servers_.find(chosen.server);
-    return is_current && server != nullptr && !server->is_draining &&
-           !is_quarantined(record) &&
-           availability_.may_send(server->start(), steady::now());
+    return !is_quarantined(record) &&
+           selector_.may_send(selection_of(record), chosen, steady::now());
 }
 
 bool gateway::is_quarantined(const request_record& record) const {
@@ -457,7 +417,7 @@
     request.method = record.request.method;
     request.target = record.request.target;
     request.fields = protocol_.attempt_fields(record.request, metadata);
-    request.body = record.request.body;
+    request.shared_body = record.request.shared_body;
     call_options options;
     // The request's deadline timer normally ends the call first; this timeout
     // is a fallback.
@@ -496,6 +456,8 @@
     record.resumed_after = record.last_event_id;
     record.version = chosen.version;
     record.sent_at = now;
+    record.pace = {server->start(), now, chosen.usual_first_event,
+                   chosen.usual_gap};
     ++record.sent_attempts;
     ++record.possible_runs;
     last_received_.try_emplace(chosen.server, now);
@@ -564,8 +526,9 @@
     if (std::holds_alternative<limit_named>(statement))
         metrics_.count("ospreystage_limit_answers_total");
     limits_.on_answer(server, statement, now);
-    on_availability({server, attempt.server_started_unix_ms},
-                    protocol_.availability_of(head));
+    if (const auto pace = protocol_.pace_of(head))
+        load_.pace().on_answer(attempt.pace.server, *pace, now);
+    on_availability(attempt.pace.server, protocol_.availability_of(head));
 }
 
 void gateway::on_availability(const server_start& server,
@@ -574,15 +537,7 @@
         metrics_.count("ospreystage_leaving_answers_total");
     if (statement.pause)
         metrics_.count("ospreystage_pause_answers_total");
-    const instant now = steady::now();
-    availability_.on_answer(server, statement, now);
-    const backend_server* listed = servers_.find(server.id);
-    if (!statement.is_leaving || !statement.is_misdirected || listed == nullptr)
-        return;
-    // The server that answered may be the other one listed at the address.
-    for (const std::string& id : servers_.ids_at(listed->endpoint))
-        if (id != server.id)
-            availability_.on_answer(servers_.find(id)->start(), statement, now);
+    selector_.on_availability(server, statement, steady::now());
 }
 
 void gateway::on_body(exchange_id exchange, std::string_view data) {
@@ -613,6 +568,7 @@
         // Single bytes and comments do not show that the request progresses.
         if (!is_comment(event)) {
             record->last_received = steady::now();
+            load_.pace().on_event(record->pace, record->last_received);
             ++record->events_received;
             check_answered(*record);
             drop_silent_attempt(*record);
@@ -747,6 +703,8 @@
         return;
     record->is_paused = false;
     record->last_received = steady::now();
+    if (record->pace.last_event) // The caller has caused the gap.
+        record->pace.last_event = record->last_received;
     client_.set_reading(*record->call, true);
 }
 
@@ -945,12 +903,8 @@
 milliseconds gateway::retry_delay(const request_record& record) {
     if (is_quarantined(record))
         return quarantine_retry_after;
-    const instant now = steady::now();
-    const available_servers servers =
-        availability_.select(servers_.serving(record.service), now);
-    return servers.available.empty() && servers.next_available
-               ? availability_.retry_after(*servers.next_available, now)
-               : default_retry_after;
+    return selector_.pause(selection_of(record), steady::now())
+        .value_or(default_retry_after);
 }
 
 // ---- Silent servers --------------------------------------------------------
@@ -996,8 +950,8 @@
         !retry_window_of(record->service)
              .has_budget(context_.entries(), steady::now()))
         return;
-    const placement_choice choice = choose_server(*record);
-    if (const auto* chosen = std::get_if<placement>(&choice.decision))
+    const selection_result result = choose_server(*record);
+    if (const auto* chosen = std::get_if<placement>(&result))
         await_permit(exchange, *chosen);
 }
 
--- a/tests/platform_wire.cpp
+++ b/tests/platform_wire.cpp
@@ -155,6 +155,51 @@
     CHECK(configuration->organisations.at(0).priority == 2U);
 }
 
+TEST_CASE("wire - the regions of routes and organisations are decoded; those "
+          "that are no names are left out and described") {
+    // A wrong value must neither drop the configuration nor go unnoticed.
+    std::vector<std::string> ignored;
+    const auto configuration = decoded([&] {
+        return decode_configuration(R"({"version":7,"routes":[
+            {"name":"a","hostname":"h","allowed_regions":["west","north"]},
+            {"name":"b","hostname":"h","allowed_regions":[]},
+            {"name":"c","hostname":"h","allowed_regions":"west"},
+            {"name":"d","hostname":"h","allowed_regions":["west",5]},
+            {"name":"e","hostname":"h","allowed_regions":null}],
+          "tenants":[{"name":"mills","allowed_regions":["east"]},
+                     {"name":"dairy"}]})",
+                                    ignored);
+    });
+    REQUIRE(configuration);
+    using names = std::vector<std::string>;
+    const auto& routes = configuration->routes;
+    CHECK(routes.at(0).regions == names{"west", "north"});
+    CHECK(routes.at(1).regions.empty());
+    CHECK(routes.at(2).regions.empty());
+    CHECK(routes.at(3).regions == names{"west"});
+    CHECK(routes.at(4).regions.empty());
+    CHECK(configuration->organisations.at(0).regions == names{"east"});
+    CHECK(configuration->organisations.at(1).regions.empty());
+    CHECK(ignored == names{"allowed_regions of c: string",
+                           "allowed_regions of d: number"});
+}
+
+TEST_CASE("wire - a query of the directory is decoded, whatever it contains") {
+    const directory_query full = decode_directory_query(
+        "/v1/resolve?name=a.example&region=north%2Dwest&zone=hall+a%zz");
+    CHECK(full.host == "a.example");
+    CHECK(full.region == "north-west");
+    CHECK(full.data_centre == "hall a%zz");
+    for (const char* target :
+         {"", "/v1/resolve", "/v1/resolve?", "/v1/resolve?&=&name", "?%",
+          "/v1/resolve?name=&region=&more=1"}) {
+        const directory_query empty = decode_directory_query(target);
+        CHECK(empty.host.empty());
+        CHECK(empty.region.empty());
+        CHECK(empty.data_centre.empty());
+    }
+}
+
 TEST_CASE("wire - a configuration without version is refused") {
     CHECK_FALSE(decoded([] { return decode_configuration("{}"); }));
     CHECK_FALSE(decoded([] { return decode_configuration("not json"); }));
@@ -326,3 +371,41 @@
         CHECK_FALSE(pause("1"));
     }
 }
+
+// Guards against a pace that makes estimates infinite or negative.
+TEST_CASE("engine report - an invalid pace counts as the usual one") {
+    const auto pace_of = [](const std::string& value) {
+        return decoded([&] {
+                   return decode_engine_report(
+                       R"({"models":[],"running":3,"pace":)" + value + "}", 16);
+               })
+            .value()
+            .pace;
+    };
+    CHECK(pace_of("2.5") == 2.5);
+    CHECK(pace_of("1") == 1);
+    for (const char* value :
+         {"0", "-2", "1e300", "\"3\"", "null", "[]", "true"})
+        CHECK(pace_of(value) == 1);
+}
+
+// Guards against a fourth figure that is taken from other fields or that no
+// server can mean.
+TEST_CASE("caller protocol - the fourth figure of the load is the pace") {
+    const caller_protocol protocol = make_caller_protocol();
+    http_response response;
+    response.status = 200;
+    CHECK_FALSE(protocol.pace_of(response));
+    const auto pace = [&](const std::string& value) {
+        response.fields = {{"X-Worker-Load", value}};
+        return protocol.pace_of(response);
+    };
+    CHECK(pace("1,0,4,100") == 1);
+    CHECK(pace("1, 0, 4, 250") == 2.5);
+    for (const char* value :
+         {"", "1", "1,0,4", "1,0,4,", "1,0,4,0", "1,0,4,-5", "1,0,4,nan",
+          "1,0,4,inf", "1,0,4,1e12", "a,b,c,d"})
+        CHECK_FALSE(pace(value));
+    response.status = 421;
+    CHECK_FALSE(pace("1,0,4,250"));
+}
--- a/tests/swarm_spread.cpp
+++ b/tests/swarm_spread.cpp
@@ -28,11 +28,51 @@
     return scenario;
 }
 
+/// A new version at a deployment whose agents' links are hardly faster than the
+/// origin's; agents get the manifest one after the other.
+swarm_scenario publication(std::uint32_t members) {
+    swarm_scenario scenario = scenario_of(members, false, 1);
+    scenario.chunks = 48;
+    scenario.chunk_bytes = 49'152;
+    scenario.rates = link_rates{1'125'000, 1'175'000, 0.8};
+    scenario.strategy = rendezvous_strategy{1, 24};
+    scenario.options.max_origin_requests = 1;
+    scenario.manifest_spacing = milliseconds(5);
+    scenario.is_new_version = true;
+    scenario.max_origin_connections = 48;
+    return scenario;
+}
+
 void check_complete(const swarm_measurement& result) {
     CAPTURE(result.time_ratio, result.origin_copies, result.remote_copies);
     CHECK(result.completed == result.survivors);
 }
 
+/// A copy takes 2,097 ms on the origin's link and 2,008 ms on an agent's.
+constexpr milliseconds publication_limit{4105};
+constexpr int max_publication_percent = 115;
+/// An origin that fails this long after a publication has sent every chunk.
+constexpr milliseconds max_origin_time{2400};
+
+void check_publication(std::uint32_t members) {
+    const auto seed = GENERATE(1U, 2U, 3U);
+    swarm_scenario scenario = publication(members);
+    scenario.seed = seed;
+    const auto result = run_experiment(scenario);
+    CAPTURE(members, seed, result.origin_time, result.time);
+    check_complete(result);
+    CHECK(result.origin_copies <= one_copy_max_origin_copies);
+    CHECK(result.origin_time <= max_origin_time);
+    CHECK(result.time <= publication_limit * max_publication_percent / 100);
+}
+
+swarm_measurement run_outage(std::uint32_t members, std::uint32_t seed) {
+    swarm_scenario scenario = publication(members);
+    scenario.seed = seed;
+    scenario.outage = origin_outage{milliseconds(1500), milliseconds(7500)};
+    return run_experiment(scenario);
+}
+
 } // namespace
 
 TEST_CASE("swarm_spread - four origin copies: near the limit of the links") {
@@ -112,3 +152,37 @@
     CHECK(larger.control_bytes_per_second <=
           1.2 * smaller.control_bytes_per_second);
 }
+
+// Guards against readers that leave the origin's link idle: by waiting for
+// announcements of a version that nobody can have, or because only some of the
+// readers that the settings state are chosen.
+TEST_CASE("swarm_spread - a new version leaves the origin without gaps") {
+    check_publication(GENERATE(20U, 60U));
+}
+
+// The same where many agents share the first chunks.
+TEST_CASE("swarm_spread - a new version for 270 agents leaves the origin "
+          "without gaps") {
+    check_publication(270);
+}
+
+// Guards against backoffs and long timeouts that keep readers from an origin
+// that is back.
+TEST_CASE("swarm_spread - the rest of a version is read when the origin is "
+          "back") {
+    const auto members = GENERATE(20U, 60U);
+    const auto seed = GENERATE(1U, 2U, 3U);
+    const auto result = run_outage(members, seed);
+    CAPTURE(members, seed, result.resume_time);
+    check_complete(result);
+    CHECK(result.resume_time <= milliseconds(100));
+}
+
+// Guards against reads that an outage of the origin makes useless.
+TEST_CASE("swarm_spread - an outage of the origin repeats nothing") {
+    const auto members = GENERATE(20U, 60U);
+    const auto seed = GENERATE(1U, 2U, 3U);
+    const auto result = run_outage(members, seed);
+    CAPTURE(members, seed, result.origin_time);
+    CHECK(result.origin_copies <= one_copy_max_origin_copies);
+}
