--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -284,7 +284,6 @@
     const route_table& routes_;
     const backend_registry& servers_;
     backend_load& load_;
-    backend_availability& availability_;
     limit_exchange& limits_;
     prompt_quarantine& quarantine_;
     metrics& metrics_;
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -111,7 +111,7 @@
 /// A small buffer is part of what a connection takes anyway.
 void stream_socket::update_output_charge() {
     const std::size_t capacity = output_.capacity();
-    output_charge_.set(capacity > sizeof(output_) ? capacity : 0);
+    output_charge_.set(capacity > sizeof(std::string) ? capacity : 0);
 }
 
 void stream_socket::discard_output() {
--- a/tests/data_centres.cpp
+++ b/tests/data_centres.cpp
@@ -169,7 +169,8 @@
         added.path_prefix = "/";
         added.regions = some();
         configuration.organisations = {{"mills", {"key"}, {}, some()}};
-        REQUIRE(routes_.apply(std::move(configuration)));
+        const bool is_applied = routes_.apply(std::move(configuration));
+        REQUIRE(is_applied);
     }
 
     void operate(int count) {
--- a/tests/gateway_pace.cpp
+++ b/tests/gateway_pace.cpp
@@ -58,7 +58,8 @@
     engine->step_ms = 10;
     engine->steps_per_pass = 5;
     engine->typical_answer_tokens = 100;
-    REQUIRE(fixture.routes.apply(std::move(configuration)));
+    const bool is_applied = fixture.routes.apply(std::move(configuration));
+    REQUIRE(is_applied);
     fixture.add_engines({{server.endpoint(), 1}});
     // The stream lasts until the deadline.
     CHECK(fixture.send_request().end != call_end::complete);
