Keep figures of a deployment out of comments

Cause: three comments of the distribution name the links and counts of one deployment, and one of the messages omits that the lowest bits of an organisation hold a rank. Change: comments only.

--- a/include/ospreystage/network/messages.hpp
+++ b/include/ospreystage/network/messages.hpp
@@ -451,7 +451,8 @@
 // ---- Datagrams between entries: demand of organisations --------------------
 
 /// Requests of one organisation for one service at one entry, by the hashes of
-/// their names. `received` and `served` count units of work.
+/// their names; the lowest three bits of `organisation` hold the rank of
+/// urgency. `received` and `served` count units of work.
 struct demand_item {
     std::uint64_t service = 0;
     std::uint64_t organisation = 0;
--- a/src/weights/manifest_relay.cpp
+++ b/src/weights/manifest_relay.cpp
@@ -11,8 +11,7 @@
 
 namespace {
 
-/// Receivers of one agent: 16 manifests of 3.5 KB take 48 ms of a link of
-/// 9.4 Mbit/s, and two levels reach all agents of a data centre of 270.
+/// Receivers of one agent. Two levels then reach 272 agents of a data centre.
 constexpr std::size_t fan_out = 16;
 /// Agents of another data centre that a first reader passes the manifest on to.
 constexpr std::size_t remote_receivers = 2;
--- a/src/weights/origin_client.cpp
+++ b/src/weights/origin_client.cpp
@@ -16,8 +16,8 @@
 /// must not wait: a segment lost while the origin was unavailable is repeated
 /// only after a second.
 constexpr milliseconds probe_connect_timeout{70};
-/// Maximum time without data within a response. The origin's link carries 48
-/// chunks of 48 KiB at 9 Mbit/s in 2.1 s, whichever of them is last.
+/// Maximum time without data within a response. All readers share the origin's
+/// link, so that one may wait while the others are sent their chunks.
 constexpr milliseconds read_timeout{2500};
 constexpr milliseconds call_timeout{45'000};
 constexpr std::uint16_t http_ok = 200;
