--- a/include/ospreystage/core/kernel.hpp
+++ b/include/ospreystage/core/kernel.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ospreystage/core/clock.hpp>
+#include <ospreystage/core/simulated_clock.hpp>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -132,6 +132,11 @@
     /// may be called again.
     void run_while(const std::function<bool()>& condition);
 
+    /// Runs until `clock` of this thread shows `end`, which advances to the
+    /// next timer whenever no descriptor is ready. For tests whose peers all
+    /// run on this kernel.
+    void run_simulated(simulated_clock& clock, instant end);
+
     /// Makes `run` return. Safe from any thread and from signal handlers.
     void stop() noexcept;
 
@@ -158,9 +163,9 @@
     [[nodiscard]] const service_record*
     find_record(const std::string& name) const;
     void execute(const std::string& service, const task& work);
-    void run_turn();
-    void run_queue();
-    void run_timers();
+    bool run_turn(int wait_ms);
+    bool run_queue(); ///< Returns false if nothing was due; as below.
+    bool run_timers();
     void run_turn_end();
     [[nodiscard]] int next_wait_ms() const;
     void wake() noexcept;
--- a/src/core/kernel.cpp
+++ b/src/core/kernel.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <exception>
+#include <thread>
 
 namespace ospreystage {
 
@@ -15,6 +16,9 @@
 
 constexpr int max_wait_ms = 1000;
 constexpr std::size_t events_per_wait = 256;
+/// Turns without work after which simulated time goes on: bytes may still be on
+/// their way between sockets.
+constexpr int idle_turns_per_step = 3;
 
 void log_failure(const std::string& work, const char* problem) {
     log_event(log_level::error, "task_failed",
@@ -163,7 +167,7 @@
 
 void kernel::run() {
     while (!stopping_.load(std::memory_order_acquire))
-        run_turn();
+        run_turn(next_wait_ms());
     run_turn_end();
     run_ended_ = true;
     const absl::MutexLock lock(&mutex_);
@@ -173,16 +177,33 @@
 
 void kernel::run_while(const std::function<bool()>& condition) {
     while (!stopping_.load(std::memory_order_acquire) && condition())
-        run_turn();
+        run_turn(next_wait_ms());
     run_turn_end();
 }
 
-void kernel::run_turn() {
+void kernel::run_simulated(simulated_clock& clock, instant end) {
+    int idle_turns = 0;
+    while (!stopping_.load(std::memory_order_acquire) && clock.now() < end) {
+        if (run_turn(0)) {
+            idle_turns = 0;
+        } else if (++idle_turns < idle_turns_per_step) {
+            std::this_thread::yield();
+        } else {
+            idle_turns = 0;
+            clock.advance_to(
+                timers_.empty() ? end : std::min(timers_.begin()->first, end));
+        }
+    }
+    run_turn_end();
+}
+
+/// Runs what is ready, after a wait of up to `wait_ms` for it; returns false if
+/// nothing was.
+bool kernel::run_turn(int wait_ms) {
     std::array<epoll_event, events_per_wait> ready{};
     run_turn_end();
-    const int count =
-        epoll_wait(epoll_descriptor_, ready.data(),
-                   static_cast<int>(ready.size()), next_wait_ms());
+    const int count = epoll_wait(epoll_descriptor_, ready.data(),
+                                 static_cast<int>(ready.size()), wait_ms);
     for (int index = 0; index < count; ++index) {
         const epoll_event& event = ready[static_cast<std::size_t>(index)];
         if (event.data.fd == wake_descriptor_) {
@@ -197,8 +218,9 @@
         const std::shared_ptr<descriptor_handler> handler = found->second;
         run_guarded("descriptor", [&] { (*handler)(event.events); });
     }
-    run_queue();
-    run_timers();
+    const bool has_queued = run_queue();
+    const bool has_timers = run_timers();
+    return count > 0 || has_queued || has_timers;
 }
 
 void kernel::stop() noexcept {
@@ -219,7 +241,7 @@
         std::max<std::chrono::nanoseconds>(found->second.longest, spent);
 }
 
-void kernel::run_queue() {
+bool kernel::run_queue() {
     std::deque<queued_task> batch;
     {
         const absl::MutexLock lock(&mutex_);
@@ -229,16 +251,20 @@
         execute(queued.service, queued.work);
         queued.work = nullptr;
     }
+    return !batch.empty();
 }
 
-void kernel::run_timers() {
+bool kernel::run_timers() {
     const instant now = steady::now();
+    bool has_run = false;
     while (!timers_.empty() && timers_.begin()->first <= now) {
         timer_record due = std::move(timers_.begin()->second);
         timers_.erase(timers_.begin());
         timer_index_.erase(static_cast<std::uint64_t>(due.id));
         execute(due.service, due.work);
+        has_run = true;
     }
+    return has_run;
 }
 
 void kernel::run_turn_end() {
