Take a time in which no registration can lapse for no outage

Cause: while all readers of a region are without the store, their lists are up to two thirds of the bound old, then another entry reads the list. Change: a time without lists shorter than two intervals of the servers' heartbeats is no outage: registrations lapse after three. The interval comes from the settings.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -60,6 +60,9 @@
 /// those whose registration expired during the outage register again. A server
 /// that was listed after the outage and is missing later has left.
 ///
+/// A time without a list in which no registration can have lapsed is no outage:
+/// what is missing after it has left.
+///
 /// That reads fail here does not show that the store was away. It was not if
 /// another entry has read the list all the while, and the outage of another
 /// entry does not concern this one if it had the list meanwhile.
@@ -78,6 +81,8 @@
         /// Age that the list reaches without an outage, by the time between two
         /// reads and the way through another entry.
         milliseconds max_list_age{1500};
+        /// Shortest time without a list in which a registration may lapse.
+        milliseconds min_lapse_time{0};
         /// Grace period after an outage in which expired servers register
         /// again; the platform's users state about two seconds.
         milliseconds reregistration_time{2200};
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -38,7 +38,8 @@
 bool backend_registry::on_outage_ended(instant ended) {
     const bool is_known = outage_ended_ && *outage_ended_ >= ended;
     if (is_known || !has_list_ ||
-        ended - origin_.read_at <= limits_.max_list_age)
+        ended - origin_.read_at <= limits_.max_list_age ||
+        ended - origin_.read_at < limits_.min_lapse_time)
         return false;
     outage_ended_ = ended;
     return true;
@@ -50,6 +51,8 @@
     if (!unreachable_since_ || next.read_at <= *unreachable_since_ ||
         now - *unreachable_since_ <= limits_.outage_after)
         return false;
+    if (has_list_ && next.read_at - origin_.read_at < limits_.min_lapse_time)
+        return false;
     const bool has_witness = has_list_ && next.unbroken_since &&
                              *next.unbroken_since <= origin_.read_at;
     return !has_witness;
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -270,6 +270,25 @@
     CHECK(registry.find("a") == nullptr);
 }
 
+TEST_CASE("backend registry - a server that is missing after a time in which "
+          "no registration lapses has left") {
+    constexpr milliseconds lapse{2400};
+    const auto is_kept_after = [&](milliseconds gap) {
+        backend_registry registry({.min_lapse_time = lapse});
+        registry.on_list({make_server("a"), make_server("b")}, start, start);
+        registry.on_unreachable(start + milliseconds(100));
+        const instant now = start + gap;
+        registry.on_list({make_server("b")}, now, now);
+        return registry.find("a") != nullptr;
+    };
+    CHECK_FALSE(is_kept_after(milliseconds(2300)));
+    CHECK(is_kept_after(milliseconds(2500)));
+    backend_registry registry({.min_lapse_time = lapse});
+    registry.on_list({make_server("a")}, start, start);
+    CHECK_FALSE(registry.on_outage_ended(start + milliseconds(2300)));
+    CHECK(registry.on_outage_ended(start + milliseconds(2500)));
+}
+
 TEST_CASE("backend server - holds a version only with every layer of it") {
     backend_server server = make_server("a");
     CHECK_FALSE(server.complete_version(16));
--- a/tests/support/simulated_site.cpp
+++ b/tests/support/simulated_site.cpp
@@ -47,8 +47,8 @@
                  platform::node_settings own)
         : settings(std::move(own)), web(core),
           client(web, store, store_timeout),
-          servers({.max_list_age = platform::max_list_age(settings)}),
-          versions(seconds(8)), entries(reregistration_time),
+          servers(platform::registry_options(settings)), versions(seconds(8)),
+          entries(reregistration_time),
           watch(core, client, settings, {routes, servers, versions, entries},
                 {[] {}, [] {}, [] {}, [this] { feed.on_entries_changed(); }}),
           feed(core, web, watch.copy(),
