--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -136,8 +136,6 @@
     void on_documents_read(store_position position, instant read_at,
                            known_by way = known_by::read,
                            const std::string& source = "");
-    /// Records that the documents had not changed at `read_at`.
-    void on_documents_confirmed(instant read_at);
     void on_entry(const site_entry& entry);
     void on_entry_removed(const std::string& name);
     /// Replaces all entries.
--- a/include/ospreystage/fleet/store_position.hpp
+++ b/include/ospreystage/fleet/store_position.hpp
@@ -42,10 +42,9 @@
 
 /// What shows that a state of the store was current at a time.
 enum class known_by : std::uint8_t {
-    read,         ///< A read of all of it.
-    watch,        ///< An answer to a watch of its changes.
-    confirmation, ///< An answer to another call while a watch was waiting.
-    entry,        ///< Another entry.
+    read,  ///< A read of all of it.
+    watch, ///< An answer to a watch of its changes.
+    entry, ///< Another entry.
 };
 
 [[nodiscard]] constexpr const char* to_string(known_by way) noexcept {
@@ -54,8 +53,6 @@
         return "read";
     case known_by::watch:
         return "watch";
-    case known_by::confirmation:
-        return "confirmation";
     case known_by::entry:
         return "entry";
     }
--- a/src/fleet/site_copy.cpp
+++ b/src/fleet/site_copy.cpp
@@ -225,12 +225,6 @@
     documents_origin_->position = revisions_.documents;
 }
 
-void site_copy::on_documents_confirmed(instant read_at) {
-    if (documents_origin_)
-        on_documents_read(revisions_.documents, read_at,
-                          known_by::confirmation);
-}
-
 void site_copy::on_entry(const site_entry& entry) {
     entries_[entry.name] = entry;
 }
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -167,7 +167,7 @@
     site_copy source = make_copy(start);
     site_copy copy = make_copy(start);
     source.on_servers_read({make_server("i-1")}, 10, start + seconds(1));
-    source.on_documents_confirmed(start + seconds(1));
+    source.on_documents_read(source.revisions().documents, start + seconds(1));
     const instant now = start + milliseconds(1200);
     const auto applied = copy.apply(
         source.changes_since(copy.revisions(), now, copy.servers_digest()), now,
@@ -236,7 +236,7 @@
     site_copy copy = make_copy(start);
     copy.on_servers_read({}, 12, start + seconds(3));
     CHECK(copy.age(start + seconds(4)) == seconds(4));
-    copy.on_documents_confirmed(start + seconds(3));
+    copy.on_documents_read(copy.revisions().documents, start + seconds(3));
     CHECK(copy.age(start + seconds(4)) == seconds(1));
     CHECK_FALSE(site_copy().age(start));
 }
--- a/tests/support/simulated_site.cpp
+++ b/tests/support/simulated_site.cpp
@@ -25,6 +25,7 @@
     settings.ip = fmt::format("127.0.9.{}", index + 1);
     settings.front = {settings.ip, 8005};
     settings.drain_time = site.bound;
+    settings.configuration_time = site.bound;
     settings.max_silence = site.contact;
     return settings;
 }
