Look for a current state as soon as the one held is older than usual

Cause: the state from other entries counted until it was two thirds of the bound old; then the first tier was asked, one entry every 200 ms, some of which were without the store too, and the readers were not, although they have the state first when the store answers them again. An old answer of a reader without the store cancelled the request to a slow one that has it. A reader asks the other one once its own state is older than its calls let it get. The second tier turns to the store when it did before. Only a current answer overtakes a request.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -21,13 +21,17 @@
 /// the entries take over in tiers, each three times as large as all before it,
 /// instead of all at once, and the later ones repeat failed reads more rarely:
 /// after its return the store first meets the readers, and the others get its
-/// state from them. A reader whose own reads fail asks the other readers.
+/// state from them. A reader whose own reads fail, or whose state grows older
+/// than they let it, asks the other readers.
 class feed_selection {
   public:
     struct options {
         std::size_t readers = 2; ///< Per region.
         /// Age up to which the state from a reader replaces an own read.
         milliseconds max_age{2000};
+        /// Age of its own state above which a reader asks the others. Its reads
+        /// and watches make the state younger unless they fail.
+        milliseconds max_reader_age{1000};
         /// Time after a request of another entry in which this entry reads.
         milliseconds requester_timeout{2000};
         /// Time after the start in which the other readers may answer first.
@@ -53,6 +57,9 @@
     /// or the first tier after them while what the readers give is too old.
     [[nodiscard]] std::vector<std::string> sources(instant now) const;
 
+    /// Returns the readers, without this entry.
+    [[nodiscard]] std::vector<std::string> readers() const;
+
     /// Returns true if the last read of the store by this reader has failed,
     /// so that it asks the others meanwhile.
     [[nodiscard]] bool is_store_failing() const noexcept {
@@ -77,12 +84,18 @@
     /// Records that another entry asked for the state.
     void on_request(instant now);
 
-    void set_max_age(milliseconds max_age) { limits_.max_age = max_age; }
+    void set_limits(const options& limits) { limits_ = limits; }
     [[nodiscard]] milliseconds max_age() const noexcept {
         return limits_.max_age;
     }
+    /// Returns the age above which this entry asks others.
+    [[nodiscard]] milliseconds max_own_age() const noexcept {
+        return is_reader_ ? limits_.max_reader_age : milliseconds(0);
+    }
 
   private:
+    /// Returns the other entries of a tier.
+    [[nodiscard]] std::vector<std::string> others_of(std::size_t tier) const;
     /// Returns the tier of a rank in the order of entries; readers are in 0.
     [[nodiscard]] std::size_t tier_of(std::size_t rank) const noexcept;
     [[nodiscard]] bool may_answer_first(instant now) const;
--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -59,10 +59,14 @@
         std::optional<instant> read_at; ///< Of its state, if it had any.
     };
 
+    void schedule_poll();
     void poll();
+    void request_from_next(const std::vector<std::string>& sources,
+                           instant now);
     /// Logs the sources once the state is too old.
     void check_age(instant now);
-    [[nodiscard]] std::optional<std::string> choose_source(instant now);
+    [[nodiscard]] std::optional<std::string>
+    choose_source(const std::vector<std::string>& sources, instant now);
     void request(const std::string& source, const address& reader, instant now);
     void on_answered(const std::string& source, instant requested_at);
     void on_changes(const std::string& source, instant requested_at,
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -51,19 +51,23 @@
     return state_read_at_ ? overdue(now) > turn : overdue(now) >= turn;
 }
 
+std::vector<std::string> feed_selection::others_of(std::size_t tier) const {
+    std::vector<std::string> others;
+    for (std::size_t rank = 0; rank < order_.size(); ++rank)
+        if (tier_of(rank) == tier && order_[rank] != self_)
+            others.push_back(order_[rank]);
+    return others;
+}
+
+std::vector<std::string> feed_selection::readers() const {
+    return others_of(0);
+}
+
 std::vector<std::string> feed_selection::sources(instant now) const {
-    std::vector<std::string> readers;
     std::vector<std::string> first_tier;
-    for (std::size_t rank = 0; rank < order_.size(); ++rank) {
-        if (order_[rank] == self_)
-            continue;
-        if (tier_of(rank) == 0)
-            readers.push_back(order_[rank]);
-        else if (tier_of(rank) == 1)
-            first_tier.push_back(order_[rank]);
-    }
-    const bool is_overdue = overdue(now) > milliseconds(0);
-    return is_overdue && !first_tier.empty() ? first_tier : readers;
+    if (overdue(now) > milliseconds(0))
+        first_tier = others_of(1);
+    return first_tier.empty() ? readers() : first_tier;
 }
 
 milliseconds feed_selection::retry_pause() const noexcept {
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -28,6 +28,11 @@
 /// Longest such time that counts, so that its beginning can be represented.
 constexpr milliseconds max_unbroken = std::chrono::hours(24);
 constexpr milliseconds poll_interval{200};
+/// While the state is too old: interval, and sources asked each time beside a
+/// reader. Any of them may be as old, so the search must not take one at a
+/// time.
+constexpr milliseconds search_interval{100};
+constexpr int sources_per_search = 2;
 constexpr milliseconds connect_timeout{300};
 /// Longest time without data from a reader; then the next one is asked.
 constexpr milliseconds idle_timeout{400};
@@ -98,7 +103,7 @@
 
 leaf::result<void> site_feed::start() {
     BOOST_LEAF_CHECK(server_.listen(options_.local));
-    core_.every(service_name, poll_interval, [this] { poll(); });
+    schedule_poll();
     return {};
 }
 
@@ -113,18 +118,38 @@
     selection_.set_entries(std::move(names));
 }
 
+void site_feed::schedule_poll() {
+    core_.after(service_name, is_outdated_ ? search_interval : poll_interval,
+                [this] {
+                    poll();
+                    schedule_poll();
+                });
+}
+
 void site_feed::poll() {
     const instant now = steady::now();
     check_age(now);
     const auto age = copy_.age(now);
-    const bool needs_state = !selection_.is_reader() || !age ||
-                             *age > selection_.max_age() ||
+    const bool needs_state = !age || *age >= selection_.max_own_age() ||
                              selection_.is_store_failing();
     const bool is_waiting =
         !requests_.empty() && now - requests_.back().started < hedge_delay;
-    if (!needs_state || is_waiting)
+    if (!needs_state || (is_waiting && !is_outdated_))
+        return;
+    if (!is_outdated_) {
+        request_from_next(selection_.sources(now), now);
         return;
-    const auto source = choose_source(now);
+    }
+    // The first tier takes over from the readers, but these have the state
+    // first once the store answers them again.
+    request_from_next(selection_.readers(), now);
+    for (int count = 0; count < sources_per_search; ++count)
+        request_from_next(selection_.sources(now), now);
+}
+
+void site_feed::request_from_next(const std::vector<std::string>& sources,
+                                  instant now) {
+    const auto source = choose_source(sources, now);
     if (!source)
         return;
     const auto found = copy_.entries().find(*source);
@@ -155,10 +180,10 @@
                {"sources", sources}});
 }
 
-/// Returns the next reader without an open request; one that was overtaken
+/// Returns the next source without an open request; one that was overtaken
 /// lately only if there is no other.
-std::optional<std::string> site_feed::choose_source(instant now) {
-    const std::vector<std::string> sources = selection_.sources(now);
+std::optional<std::string>
+site_feed::choose_source(const std::vector<std::string>& sources, instant now) {
     std::optional<std::string> overtaken;
     for (std::size_t count = 0; count < sources.size(); ++count) {
         const std::string& source = sources[next_source_++ % sources.size()];
@@ -196,13 +221,13 @@
             });
             if (end != call_end::complete || response.status != status_ok)
                 return;
-            on_answered(source, now);
             on_changes(source, now, response);
         });
     requests_.push_back({id, source, now});
 }
 
-/// Cancels the requests that the answer to a later one has overtaken.
+/// Cancels the requests that a current answer to a later one has overtaken. An
+/// answer that is as old as the state held replaces none that may be current.
 void site_feed::on_answered(const std::string& source, instant requested_at) {
     avoided_until_.erase(source);
     std::erase_if(requests_, [&](const open_request& each) {
@@ -240,6 +265,8 @@
         answer.read_at = requested_at - std::max(*changes->documents_age,
                                                  *changes->servers_age);
         selection_.on_state(*answer.read_at);
+        if (steady::now() - *answer.read_at <= selection_.max_age())
+            on_answered(source, requested_at);
     }
     on_update_(applied);
 }
--- a/tests/state_delay.cpp
+++ b/tests/state_delay.cpp
@@ -185,6 +185,27 @@
             }
 }
 
+TEST_CASE("state delay - after an outage of the store, no entry reads all "
+          "documents again and again") {
+    constexpr std::size_t entries = 4;
+    const std::string read = "/v1/kv-range?path_prefix=op";
+    for (milliseconds phase{0}; phase < seconds(2); phase += phase_step) {
+        simulated_site site({.entries = entries});
+        site.put_configuration(1);
+        site.run_for(warm_up + phase);
+        set_fault(site, site.by_rank(), store_fault::silence);
+        site.run_for(milliseconds(7800));
+        set_fault(site, site.by_rank(), store_fault::none);
+        std::vector<std::size_t> before;
+        for (std::size_t entry = 0; entry < entries; ++entry)
+            before.push_back(site.store().calls(entry, read));
+        site.run_for(seconds(2));
+        CAPTURE(phase.count());
+        for (std::size_t entry = 0; entry < entries; ++entry)
+            CHECK(site.store().calls(entry, read) - before[entry] <= 2);
+    }
+}
+
 TEST_CASE("state delay - while one reader is without the store, changes take "
           "effect in time") {
     for (const milliseconds bound : bounds)
--- a/tests/support/simulated_store.cpp
+++ b/tests/support/simulated_store.cpp
@@ -133,6 +133,13 @@
     ++clients_[client]->generation;
 }
 
+std::size_t simulated_store::calls(std::size_t client,
+                                   const std::string& target) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        clients_[client]->targets,
+        [&](const std::string& each) { return each.starts_with(target); }));
+}
+
 bool simulated_store::is_away() const {
     return std::ranges::all_of(clients_, [](const auto& client) {
         return client->fault == store_fault::silence ||
@@ -145,8 +152,8 @@
 
 void simulated_store::on_request(std::size_t client, exchange_id exchange,
                                  const http_request& request) {
-    ++calls_;
     client_record& record = *clients_[client];
+    record.targets.push_back(request.target);
     const call_origin origin{client, exchange, record.generation};
     switch (record.fault) {
     case store_fault::silence:
--- a/tests/support/simulated_store.hpp
+++ b/tests/support/simulated_store.hpp
@@ -46,8 +46,10 @@
     /// Answers no call that is open now; later ones are answered.
     void drop_open_calls(std::size_t client);
 
-    /// Returns the number of calls so far.
-    [[nodiscard]] std::size_t calls() const noexcept { return calls_; }
+    /// Returns the number of calls of a client so far whose target begins with
+    /// `target`.
+    [[nodiscard]] std::size_t calls(std::size_t client,
+                                    const std::string& target) const;
 
   private:
     struct client_record {
@@ -58,6 +60,7 @@
         store_fault fault = store_fault::none;
         /// Rises when the calls received before are not answered.
         std::uint64_t generation = 0;
+        std::vector<std::string> targets; ///< Of the calls so far.
     };
     struct item {
         std::string value;
@@ -107,7 +110,6 @@
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t next_lease_ = 1;
     std::vector<pending_watch> watches_;
-    std::size_t calls_ = 0;
 };
 
 } // namespace ospreystage::testing
