--- a/tests/state_delay.cpp
+++ b/tests/state_delay.cpp
@@ -135,6 +135,7 @@
     site.run_for(warm_up);
     const auto order = site.by_rank();
     std::vector<std::size_t> entries;
+    entries.reserve(ranks.size());
     for (const std::size_t rank : ranks)
         entries.push_back(order.at(rank));
     const auto change_for = [&](milliseconds time) {
--- a/tests/support/simulated_site.cpp
+++ b/tests/support/simulated_site.cpp
@@ -144,15 +144,15 @@
         for (const backend_server* server : entry.servers.all())
             unused_[server->id];
         const auto serving = entry.servers.serving(service);
-        for (auto& [id, times] : unused_) {
+        for (auto& known : unused_) {
             const bool is_used =
                 std::ranges::any_of(serving, [&](const backend_server* server) {
-                    return server->id == id;
+                    return server->id == known.first;
                 });
             if (is_used)
-                times.erase(index);
+                known.second.erase(index);
             else
-                times.try_emplace(index, clock_.now());
+                known.second.try_emplace(index, clock_.now());
         }
     }
 }
