Test the delays of a large region of which a third lacks the store

Cause: regions of large sites have second tiers of entries, which the other tests lack. Change: 30 entries, both readers and ten others without the store, silent or refusing.

--- a/tests/state_delay.cpp
+++ b/tests/state_delay.cpp
@@ -124,10 +124,11 @@
 /// Plays an outage of the store at the entries of some ranks, with changes all
 /// along.
 void check_partial_outage(milliseconds bound, store_fault fault,
-                          const std::vector<std::size_t>& ranks) {
+                          const std::vector<std::size_t>& ranks,
+                          std::size_t size = 8) {
     constexpr milliseconds duration{9000};
     constexpr milliseconds after{3000};
-    simulated_site site({.bound = bound});
+    simulated_site site({.entries = size, .bound = bound});
     change_series changes(site);
     changes.list_servers(
         static_cast<std::size_t>((duration + after) / phase_step) + 2);
@@ -238,6 +239,19 @@
             }
 }
 
+TEST_CASE("state delay - while a third of a large region and its readers are "
+          "without the store, changes take effect in time") {
+    constexpr std::size_t entries = 30;
+    for (const milliseconds bound : {milliseconds(3000), milliseconds(4000)})
+        for (const store_fault fault :
+             {store_fault::silence, store_fault::refusal}) {
+            std::vector<std::size_t> ranks{0, 1};
+            for (std::size_t rank = 2; rank < entries; rank += 3)
+                ranks.push_back(rank);
+            check_partial_outage(bound, fault, ranks, entries);
+        }
+}
+
 TEST_CASE("state delay - a watch whose connection carries nothing more delays "
           "no change past its bound") {
     for (const milliseconds bound : bounds)
