Wait for an answer that is arriving before other sources are asked

Cause: while the state was too old, three sources were asked every 100 ms although a large answer of one of them was arriving, so that each of them sent it.

--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -51,6 +51,7 @@
         call_id call{};
         std::string source;
         instant started{};
+        bool is_answering = false; ///< Its answer is arriving.
     };
 
     /// What an entry that was asked has answered.
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -132,9 +132,14 @@
     const auto age = copy_.age(now);
     const bool needs_state = !age || *age >= selection_.max_own_age() ||
                              selection_.is_store_failing();
+    // A large answer that is arriving is worth waiting for, however old the
+    // state is: others would send the same.
     const bool is_waiting =
-        !requests_.empty() && now - requests_.back().started < hedge_delay;
-    if (!needs_state || (is_waiting && !is_outdated_))
+        std::ranges::any_of(requests_, [&](const open_request& each) {
+            return now - each.started < hedge_delay &&
+                   (each.is_answering || !is_outdated_);
+        });
+    if (!needs_state || is_waiting)
         return;
     if (!is_outdated_) {
         request_from_next(selection_.sources(now), now);
@@ -213,6 +218,10 @@
     call.idle_timeout = idle_timeout;
     call.timeout = total_timeout;
     call.max_body_bytes = max_changes_bytes;
+    call.began = [this, source] {
+        for (open_request& each : requests_)
+            each.is_answering |= each.source == source;
+    };
     const call_id id = client_.fetch(
         reader, request, call,
         [this, source, now](call_end end, const http_response& response) {
