Show that a lone entry goes back to a revoked key after a drill

Cause: an entry that starts asks only entries of its own region for what they have in force before it reads the store, whose copy may be older.

--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -126,6 +126,9 @@
         self.revision = 1
         self.leases = {}
         self.next_lease = 1000
+        self.era = 1
+        self.is_away = False
+        self.copy = None
         self.port = free_ports(1)[0]
         self.server = HttpServer(("127.0.0.1", self.port), StoreHandler, self)
         threading.Thread(target=self.expire, daemon=True).start()
@@ -176,6 +179,35 @@
             {"key": key, "revision": self.revision, "deleted": True}
         )
 
+    def keep_copy(self):
+        """Keeps the copy from which the store returns after a drill."""
+        with self.changed:
+            self.copy = (
+                {key: dict(item) for key, item in self.items.items()},
+                list(self.history),
+                self.revision,
+                dict(self.leases),
+                self.next_lease,
+            )
+
+    def return_to_copy(self, away_s):
+        """Plays a drill: the store is away for a moment and returns from the
+        copy. Leases that the copy has run anew."""
+        with self.changed:
+            self.is_away = True
+            self.changed.notify_all()
+        time.sleep(away_s)
+        with self.changed:
+            items, self.history, self.revision, leases, next_lease = self.copy
+            self.items, self.next_lease = items, next_lease
+            self.leases = {
+                lease: (ttl, now() + ttl / 1000)
+                for lease, (ttl, _) in leases.items()
+            }
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
+
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [
@@ -203,15 +235,28 @@
         self.answer(
             status,
             body,
-            [("Content-Type", "application/json"), ("Store-Era", "1")],
+            [
+                ("Content-Type", "application/json"),
+                ("Store-Era", str(self.server.owner.era)),
+            ],
         )
 
+    def is_refused(self):
+        """Answers 503 while the store is away."""
+        if not self.server.owner.is_away:
+            return False
+        self.body()
+        self.reply(503, {})
+        return True
+
     def query(self):
         url = urllib.parse.urlsplit(self.path)
         fields = urllib.parse.parse_qs(url.query, keep_blank_values=True)
         return url.path, {name: values[0] for name, values in fields.items()}
 
     def do_GET(self):
+        if self.is_refused():
+            return
         store = self.server.owner
         path, query = self.query()
         if path == "/v1/kv-key":
@@ -249,7 +294,11 @@
         after = int(query.get("after", "0"))
         until = now() + min(int(query.get("wait_ms", "0")), 30000) / 1000
         with store.changed:
+            era = store.era
             while True:
+                if store.is_away or store.era != era or after > store.revision:
+                    events = None
+                    break
                 events = [
                     event
                     for event in store.history
@@ -260,9 +309,15 @@
                     break
                 store.changed.wait(until - now())
             revision = store.revision
-        self.reply(200, {"events": events, "store_revision": revision})
+            is_away = store.is_away
+        if events is None:
+            self.reply(503 if is_away else 410, {})
+        else:
+            self.reply(200, {"events": events, "store_revision": revision})
 
     def do_POST(self):
+        if self.is_refused():
+            return
         store = self.server.owner
         path, _ = self.query()
         body = self.body()
@@ -315,6 +370,8 @@
             self.reply(200, {"revision": revision})
 
     def do_DELETE(self):
+        if self.is_refused():
+            return
         store = self.server.owner
         lease = int(self.path.rsplit("/", 1)[1])
         with store.changed:
