--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -662,6 +662,12 @@
 def run_case(play):
     """Runs a case and exits with its status. `play` gets the deployment and the
     record and returns a status."""
+
+    def stop(*_):
+        raise KeyboardInterrupt
+
+    # At the time limit of run.sh, the processes are still ended.
+    signal.signal(signal.SIGTERM, stop)
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     deployment = None
