--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,6 @@
-"""An agent's machine freezes in the comparison before the order."""
+"""A piece turns bad while a slow engine's pieces are compared."""
 
 import os
-import signal
 import sys
 import threading
 import time
@@ -23,9 +22,12 @@
     run_case,
 )
 
-FREEZE_S = 4.0  # As long as the site file's `node_freeze` on side machines.
-ENGINES = 3
-READ_BEFORE_FREEZE = 40  # Of 64 pieces.
+ENGINES = 7
+# Time in which an engine reads a staged piece; the slow one takes four times
+# as long.
+READ_S = 0.014
+SLOW_FACTOR = 4
+SPOILT_AFTER_S = 0.05
 
 
 def configuration(origin):
@@ -109,33 +111,23 @@
     time.sleep(5)
 
     victim = engines[0]
-    progress = {"staged": 0, "read": 0, "is_frozen": False, "done": False}
+    for each in engines:
+        each.read_s = READ_S
+    if TROUBLE:
+        victim.read_s = READ_S * SLOW_FACTOR
+    progress = {"staged": 0, "is_spoilt": False}
 
     def on_stage(_):
         progress["staged"] += 1
-        progress["read"] = 0
 
     def on_read(index):
-        # The first comparison after staging is not the last one.
-        if progress["staged"] < engine.CHUNKS or progress["is_frozen"]:
+        # Only what is read after the staging is compared before an order.
+        if progress["staged"] < engine.CHUNKS or progress["is_spoilt"]:
             return
-        progress["read"] += 1
-        if progress["read"] == 1:
-            progress["first"] = index
-        if progress["read"] < engine.CHUNKS + READ_BEFORE_FREEZE:
-            return
-        progress["is_frozen"] = True
-        if not TROUBLE:
-            return
-        deployment.send_signal("side-1", signal.SIGSTOP)
-        record.write("the agent of i-00000001 is frozen")
-        threading.Timer(0.1, victim.spoil, (progress["first"],)).start()
-
-        def wake():
-            deployment.send_signal("side-1", signal.SIGCONT)
-            record.write("the agent of i-00000001 goes on")
-
-        threading.Timer(0.1 + FREEZE_S, wake).start()
+        progress["is_spoilt"] = True
+        record.write(f"{victim.id}: staged piece {index} is read and compared")
+        if TROUBLE:
+            threading.Timer(SPOILT_AFTER_S, victim.spoil, (index,)).start()
 
     victim.on_stage = on_stage
     victim.on_read = on_read
@@ -143,7 +135,7 @@
         f"op/version/{engine.MODEL}", {"model": engine.MODEL, "version": 2}
     )
     record.write("version 2 is named")
-    until = now() + 30
+    until = now() + 40
     number = 0
     while now() < until and any(each.version != 2 for each in engines):
         number += 1
--- a/review/standin-2/engine.py
+++ b/review/standin-2/engine.py
@@ -133,6 +133,7 @@
         # taken from them.
         self.spoilt_layers = []
         self.tokens_on_spoilt_layers = 0
+        self.read_s = 0.0  # Time to read a staged piece.
         self.on_read = None
         self.on_stage = None
         self.born = int(time.time() * 1000)
@@ -251,6 +252,7 @@
         elif path.startswith("/v1/stage-get/"):
             with engine.lock:
                 data = engine.staged.get(index)
+            time.sleep(engine.read_s)
             self.answer(200 if data else 404, data or b"", echo)
             if engine.on_read:
                 engine.on_read(index)
