--- a/include/ospreystage/weights/distribution.hpp
+++ b/include/ospreystage/weights/distribution.hpp
@@ -66,9 +66,10 @@
     /// Supplies a manifest from another source for the next `request_versions`.
     ///
     /// `chunks` are chunks that are already available; those that do not match
-    /// the manifest are dropped.
+    /// the manifest are dropped. If the manifest replaces a corrupt one, the
+    /// chunks held of `replaced` that match it are kept.
     void add_manifest(const digest& version, const std::string& json,
-                      chunk_list chunks);
+                      chunk_list chunks, const digest& replaced = {});
 
     /// Sets the members; agents in the state alive or suspect take part.
     void set_members(const std::vector<member>& members);
@@ -109,6 +110,7 @@
     struct known_manifest {
         std::string json;
         chunk_list chunks;
+        digest replaced; ///< Empty: none.
     };
 
     void subscribe();
@@ -133,6 +135,10 @@
                            bool is_probe);
     void read_origin_manifest(const digest& version);
     void accept_known(const digest& version, const known_manifest& known);
+    /// Stores the chunks held of `replaced` that match the manifest of
+    /// `version`.
+    void keep_chunks(const digest& version, const manifest& description,
+                     const digest& replaced);
     void accept_manifest(const chunk_source& source, const digest& version,
                          const std::string& json);
     void check_and_store(const chunk_source& source, const digest& version,
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -106,15 +106,17 @@
                                 const known_manifest& known) {
     error failure;
     const auto added = value_or_error(
-        [&]() -> leaf::result<bool> {
+        [&]() -> leaf::result<manifest> {
             BOOST_LEAF_AUTO(parsed, parse_manifest(known.json, version));
             BOOST_LEAF_CHECK(store_.add(version, parsed));
-            return true;
+            return parsed;
         },
         failure);
     if (!added)
         log_event(log_level::warn, "manifest_refused",
                   {{"version", version}, {"error", to_string(failure)}});
+    else if (!known.replaced.empty())
+        keep_chunks(version, *added, known.replaced);
     for (const auto& [index, data] : known.chunks)
         if (put(store_, version, index, data) != fetch_outcome::stored)
             log_event(log_level::info, "chunk_refused",
@@ -122,6 +124,25 @@
     accept_manifest(origin_source{}, version, known.json);
 }
 
+void distribution::keep_chunks(const digest& version,
+                               const manifest& description,
+                               const digest& replaced) {
+    const chunk_bitmap held = store_.bitmap(replaced);
+    for (std::uint32_t index = 0;
+         index < held.size() && index < description.chunks.size(); ++index) {
+        if (!held.test(index))
+            continue;
+        error failure;
+        const auto data = value_or_error(
+            [&] { return store_.read(replaced, index); }, failure);
+        if (!data)
+            log_event(log_level::warn, "chunk_not_read",
+                      {{"error", to_string(failure)}});
+        else
+            put(store_, version, index, *data);
+    }
+}
+
 void distribution::set_members(const std::vector<member>& members) {
     const auto& self = configuration_.process;
     std::vector<swarm_member> live{{self.name, self.data_centre}};
@@ -148,12 +169,10 @@
                                return entry.version == version;
                            });
     };
-    for (const requested_version& entry : requested_) {
-        if (is_requested(entry.version))
-            continue;
-        store_.drop(entry.version);
-        reported_complete_.erase(entry.version);
-    }
+    std::vector<digest> obsolete;
+    for (const requested_version& entry : requested_)
+        if (!is_requested(entry.version))
+            obsolete.push_back(entry.version);
     requested_ = std::move(valid);
     decisions_.set_requested(requested_, steady::now());
     for (const requested_version& entry : requested_) {
@@ -162,6 +181,11 @@
             accept_known(entry.version, known.mapped());
     }
     known_manifests_.clear();
+    // Last, so that a manifest that replaces another one can keep its chunks.
+    for (const digest& version : obsolete) {
+        store_.drop(version);
+        reported_complete_.erase(version);
+    }
     update();
 }
 
@@ -170,8 +194,8 @@
 }
 
 void distribution::add_manifest(const digest& version, const std::string& json,
-                                chunk_list chunks) {
-    known_manifests_[version] = {json, std::move(chunks)};
+                                chunk_list chunks, const digest& replaced) {
+    known_manifests_[version] = {json, std::move(chunks), replaced};
 }
 
 void distribution::set_request_bandwidth(std::uint64_t bytes_per_second) {
