Date a comparison of staged chunks by its first read

Cause: the age of a comparison was counted from its end, and its reads went one after another, so that the order came 3.8 s after the chunk that was compared first had become corrupt. Change: a comparison is valid for 1.5 s from its first read; chunks are read several at a time, more after a slow comparison; an order is not sent after its time. With the age counted from the end, 2 of the 15 tests of the loader fail.

--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -20,7 +20,10 @@
 };
 
 /// Compare the chunks staged at the engine with the verified chunks.
-struct check_staged {};
+struct check_staged {
+    /// Number of chunks to read from the engine at the same time.
+    std::uint32_t parallel_reads = 1;
+};
 /// Announce to the entries that the engine accepts no new requests.
 struct announce_switch {};
 /// Stage these chunks at the engine.
@@ -32,6 +35,9 @@
     std::uint64_t version = 0;
     /// The order is void if the engine's count of orders differs.
     std::uint64_t orders_before = 0;
+    /// The order is not sent later: a staged chunk may have become corrupt
+    /// since it was compared.
+    instant valid_until{};
 };
 
 using loader_action = std::variant<std::monostate, announce_switch,
@@ -42,14 +48,24 @@
 ///
 /// Staged chunks may become corrupt or be lost with the engine's memory, so
 /// they are compared immediately before each order; only missing chunks are
-/// staged again. An engine without weights is ordered to switch immediately. An
+/// staged again. A comparison is as old as its first read, so that one of a
+/// slow engine is repeated with more reads at the same time until all of it is
+/// recent. An engine without weights is ordered to switch immediately. An
 /// engine that serves an older version waits for its switch time, so that not
 /// all engines stop serving at the same time.
 class engine_loader {
   public:
     struct options {
-        /// Maximum age of a comparison when an order is sent.
+        /// Maximum time from the end of a comparison to the order.
         milliseconds max_check_age{600};
+        /// Maximum time from the first read of a comparison to the order. It
+        /// leaves time for a call that the engine accepts late: a layer may be
+        /// taken from a chunk that became corrupt at most 3 s before.
+        milliseconds max_read_age{1500};
+        /// Reads of staged chunks at the same time; doubles after each
+        /// comparison that takes longer than half of `max_read_age`.
+        std::uint32_t parallel_reads = 4;
+        std::uint32_t max_parallel_reads = 32;
         /// Time between the announcement of a switch and its order, in which
         /// requests that entries have already sent arrive and queued requests
         /// start to run.
@@ -58,7 +74,8 @@
         milliseconds retry_backoff{300};
     };
 
-    explicit engine_loader(const options& limits) : limits_(limits) {}
+    explicit engine_loader(const options& limits)
+        : limits_(limits), parallel_reads_(limits.parallel_reads) {}
     engine_loader() : engine_loader(options{}) {}
 
     // ---- Events ------------------------------------------------------------
@@ -80,8 +97,9 @@
     /// Records that the engine wants no orders and no chunks until `end`.
     void on_pause(instant end);
 
-    /// Records which staged chunks match the manifest.
-    void on_checked(const chunk_bitmap& good, instant now);
+    /// Records which staged chunks match the manifest, by a comparison from
+    /// `began` to `ended`.
+    void on_checked(const chunk_bitmap& good, instant began, instant ended);
 
     /// Records the end of an action; a failed action is retried after the
     /// backoff.
@@ -110,7 +128,9 @@
     std::optional<engine_state_report> report_;
     std::optional<chunk_bitmap> staged_;
     std::optional<instant> announced_at_;
-    instant checked_at_{};
+    /// Until when an order may be based on the last comparison.
+    instant valid_until_{};
+    std::uint32_t parallel_reads_ = 1;
     instant backoff_until_{};
     instant paused_until_{};
     bool is_leaving_ = false;
--- a/src/weights/engine_loader.cpp
+++ b/src/weights/engine_loader.cpp
@@ -43,9 +43,14 @@
     paused_until_ = std::max(paused_until_, end);
 }
 
-void engine_loader::on_checked(const chunk_bitmap& good, instant now) {
+void engine_loader::on_checked(const chunk_bitmap& good, instant began,
+                               instant ended) {
     staged_ = good;
-    checked_at_ = now;
+    valid_until_ =
+        std::min(ended + limits_.max_check_age, began + limits_.max_read_age);
+    if (ended - began > limits_.max_read_age / 2)
+        parallel_reads_ =
+            std::min(parallel_reads_ * 2, limits_.max_parallel_reads);
 }
 
 void engine_loader::on_done(bool succeeded, instant now) {
@@ -67,7 +72,7 @@
         return action;
     };
     if (!staged_ || staged_->size() != chunks_)
-        return act(check_staged{});
+        return act(check_staged{parallel_reads_});
     if (!staged_->is_full()) {
         stage_chunks missing;
         for (std::uint32_t index = 0; index < chunks_; ++index)
@@ -85,12 +90,10 @@
     }
     if (is_serving && now - *announced_at_ < limits_.announce_lead)
         return std::monostate{};
-    if (now - checked_at_ > limits_.max_check_age) {
-        staged_.reset();
-        return act(check_staged{});
-    }
     staged_.reset();
-    return act(order_switch{requested_, report_->orders});
+    if (now > valid_until_)
+        return act(check_staged{parallel_reads_});
+    return act(order_switch{requested_, report_->orders, valid_until_});
 }
 
 milliseconds switch_delay(std::size_t rank, std::size_t count,
--- a/tests/endless_readers.cpp
+++ b/tests/endless_readers.cpp
@@ -148,7 +148,7 @@
         manifest description;
         description.chunks.resize(4);
         engine->check_staged(
-            "model", description, true,
+            "model", description, {true},
             [engine, done](const auto& staged) { done(staged.has_value()); });
     });
     check_reader([](auto& client, const auto& server, const auto& done) {
--- a/tests/engine_client.cpp
+++ b/tests/engine_client.cpp
@@ -5,11 +5,14 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace ospreystage;
@@ -32,6 +35,9 @@
                        status, echo, body.size(), body);
 }
 
+/// End of the validity of an order that is not limited.
+constexpr instant forever = instant::max();
+
 } // namespace
 
 TEST_CASE("engine client - a second copy of an answer is not taken for the "
@@ -52,7 +58,7 @@
     std::optional<bool> is_accepted;
     tested.read_report(1, [&](const auto& report) {
         CHECK(report);
-        tested.order("m", {2, 1}, [&](bool accepted) {
+        tested.order("m", {2, 1, forever}, [&](bool accepted) {
             is_accepted = accepted;
             core.stop();
         });
@@ -90,7 +96,7 @@
         });
     };
     const auto order = [&] {
-        tested.order("m", {2, 1}, [&](bool accepted) {
+        tested.order("m", {2, 1, forever}, [&](bool accepted) {
             is_accepted = accepted;
             core.stop();
         });
@@ -126,7 +132,7 @@
     tested.read_report(1, [&](const auto& report) {
         CHECK(report);
         CHECK(report->state.is_leaving);
-        tested.order("m", {2, 1}, [&](bool) { core.stop(); });
+        tested.order("m", {2, 1, forever}, [&](bool) { core.stop(); });
     });
     core.after("test", seconds(3), [&] { core.stop(); });
     core.run();
@@ -153,7 +159,7 @@
             if (reports < report_count)
                 read_next();
             else
-                tested.order("m", {2, 1}, [&](bool accepted) {
+                tested.order("m", {2, 1, forever}, [&](bool accepted) {
                     is_accepted = accepted;
                     core.stop();
                 });
@@ -166,3 +172,82 @@
     CHECK(is_accepted == true);
     CHECK(engine.connections() == 2);
 }
+
+// Guards against an order on a comparison that has become too old while the
+// agent was frozen or waited for a connection.
+TEST_CASE("engine client - an order whose time has passed is not sent") {
+    std::atomic<int> orders{0};
+    const scripted_server engine([&](const std::string& request) {
+        ++orders;
+        return scripted_answer{answer_to(request, 202, "{}")};
+    });
+    kernel core;
+    web_client client(core);
+    engine_client tested(client, engine.endpoint());
+    std::optional<bool> is_accepted;
+    tested.order("m", {2, 1, steady::now() - milliseconds(1)},
+                 [&](bool accepted) {
+                     is_accepted = accepted;
+                     core.stop();
+                 });
+    core.after("test", seconds(3), [&] { core.stop(); });
+    core.run();
+    CHECK(is_accepted == false);
+    CHECK(orders == 0);
+}
+
+// Guards against a comparison of one chunk after another, which an engine that
+// answers slowly stretches beyond the age that an order may have.
+TEST_CASE("engine client - staged chunks are compared several at a time, and "
+          "the result names those that match") {
+    constexpr std::uint32_t chunk_count = 16;
+    constexpr milliseconds read_time{50};
+    const std::uint32_t parallel = GENERATE(1U, 4U, 32U);
+    std::atomic<std::uint32_t> reads{0};
+    std::atomic<std::uint32_t> max_reads{0};
+    const auto chunk = [](std::uint32_t index) {
+        return std::string(100, static_cast<char>('a' + index));
+    };
+    const scripted_server engine([&](const std::string& request) {
+        const std::string name = "item_count=";
+        const std::size_t found = request.find(name);
+        if (found == std::string::npos) {
+            std::string held = "0";
+            for (std::uint32_t index = 1; index < chunk_count; ++index)
+                held += fmt::format(",{}", index);
+            return scripted_answer{answer_to(
+                request, 200, fmt::format(R"({{"held":[{}]}})", held))};
+        }
+        const auto index = static_cast<std::uint32_t>(
+            std::stoul(request.substr(found + name.size())));
+        const std::uint32_t now = ++reads;
+        std::uint32_t highest = max_reads;
+        while (now > highest && !max_reads.compare_exchange_weak(highest, now))
+            continue;
+        std::this_thread::sleep_for(read_time);
+        --reads;
+        return scripted_answer{
+            answer_to(request, 200, chunk(index == 3 ? 0 : index))};
+    });
+    kernel core;
+    web_client client(core);
+    engine_client tested(client, engine.endpoint());
+    manifest description;
+    description.chunk_bytes = 100;
+    for (std::uint32_t index = 0; index < chunk_count; ++index)
+        description.chunks.push_back(sha256(chunk(index)));
+    std::optional<engine_client::staged_chunks> result;
+    tested.check_staged("m", description, {true, parallel},
+                        [&](std::optional<engine_client::staged_chunks> found) {
+                            result = std::move(found);
+                            core.stop();
+                        });
+    core.after("test", seconds(10), [&] { core.stop(); });
+    core.run();
+    REQUIRE(result.has_value());
+    CHECK(result->verified.count() == chunk_count - 1);
+    CHECK_FALSE(result->verified.test(3));
+    CHECK(result->bytes.size() == chunk_count - 1);
+    CHECK(max_reads <= parallel);
+    CHECK(max_reads >= std::min(parallel, chunk_count / 2));
+}
--- a/tests/engine_loader.cpp
+++ b/tests/engine_loader.cpp
@@ -33,7 +33,7 @@
 /// Reports to the loader that every chunk is staged.
 void stage_all(engine_loader& loader, instant now) {
     REQUIRE(is<check_staged>(loader.next(now)));
-    loader.on_checked(staged({0, 1, 2, 3}), now);
+    loader.on_checked(staged({0, 1, 2, 3}), now, now);
     loader.on_done(true, now);
 }
 
@@ -51,7 +51,7 @@
 TEST_CASE("engine loader - missing chunks are staged and compared again") {
     engine_loader loader = holding(0, start);
     REQUIRE(is<check_staged>(loader.next(start)));
-    loader.on_checked(staged({0, 2}), start);
+    loader.on_checked(staged({0, 2}), start, start);
     loader.on_done(true, start);
     const loader_action action = loader.next(start);
     REQUIRE(is<stage_chunks>(action));
@@ -67,6 +67,48 @@
     CHECK(is<check_staged>(loader.next(start + seconds(1))));
 }
 
+// Guards against an order on a chunk that was compared at the beginning of a
+// long comparison and has become corrupt since.
+TEST_CASE(
+    "engine loader - a comparison of a slow engine is as old as its first "
+    "read and is repeated with more reads at the same time") {
+    engine_loader loader = holding(0, start);
+    instant began = start;
+    instant now = start;
+    std::uint32_t reads = 0;
+    while (true) {
+        const loader_action action = loader.next(now);
+        if (const auto* order = std::get_if<order_switch>(&action)) {
+            CHECK(now - began <= milliseconds(1500));
+            CHECK(now <= order->valid_until);
+            break;
+        }
+        REQUIRE(is<check_staged>(action));
+        // An engine that takes 12 s to return all chunks one by one.
+        const auto parallel = std::get<check_staged>(action).parallel_reads;
+        CHECK(parallel >= reads);
+        reads = parallel;
+        began = now;
+        now += seconds(12) / parallel;
+        loader.on_checked(staged({0, 1, 2, 3}), began, now);
+        loader.on_done(true, now);
+        REQUIRE(now - start < seconds(30));
+    }
+    CHECK(now - start < seconds(6));
+}
+
+TEST_CASE("engine loader - an order is valid until its comparison is too old") {
+    engine_loader loader = holding(0, start);
+    REQUIRE(is<check_staged>(loader.next(start)));
+    const instant ended = start + milliseconds(1000);
+    loader.on_checked(staged({0, 1, 2, 3}), start, ended);
+    loader.on_done(true, ended);
+    const loader_action action = loader.next(ended);
+    REQUIRE(is<order_switch>(action));
+    CHECK(std::get<order_switch>(action).valid_until ==
+          start + engine_loader::options{}.max_read_age);
+}
+
 TEST_CASE("engine loader - nothing happens until every chunk is held") {
     engine_loader loader;
     loader.request_version(2, chunks, start);
