Take an answer whose status is none of HTTP for malformed

Cause: the parser took any three digits for a status, and the client what is below 200 for an informational response. Change: a status below 100 or above 599, and 101, makes the response malformed, for all readers of answers.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -22,6 +22,12 @@
 /// HTTP/1.1 in the form that the parser reports.
 constexpr int http_1_1 = 11;
 
+/// Statuses of HTTP (RFC 9110, section 15).
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+/// Answers only a request to change the protocol, which is never sent.
+constexpr int status_switching_protocols = 101;
+
 /// A body grows by this part of its size.
 constexpr std::size_t body_growth_divisor = 4;
 /// Memory of a parser without a request.
@@ -191,7 +197,13 @@
 
     void on_request_impl(beast_http::verb, text, text, int,
                          error_code&) override {}
-    void on_response_impl(int status, text reason, int, error_code&) override {
+    void on_response_impl(int status, text reason, int,
+                          error_code& problem) override {
+        if (status < min_status || status > max_status ||
+            status == status_switching_protocols) {
+            problem = beast_http::error::bad_status;
+            return;
+        }
         response.status = static_cast<std::uint16_t>(status);
         response.reason = to_text(reason);
     }
--- a/tests/broken_heads.cpp
+++ b/tests/broken_heads.cpp
@@ -61,3 +61,85 @@
         CHECK((status < 200 || status >= 300));
     }
 }
+
+namespace {
+
+/// Answers whose status is none of HTTP, or that of a change of protocol that
+/// nobody has asked for.
+std::vector<std::string> answers_without_status() {
+    std::vector<std::string> answers{
+        "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+        "Content-Length: 2\r\n\r\nok"};
+    for (const char* status : {"000", "001", "099", "101", "600", "999"})
+        answers.push_back(std::string("HTTP/1.1 ") + status +
+                          " Odd\r\nX-Server-Stamp: s\r\n"
+                          "Content-Length: 2\r\n\r\nok");
+    return answers;
+}
+
+} // namespace
+
+// Guards against an answer with a status such as 000 that reaches the caller,
+// or that the caller's whole time is spent on.
+TEST_CASE("broken heads - an answer whose status is none of HTTP is malformed "
+          "and ends its connection at once") {
+    const request_kind kind =
+        GENERATE(request_kind::non_idempotent, request_kind::streaming);
+    for (const std::string& answer : answers_without_status()) {
+        const scripted_server server(
+            [&](const std::string&) { return scripted_answer{answer}; });
+        gateway_fixture fixture;
+        fixture.add_route(kind, false);
+        fixture.add_servers({server.endpoint()});
+        const auto result = fixture.send_request();
+        INFO(answer);
+        CHECK(result.end == call_end::complete);
+        CHECK(result.response.status == 502);
+        CHECK(result.response.body.find("ok") == std::string::npos);
+        // The server may have run the request.
+        CHECK(find_field(result.response.fields, "X-Not-Executed") == nullptr);
+        CHECK(result.duration < milliseconds(1000));
+        CHECK(server.connections() == 1);
+    }
+}
+
+TEST_CASE("broken heads - a request that may run again goes to another server "
+          "after an answer whose status is none of HTTP") {
+    for (const std::string& answer : answers_without_status()) {
+        const scripted_server odd(
+            [&](const std::string&) { return scripted_answer{answer}; });
+        const scripted_server sound([](const std::string&) {
+            return scripted_answer{testing::make_response(
+                200, "X-Server-Stamp: sound\r\n", "sound")};
+        });
+        gateway_fixture fixture;
+        fixture.add_route(request_kind::idempotent, false);
+        fixture.add_servers({odd.endpoint(), sound.endpoint()});
+        INFO(answer);
+        for (const auto& result : fixture.send_requests(4)) {
+            CHECK(result.response.status == 200);
+            CHECK(result.response.body == "sound");
+        }
+    }
+}
+
+// Guards against the other readers of answers, which share the client.
+TEST_CASE("broken heads - no reader takes an answer whose status is none of "
+          "HTTP for complete") {
+    for (const std::string& answer : answers_without_status()) {
+        const scripted_server server(
+            [&](const std::string&) { return scripted_answer{answer}; });
+        kernel core;
+        web_client client(core);
+        call_end ended = call_end::complete;
+        client.fetch(server.endpoint(), {}, {},
+                     [&](call_end end, const http_response&) {
+                         ended = end;
+                         core.stop();
+                     });
+        core.run();
+        INFO(answer);
+        CHECK(ended == call_end::malformed);
+    }
+}
