Send documents to other entries in compressed form

Callers saw: requests that reached their servers after they had left, and configurations that took effect late, after the configuration had grown to 409 kB (GONE, CONFIG). Cause: each entry of a region receives every change of the configuration as the whole document from a reader of its region; 12 to 14 copies at a time fill the links that requests use, and the next change sends them again. Change: the state that entries pass on has its documents compressed with zlib if the asker says that it reads this; a reader compresses a text once. Entries of the release before get and send the full text. A document of 1,400 routes goes to another entry in less than a fifth of its size; the test of this fails without the compression (222,917 bytes, 44,505 allowed).

--- a/include/ospreystage/fleet/site_copy.hpp
+++ b/include/ospreystage/fleet/site_copy.hpp
@@ -106,6 +106,11 @@
         return servers_digest_;
     }
 
+    /// Returns true if the document, or its removal, is known.
+    [[nodiscard]] bool has_document(const std::string& key) const {
+        return documents_.contains(key);
+    }
+
     /// Returns the keys of the documents that begin with `prefix`, without
     /// those that have been removed.
     [[nodiscard]] std::vector<std::string>
--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -22,7 +22,9 @@
 /// Serves this entry's `site_copy` to others, and brings it up to date from the
 /// region's readers, in turn, at a fixed interval. While one of them answers
 /// slowly, as a large document does over a narrow link, the other one is asked
-/// too, and the first whole answer counts.
+/// too, and the first whole answer counts. Documents are sent in compressed
+/// form: every entry of the region gets them at about the same time, over the
+/// links that callers' requests use.
 class site_feed {
   public:
     using update_handler = std::function<void(const site_copy::applied_parts&)>;
@@ -54,6 +56,12 @@
         bool is_answering = false; ///< Its answer is arriving.
     };
 
+    /// A text of a document and its compressed form, which many entries get.
+    struct compressed_text {
+        std::string text;
+        std::string compressed;
+    };
+
     /// What an entry that was asked has answered.
     struct source_record {
         instant answered_at{};
@@ -73,6 +81,8 @@
     void on_changes(const std::string& source, instant requested_at,
                     const http_response& response);
     [[nodiscard]] http_response answer(const http_request& request);
+    /// Replaces the texts of documents by their compressed forms.
+    void compress_documents(std::vector<site_document>& documents);
 
     kernel& core_;
     web_client& client_;
@@ -84,6 +94,7 @@
     std::size_t next_source_ = 0;
     std::vector<open_request> requests_;
     absl::flat_hash_map<std::string, source_record> answers_;
+    absl::flat_hash_map<std::string, compressed_text> compressed_; ///< By key.
     bool is_outdated_ = false;
     /// Readers that another one has overtaken are asked again from then on.
     absl::flat_hash_map<std::string, instant> avoided_until_;
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -1,3 +1,4 @@
+#include <ospreystage/core/compression.hpp>
 #include <ospreystage/core/log.hpp>
 #include <ospreystage/fleet/site_feed.hpp>
 
@@ -25,6 +26,10 @@
 /// In an answer, the time in milliseconds for which the lists of servers have
 /// come without a gap. Entries of earlier releases do not send it.
 constexpr const char* unbroken_field = "Ospreystage-Unbroken-Ms";
+/// In a request, that the texts of documents may come in compressed form; in
+/// the answer, that all of them do. Entries of earlier releases do not send it.
+constexpr const char* documents_field = "Ospreystage-Documents";
+constexpr const char* compressed_documents = "zlib";
 /// Longest such time that counts, so that its beginning can be represented.
 constexpr milliseconds max_unbroken = std::chrono::hours(24);
 constexpr milliseconds poll_interval{200};
@@ -43,6 +48,8 @@
 constexpr milliseconds avoidance_time{3000};
 /// Largest answer: the whole state of the store that entries keep.
 constexpr std::size_t max_changes_bytes = 16 * 1024 * 1024;
+/// Total size of the texts of compressed documents.
+constexpr std::size_t max_documents_bytes = 32 * 1024 * 1024;
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_bad_request = 400;
 
@@ -88,6 +95,22 @@
     fields.push_back({servers_field, fmt::format("{:x}", value)});
 }
 
+bool has_compressed_documents(const http_fields& fields) {
+    return field_value(fields, documents_field) == compressed_documents;
+}
+
+/// Replaces compressed texts by the texts themselves.
+leaf::result<void> decompress_documents(std::vector<site_document>& documents,
+                                        const std::string& peer) {
+    std::size_t remaining = max_documents_bytes;
+    for (site_document& document : documents) {
+        BOOST_LEAF_ASSIGN(document.text, decompress(document.text, remaining,
+                                                    "site.documents", peer));
+        remaining -= document.text.size();
+    }
+    return {};
+}
+
 } // namespace
 
 site_feed::site_feed(kernel& core, web_client& client, site_copy& copy,
@@ -212,6 +235,7 @@
     request.target = target;
     write_digest(request.fields, copy_.servers_digest());
     write_eras(request.fields, copy_.revisions());
+    request.fields.push_back({documents_field, compressed_documents});
     request.body = encode(copy_.revisions());
     call_options call;
     call.connect_timeout = connect_timeout;
@@ -257,7 +281,15 @@
                            const http_response& response) {
     error failure;
     auto changes = value_or_error(
-        [&] { return decode_site_changes(response.body, source); }, failure);
+        [&]() -> leaf::result<site_changes> {
+            BOOST_LEAF_AUTO(decoded,
+                            decode_site_changes(response.body, source));
+            if (has_compressed_documents(response.fields))
+                BOOST_LEAF_CHECK(
+                    decompress_documents(decoded.documents, source));
+            return decoded;
+        },
+        failure);
     if (!changes) {
         log_event(log_level::warn, "site_changes_unreadable",
                   {{"error", to_string(failure)}});
@@ -297,8 +329,11 @@
         known->entries.era = copy_.revisions().entries.era;
         known->servers.era = copy_.revisions().servers.era;
     }
-    const site_changes changes =
+    site_changes changes =
         copy_.changes_since(*known, now, read_digest(request.fields));
+    const bool is_compressed = has_compressed_documents(request.fields);
+    if (is_compressed)
+        compress_documents(changes.documents);
     response = text_response("application/octet-stream", encode(changes));
     write_eras(response.fields, changes.revisions);
     if (changes.unchanged_servers)
@@ -307,7 +342,21 @@
         response.fields.push_back(
             {unbroken_field,
              std::to_string(changes.servers_unbroken->count())});
+    if (is_compressed)
+        response.fields.push_back({documents_field, compressed_documents});
     return response;
 }
 
+void site_feed::compress_documents(std::vector<site_document>& documents) {
+    absl::erase_if(compressed_, [&](const auto& each) {
+        return !copy_.has_document(each.first);
+    });
+    for (site_document& document : documents) {
+        compressed_text& known = compressed_[document.key];
+        if (known.compressed.empty() || known.text != document.text)
+            known = {document.text, compress(document.text)};
+        document.text = known.compressed;
+    }
+}
+
 } // namespace ospreystage
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/raw_connection.hpp"
 #include "tests/support/running_kernel.hpp"
 
+#include <ospreystage/core/stable_hash.hpp>
 #include <ospreystage/fleet/site_feed.hpp>
 
 #include <absl/container/flat_hash_set.h>
@@ -552,3 +553,63 @@
     CHECK(applied.documents.empty());
     CHECK_FALSE(applied.servers);
 }
+
+// Guards against a large configuration that each entry of a region gets at its
+// full size: callers' requests wait behind it in the same links.
+TEST_CASE("site feed - a large configuration of similar routes reaches another "
+          "entry at a fraction of its size, and an entry of an earlier release "
+          "at its full size") {
+    std::string text;
+    for (int route = 0; route < 1400; ++route)
+        text += fmt::format(
+            R"({{"name":"r-{0:x}","hostname":"desk-{0}.example",)"
+            R"("path_prefix":"/read/{1:x}/","kind":"streaming",)"
+            R"("timeout_ms":6000,"service":"reader","max_attempts":2}})",
+            route, stable_hash(std::to_string(route)));
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    source.on_document({"op/config", text, 11});
+    source.on_document({"op/evacuate/hall-a", "", 11}); // A removal.
+    source.on_documents_read(11, steady::now());
+    site_copy copy;
+    for (site_copy* each : {&source, &copy})
+        each->on_entry({"reader", {"127.0.0.2", 80}, "north"});
+    site_feed reader(core, client, source,
+                     {"reader", "north", {"127.0.0.2", port}, {}}, nullptr);
+    std::vector<site_document> received;
+    site_feed follower(core, client, copy,
+                       {"follower", "north", {"127.0.0.3", port}, {}},
+                       [&](const site_copy::applied_parts& applied) {
+                           for (const site_document& each : applied.documents)
+                               received.push_back(each);
+                       });
+    error failure;
+    REQUIRE(value_or_error(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(reader.start());
+            BOOST_LEAF_CHECK(follower.start());
+            follower.on_entries_changed();
+            return true;
+        },
+        failure));
+    running_kernel running(core);
+    CHECK(running.until([&] { return received.size() == 2; }, seconds(2)));
+    running.ask([&] {
+        REQUIRE(received.size() == 2);
+        CHECK(received[0] == site_document{"op/config", text, 11});
+        CHECK(received[1] == site_document{"op/evacuate/hall-a", "", 11});
+        return true;
+    });
+    const auto answer_size = [&](const std::string& fields) {
+        raw_connection caller({"127.0.0.2", port});
+        const std::string body = encode(site_revisions{});
+        caller.send(fmt::format("POST /v1/site HTTP/1.1\r\nHost: reader\r\n"
+                                "{}Content-Length: {}\r\n\r\n{}",
+                                fields, body.size(), body));
+        return caller.read_all(milliseconds(300)).size();
+    };
+    CHECK(answer_size("") > text.size());
+    CHECK(answer_size("Ospreystage-Documents: zlib\r\n") < text.size() / 5);
+}
