Keep the later start of a server that an older copy of the store lacks

Cause: the copy shows the server with its earlier start, which was taken for a new one; what the server had stated since did not apply to it. Change: until servers have had time to write again after a drill, an earlier start does not replace a later one that is known or has departed.

--- a/include/ospreystage/fleet/backend_registry.hpp
+++ b/include/ospreystage/fleet/backend_registry.hpp
@@ -163,6 +163,9 @@
 
     [[nodiscard]] const departed_server*
     find_departed(const backend_server& server) const;
+    [[nodiscard]] bool may_be_older_copy(instant now) const;
+    [[nodiscard]] bool is_undone_start(const backend_server& server,
+                                       instant now) const;
     [[nodiscard]] bool is_undone_departure(const backend_server& server,
                                            instant now) const;
     void index_addresses();
--- a/src/fleet/backend_registry.cpp
+++ b/src/fleet/backend_registry.cpp
@@ -90,6 +90,8 @@
         if (is_undone_departure(entry, now))
             continue;
         seen.insert(entry.id);
+        if (is_undone_start(entry, now))
+            entry = servers_.at(entry.id).server;
         const departed_server* departed = find_departed(entry);
         const auto [found, is_new] = servers_.try_emplace(entry.id);
         server_record& record = found->second;
@@ -162,16 +164,32 @@
     return is_same ? &found->second : nullptr;
 }
 
-/// Returns true if the list shows a departed server only because its copy of
-/// the store is older.
+/// Returns true while a list may show servers as they were before, because the
+/// store has returned from an older copy and they have not all written again.
+bool backend_registry::may_be_older_copy(instant now) const {
+    return era_began_ && now - *era_began_ < limits_.reregistration_time;
+}
+
+/// Returns true if the list shows a departed server, or an earlier start of it,
+/// only because its copy of the store is older.
 bool backend_registry::is_undone_departure(const backend_server& server,
                                            instant now) const {
-    const departed_server* departed = find_departed(server);
-    return era_began_ && now - *era_began_ < limits_.reregistration_time &&
-           departed != nullptr && departed->left_at < *era_began_ &&
+    const auto departed = departed_.find(server.id);
+    return may_be_older_copy(now) && departed != departed_.end() &&
+           departed->second.started_unix_ms >= server.started_unix_ms &&
+           departed->second.left_at < *era_began_ &&
            !servers_.contains(server.id);
 }
 
+/// Returns true if the list shows an earlier start of a server than the known
+/// one only because its copy of the store is older.
+bool backend_registry::is_undone_start(const backend_server& server,
+                                       instant now) const {
+    const auto known = servers_.find(server.id);
+    return may_be_older_copy(now) && known != servers_.end() &&
+           known->second.server.started_unix_ms > server.started_unix_ms;
+}
+
 void backend_registry::index_addresses() {
     ids_by_address_.clear();
     for (const auto& [id, record] : servers_)
--- a/tests/backend_registry.cpp
+++ b/tests/backend_registry.cpp
@@ -100,6 +100,41 @@
     CHECK(registry.serving("desk").size() == 1);
 }
 
+// Guards against requests to a leaving server that an older copy of the store
+// shows as it was before it had started again.
+TEST_CASE("backend registry - an earlier start that an older copy of the store "
+          "shows does not replace a later one") {
+    const bool has_departed = GENERATE(false, true);
+    backend_registry registry;
+    backend_server first = make_server("a");
+    first.started_unix_ms = 1000;
+    backend_server second = first;
+    second.started_unix_ms = 2000;
+    second.is_draining = true;
+    const auto list = [&](const std::vector<backend_server>& servers,
+                          store_position position, instant now) {
+        registry.on_list(servers, now, state_origin{position, now, "", {}});
+    };
+    list({first}, {1, 10}, start);
+    list({second}, {1, 12}, start + seconds(1));
+    if (has_departed)
+        list({}, {1, 13}, start + seconds(2));
+    const instant returned = start + seconds(3);
+    list({first}, {2, 5}, returned);
+    CHECK(registry.serving("desk").empty());
+    list({first}, {2, 5}, returned + seconds(1));
+    CHECK(registry.serving("desk").empty());
+    // What it writes itself counts at once, and later whatever is listed.
+    backend_server third = second;
+    third.started_unix_ms = 3000;
+    third.is_draining = false;
+    list({third}, {2, 6}, returned + milliseconds(1500));
+    CHECK(registry.serving("desk").size() == 1);
+    list({first}, {2, 7}, returned + seconds(3));
+    REQUIRE(registry.find("a") != nullptr);
+    CHECK(registry.find("a")->started_unix_ms == 1000);
+}
+
 TEST_CASE("backend registry - the last list holds through an outage") {
     backend_registry registry;
     registry.on_list({make_server("a")}, start);
