Do not pass on a large answer that promises what is not known

Callers saw: a 503 for an unsafe request that had run, if the server's answer was larger than 64 KiB. Cause: such answers are passed on as they arrive, before it is asked whether their status promises that the request has not run. Change: the body of an answer with such a status is not passed on. Result: the new test fails before (408, 429 and 503 with 84,000 bytes where 502 is expected) and passes after.

--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -234,6 +234,7 @@
     [[nodiscard]] bool is_set_aside(exchange_id exchange,
                                     std::uint32_t attempt);
     [[nodiscard]] bool is_answer(const http_response& head) const;
+    [[nodiscard]] bool is_refusal(const http_response& head) const;
     void on_silent_head(exchange_id exchange, const http_response& head);
     void on_silent_body(exchange_id exchange, std::string_view data);
     void on_silent_ended(exchange_id exchange, call_end end);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -619,7 +619,7 @@
     body.append(data);
     if (body.size() <= max_buffered_bytes)
         return;
-    if (protocol_.is_not_run(record.head)) {
+    if (is_refusal(record.head)) {
         // The head says all that matters; the body is not passed on.
         client_.cancel(*record.call);
         on_call_ended(exchange, call_end::too_large);
@@ -732,10 +732,11 @@
         on_stream_ended(exchange, end);
         return;
     }
-    const bool is_refused =
-        (end == call_end::complete || end == call_end::too_large) &&
-        protocol_.is_not_run(record->head);
-    if (!is_refused && end != call_end::complete) {
+    const bool is_whole =
+        end == call_end::complete ||
+        (end == call_end::too_large && is_refusal(record->head));
+    const bool is_refused = is_whole && protocol_.is_not_run(record->head);
+    if (!is_whole) {
         const bool is_crash = check_crash(*record, end);
         end_call(*record, attempt_result::failed);
         record->head.body.clear();
@@ -1008,6 +1009,13 @@
            !protocol_.is_not_run(head);
 }
 
+/// Returns true if the head of a response states that the request has not run,
+/// or would promise it to the caller. Its body is not passed on.
+bool gateway::is_refusal(const http_response& head) const {
+    return head.status != no_head_status &&
+           (protocol_.is_not_run(head) || protocol_.is_promise(head));
+}
+
 void gateway::on_silent_head(exchange_id exchange, const http_response& head) {
     request_record& record = *find(exchange);
     if (is_answer(head)) {
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -400,3 +400,38 @@
     CHECK(fixture.send_request().end != call_end::complete);
     CHECK(runs == 1);
 }
+
+// Guards against a large answer that is passed on as it arrives although its
+// status promises that the request never ran.
+TEST_CASE("gateway - a large failure answer of a server that may have run the "
+          "request promises nothing") {
+    const int status = GENERATE(408, 429, 503);
+    const std::string large(84'000, 'x');
+    const scripted_server server([&](const std::string&) {
+        return scripted_answer{make_response(status, "", large), false};
+    });
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_servers({server.endpoint()});
+    const auto result = fixture.send_request();
+    CHECK(result.end == call_end::complete);
+    CHECK(result.response.status == 502);
+    CHECK(result.response.body.size() < 1000);
+    CHECK(server.connections() == 1);
+}
+
+TEST_CASE("gateway - an idempotent request is retried after a large failure "
+          "answer") {
+    const std::string large(84'000, 'x');
+    const scripted_server failing([&](const std::string&) {
+        return scripted_answer{make_response(503, "", large), false};
+    });
+    const scripted_server sound([](const std::string&) {
+        return scripted_answer{make_response(200, "", "sound"), false};
+    });
+    gateway_fixture fixture;
+    fixture.add_route(request_kind::idempotent, false);
+    fixture.add_servers({failing.endpoint(), sound.endpoint()});
+    for (const auto& result : fixture.send_requests(4))
+        CHECK(result.response.body == "sound");
+}
