Ask entries of other regions after the start of a reader

Cause: only entries of the same region were asked for what is in force; an entry alone in its region, or two readers that start together, took the older copy. Change: a reader that starts asks two entries of other regions as well, as soon as it knows the entries.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -34,8 +34,10 @@
         milliseconds max_reader_age{1000};
         /// Time after a request of another entry in which this entry reads.
         milliseconds requester_timeout{2000};
-        /// Time after the start in which the other readers may answer first.
+        /// Time after the start in which other entries may answer first.
         milliseconds startup_grace{400};
+        /// Entries of other regions that a reader asks after its start.
+        std::size_t startup_sources = 2;
         /// Time from one tier's turn to that of the next one.
         milliseconds tier_interval{400};
         /// Pause after a failed read in the first tier after the readers; four
@@ -57,6 +59,12 @@
     /// or the first tier after them while what the readers give is too old.
     [[nodiscard]] std::vector<std::string> sources(instant now) const;
 
+    /// Returns the entries of other regions to ask too: some after the start of
+    /// a reader, or else none. What is in force there may be missing in the
+    /// store after it has returned from an older copy, and the other readers of
+    /// the region may have started again as well.
+    [[nodiscard]] std::vector<std::string> startup_sources(instant now) const;
+
     /// Returns the readers, without this entry.
     [[nodiscard]] std::vector<std::string> readers() const;
 
@@ -71,8 +79,9 @@
 
     // ---- Events ------------------------------------------------------------
 
-    /// Sets the names of the entries of this entry's region.
-    void set_entries(std::vector<std::string> names);
+    /// Sets the names of the entries of this entry's region and of the others.
+    void set_entries(std::vector<std::string> names,
+                     std::vector<std::string> remote_names = {});
 
     /// Records a state from another entry that was read from the store at
     /// `read_at`.
@@ -107,8 +116,9 @@
     instant started_;
     bool is_reader_ = false; ///< Not before the entries are known.
     bool is_store_failing_ = false;
-    std::vector<std::string> order_; ///< Entries of the region, by rank.
-    std::size_t tier_ = 1;           ///< Of this entry.
+    std::vector<std::string> order_;  ///< Entries of the region, by rank.
+    std::vector<std::string> remote_; ///< Entries of other regions, in order.
+    std::size_t tier_ = 1;            ///< Of this entry.
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
 };
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -2,6 +2,7 @@
 #include <ospreystage/fleet/feed_selection.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -36,7 +37,7 @@
 /// Returns true if another entry may still pass on what it has in force, which
 /// the store may lack after it has returned from an older copy.
 bool feed_selection::may_answer_first(instant now) const {
-    return !state_read_at_ && order_.size() > 1 &&
+    return !state_read_at_ && (order_.size() > 1 || !remote_.empty()) &&
            now - started_ < limits_.startup_grace;
 }
 
@@ -70,6 +71,14 @@
     return first_tier.empty() ? readers() : first_tier;
 }
 
+std::vector<std::string> feed_selection::startup_sources(instant now) const {
+    if (!is_reader_ || !may_answer_first(now))
+        return {};
+    return {remote_.begin(),
+            remote_.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                  limits_.startup_sources, remote_.size()))};
+}
+
 milliseconds feed_selection::retry_pause() const noexcept {
     if (is_reader_)
         return milliseconds(0);
@@ -79,7 +88,10 @@
     return pause;
 }
 
-void feed_selection::set_entries(std::vector<std::string> names) {
+void feed_selection::set_entries(std::vector<std::string> names,
+                                 std::vector<std::string> remote_names) {
+    // By an order of its own, so that entries which start together ask others.
+    remote_ = rendezvous_order(self_, std::move(remote_names));
     // An entry that is not registered yet, or not any more, counts itself as
     // the last one.
     const bool is_registered =
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -132,13 +132,17 @@
 
 void site_feed::on_entries_changed() {
     std::vector<std::string> names;
+    std::vector<std::string> remote_names;
     for (const auto& [name, entry] : copy_.entries())
-        if (entry.region == options_.region)
-            names.push_back(name);
+        (entry.region == options_.region ? names : remote_names)
+            .push_back(name);
     absl::erase_if(answers_, [&](const auto& each) {
         return !copy_.entries().contains(each.first);
     });
-    selection_.set_entries(std::move(names));
+    selection_.set_entries(std::move(names), std::move(remote_names));
+    // After the start, the time for others to answer first is short.
+    if (!copy_.age(steady::now()))
+        poll();
 }
 
 void site_feed::schedule_poll() {
@@ -166,6 +170,8 @@
         return;
     if (!is_outdated_) {
         request_from_next(selection_.sources(now), now);
+        for (const std::string& source : selection_.startup_sources(now))
+            request_from_next({source}, now);
         return;
     }
     // The first tier takes over from the readers, but these have the state
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -394,6 +394,69 @@
 
 // ---- Feed ------------------------------------------------------------------
 
+// Guards against an entry without another one in its region that starts after
+// a drill and takes an older configuration from the store.
+TEST_CASE("feed selection - a reader that starts lets entries of other regions "
+          "answer first") {
+    const std::vector<std::string> local =
+        GENERATE(std::vector<std::string>{"e-1"},
+                 std::vector<std::string>{"e-1", "e-2"});
+    feed_selection selection = make_selection("e-1");
+    selection.set_entries(local, {"r-1", "r-2", "r-3"});
+    CHECK_FALSE(selection.reads_store(start + milliseconds(300)));
+    const auto sources = selection.startup_sources(start + milliseconds(300));
+    CHECK(sources.size() == 2);
+    CHECK(selection.startup_sources(start + milliseconds(100)) == sources);
+    // Nobody has answered.
+    CHECK(selection.reads_store(start + milliseconds(400)));
+    CHECK(selection.startup_sources(start + milliseconds(400)).empty());
+    // A state from there has come.
+    selection.on_state(start + milliseconds(350));
+    CHECK(selection.startup_sources(start + milliseconds(360)).empty());
+    CHECK(selection.reads_store(start + milliseconds(360)));
+}
+
+TEST_CASE("feed selection - an entry that is no reader asks no other region") {
+    feed_selection selection = make_selection("e-0");
+    selection.set_entries(five_entries, {"r-1"});
+    const bool is_reader = selection.is_reader();
+    CHECK(selection.startup_sources(start).empty() == !is_reader);
+}
+
+TEST_CASE("site feed - an entry that is alone in its region takes the state of "
+          "another one after its start") {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    site_copy copy;
+    for (site_copy* each : {&source, &copy}) {
+        each->on_entry({"lone", {"127.0.0.3", 80}, "north"});
+        each->on_entry({"elsewhere", {"127.0.0.2", 80}, "south"});
+    }
+    site_feed elsewhere(core, client, source,
+                        {"elsewhere", "south", {"127.0.0.2", port}, {}},
+                        [](const site_copy::applied_parts&) {});
+    site_feed lone(core, client, copy,
+                   {"lone", "north", {"127.0.0.3", port}, {}},
+                   [](const site_copy::applied_parts&) {});
+    error failure;
+    REQUIRE(value_or_error(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(elsewhere.start());
+            BOOST_LEAF_CHECK(lone.start());
+            return true;
+        },
+        failure));
+    running_kernel running(core);
+    running.ask([&] {
+        lone.on_entries_changed();
+        return true;
+    });
+    CHECK(running.until([&] { return copy.revisions() == source.revisions(); },
+                        seconds(2)));
+}
+
 TEST_CASE("site feed - a copy follows the reader that answers") {
     const std::uint16_t port = support::free_ports(1).front();
     kernel core;
