--- a/include/ospreystage/weights/engine_loader.hpp
+++ b/include/ospreystage/weights/engine_loader.hpp
@@ -62,9 +62,9 @@
         /// leaves time for a call that the engine accepts late: a layer may be
         /// taken from a chunk that became corrupt at most 3 s before.
         milliseconds max_read_age{1500};
-        /// Reads of staged chunks at the same time; doubles after each
-        /// comparison that takes longer than half of `max_read_age`.
-        std::uint32_t parallel_reads = 4;
+        /// Time that a comparison should take. After a longer one, more chunks
+        /// are read at the same time; else one, to spare a serving engine.
+        milliseconds max_check_time{750};
         std::uint32_t max_parallel_reads = 32;
         /// Time between the announcement of a switch and its order, in which
         /// requests that entries have already sent arrive and queued requests
@@ -74,8 +74,7 @@
         milliseconds retry_backoff{300};
     };
 
-    explicit engine_loader(const options& limits)
-        : limits_(limits), parallel_reads_(limits.parallel_reads) {}
+    explicit engine_loader(const options& limits) : limits_(limits) {}
     engine_loader() : engine_loader(options{}) {}
 
     // ---- Events ------------------------------------------------------------
--- a/src/weights/engine_loader.cpp
+++ b/src/weights/engine_loader.cpp
@@ -48,9 +48,9 @@
     staged_ = good;
     valid_until_ =
         std::min(ended + limits_.max_check_age, began + limits_.max_read_age);
-    if (ended - began > limits_.max_read_age / 2)
-        parallel_reads_ =
-            std::min(parallel_reads_ * 2, limits_.max_parallel_reads);
+    const auto excess = (ended - began) / limits_.max_check_time;
+    parallel_reads_ = static_cast<std::uint32_t>(std::min<std::int64_t>(
+        parallel_reads_ * (1 + excess), limits_.max_parallel_reads));
 }
 
 void engine_loader::on_done(bool succeeded, instant now) {
