Ask only readers of other regions after the start of a reader

Cause: an entry that is asked for its state reads the store for 2 s. Each reader that started asked two entries of other regions, any of them, so that many read the store after the start of all entries. Change: it asks the first reader of two other regions.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/core/clock.hpp>
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,7 +37,7 @@
         milliseconds requester_timeout{2000};
         /// Time after the start in which other entries may answer first.
         milliseconds startup_grace{400};
-        /// Entries of other regions that a reader asks after its start.
+        /// Other regions of which a reader asks a reader after its start.
         std::size_t startup_sources = 2;
         /// Time from one tier's turn to that of the next one.
         milliseconds tier_interval{400};
@@ -59,10 +60,11 @@
     /// or the first tier after them while what the readers give is too old.
     [[nodiscard]] std::vector<std::string> sources(instant now) const;
 
-    /// Returns the entries of other regions to ask too: some after the start of
+    /// Returns the readers of other regions to ask too: some after the start of
     /// a reader, or else none. What is in force there may be missing in the
     /// store after it has returned from an older copy, and the other readers of
-    /// the region may have started again as well.
+    /// the region may have started again as well. Entries that are no readers
+    /// are not asked: they would read the store from then on.
     [[nodiscard]] std::vector<std::string> startup_sources(instant now) const;
 
     /// Returns the readers, without this entry.
@@ -79,9 +81,11 @@
 
     // ---- Events ------------------------------------------------------------
 
-    /// Sets the names of the entries of this entry's region and of the others.
-    void set_entries(std::vector<std::string> names,
-                     std::vector<std::string> remote_names = {});
+    /// Sets the names of the entries of this entry's region, and those of other
+    /// regions by region.
+    void set_entries(
+        std::vector<std::string> names,
+        std::map<std::string, std::vector<std::string>> remote_names = {});
 
     /// Records a state from another entry that was read from the store at
     /// `read_at`.
@@ -116,9 +120,10 @@
     instant started_;
     bool is_reader_ = false; ///< Not before the entries are known.
     bool is_store_failing_ = false;
-    std::vector<std::string> order_;  ///< Entries of the region, by rank.
-    std::vector<std::string> remote_; ///< Entries of other regions, in order.
-    std::size_t tier_ = 1;            ///< Of this entry.
+    std::vector<std::string> order_; ///< Entries of the region, by rank.
+    /// The first reader of each other region, in the order in which to ask.
+    std::vector<std::string> remote_readers_;
+    std::size_t tier_ = 1; ///< Of this entry.
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
 };
--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -23,7 +23,7 @@
 /// region's readers, in turn, at a fixed interval. While one of them answers
 /// slowly, as a large document does over a narrow link, the other one is asked
 /// too, and the first whole answer counts. After its start, a reader also asks
-/// entries of other regions. Documents are sent in compressed form: every entry
+/// readers of other regions. Documents are sent in compressed form: every entry
 /// of the region gets them at about the same time, over the links that callers'
 /// requests use.
 class site_feed {
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -37,7 +37,7 @@
 /// Returns true if another entry may still pass on what it has in force, which
 /// the store may lack after it has returned from an older copy.
 bool feed_selection::may_answer_first(instant now) const {
-    return !state_read_at_ && (order_.size() > 1 || !remote_.empty()) &&
+    return !state_read_at_ && (order_.size() > 1 || !remote_readers_.empty()) &&
            now - started_ < limits_.startup_grace;
 }
 
@@ -74,9 +74,10 @@
 std::vector<std::string> feed_selection::startup_sources(instant now) const {
     if (!is_reader_ || !may_answer_first(now))
         return {};
-    return {remote_.begin(),
-            remote_.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                  limits_.startup_sources, remote_.size()))};
+    const auto count =
+        std::min(limits_.startup_sources, remote_readers_.size());
+    return {remote_readers_.begin(),
+            remote_readers_.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
 milliseconds feed_selection::retry_pause() const noexcept {
@@ -88,10 +89,19 @@
     return pause;
 }
 
-void feed_selection::set_entries(std::vector<std::string> names,
-                                 std::vector<std::string> remote_names) {
+void feed_selection::set_entries(
+    std::vector<std::string> names,
+    std::map<std::string, std::vector<std::string>> remote_names) {
+    std::vector<std::string> regions;
+    for (const auto& [region, entries] : remote_names)
+        regions.push_back(region);
+    remote_readers_.clear();
     // By an order of its own, so that entries which start together ask others.
-    remote_ = rendezvous_order(self_, std::move(remote_names));
+    for (const std::string& region :
+         rendezvous_order(self_, std::move(regions)))
+        remote_readers_.push_back(
+            rendezvous_order(ranking_key, std::move(remote_names.at(region)))
+                .front());
     // An entry that is not registered yet, or not any more, counts itself as
     // the last one.
     const bool is_registered =
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <utility>
 
 namespace ospreystage {
@@ -132,9 +133,9 @@
 
 void site_feed::on_entries_changed() {
     std::vector<std::string> names;
-    std::vector<std::string> remote_names;
+    std::map<std::string, std::vector<std::string>> remote_names;
     for (const auto& [name, entry] : copy_.entries())
-        (entry.region == options_.region ? names : remote_names)
+        (entry.region == options_.region ? names : remote_names[entry.region])
             .push_back(name);
     absl::erase_if(answers_, [&](const auto& each) {
         return !copy_.entries().contains(each.first);
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -402,10 +402,12 @@
         GENERATE(std::vector<std::string>{"e-1"},
                  std::vector<std::string>{"e-1", "e-2"});
     feed_selection selection = make_selection("e-1");
-    selection.set_entries(local, {"r-1", "r-2", "r-3"});
+    selection.set_entries(
+        local, {{"a", {"a-1", "a-2", "a-3"}}, {"b", {"b-1"}}, {"c", {"c-1"}}});
     CHECK_FALSE(selection.reads_store(start + milliseconds(300)));
     const auto sources = selection.startup_sources(start + milliseconds(300));
-    CHECK(sources.size() == 2);
+    REQUIRE(sources.size() == 2);
+    CHECK(sources[0].front() != sources[1].front());
     CHECK(selection.startup_sources(start + milliseconds(100)) == sources);
     // Nobody has answered.
     CHECK(selection.reads_store(start + milliseconds(400)));
@@ -416,11 +418,21 @@
     CHECK(selection.reads_store(start + milliseconds(360)));
 }
 
-TEST_CASE("feed selection - an entry that is no reader asks no other region") {
-    feed_selection selection = make_selection("e-0");
-    selection.set_entries(five_entries, {"r-1"});
-    const bool is_reader = selection.is_reader();
-    CHECK(selection.startup_sources(start).empty() == !is_reader);
+// Guards against entries that all turn to the store when they start together:
+// an entry that is asked reads it.
+TEST_CASE("feed selection - only readers ask other regions, and only readers "
+          "are asked there") {
+    for (const std::string& name : five_entries) {
+        feed_selection asking = make_selection(name);
+        asking.set_entries(five_entries, {{"a", {"a-1", "a-2", "a-3", "a-4"}}});
+        const auto sources = asking.startup_sources(start);
+        REQUIRE(sources.size() == (asking.is_reader() ? 1U : 0U));
+        for (const std::string& source : sources) {
+            feed_selection asked = make_selection(source);
+            asked.set_entries({"a-1", "a-2", "a-3", "a-4"});
+            CHECK(asked.is_reader());
+        }
+    }
 }
 
 TEST_CASE("site feed - an entry that is alone in its region takes the state of "
