--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -93,6 +93,7 @@
     std::vector<std::string> names,
     std::map<std::string, std::vector<std::string>> remote_names) {
     std::vector<std::string> regions;
+    regions.reserve(remote_names.size());
     for (const auto& [region, entries] : remote_names)
         regions.push_back(region);
     remote_readers_.clear();
