Ask other entries after a start at the usual interval

Cause: a reader asked again at each change of the list of entries while it had no state. After the start of all entries, each one that registered made all others ask at the same moment; what they learn together they send to the few servers that are listed by then. Change: the poll every 200 ms asks, as before.

--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -141,9 +141,6 @@
         return !copy_.entries().contains(each.first);
     });
     selection_.set_entries(std::move(names), std::move(remote_names));
-    // After the start, the time for others to answer first is short.
-    if (!copy_.age(steady::now()))
-        poll();
 }
 
 void site_feed::schedule_poll() {
