Drop versions that are not replaced before others take their memory

Cause: so that a manifest that replaces a corrupt one can keep its chunks, all obsolete versions were dropped after the new one had been accepted. With each new version an agent then held both for a moment, in memory or on its disk. Change: only a version whose chunks are taken over is dropped last. Result: 28 test cases on manifests, distribution and chunks pass. No figure of memory was taken.

--- a/include/ospreystage/weights/distribution.hpp
+++ b/include/ospreystage/weights/distribution.hpp
@@ -135,6 +135,7 @@
                            bool is_probe);
     void read_origin_manifest(const digest& version);
     void accept_known(const digest& version, const known_manifest& known);
+    [[nodiscard]] bool is_replaced(const digest& version) const;
     /// Stores the chunks held of `replaced` that match the manifest of
     /// `version`.
     void keep_chunks(const digest& version, const manifest& description,
--- a/src/weights/distribution.cpp
+++ b/src/weights/distribution.cpp
@@ -157,6 +157,13 @@
     update();
 }
 
+/// Returns true if a supplied manifest takes over the chunks of `version`.
+bool distribution::is_replaced(const digest& version) const {
+    return std::any_of(
+        known_manifests_.begin(), known_manifests_.end(),
+        [&](const auto& entry) { return entry.second.replaced == version; });
+}
+
 void distribution::request_versions(
     const std::vector<requested_version>& versions) {
     std::vector<requested_version> valid = versions;
@@ -169,10 +176,21 @@
                                return entry.version == version;
                            });
     };
-    std::vector<digest> obsolete;
-    for (const requested_version& entry : requested_)
-        if (!is_requested(entry.version))
-            obsolete.push_back(entry.version);
+    const auto drop = [this](const digest& version) {
+        store_.drop(version);
+        reported_complete_.erase(version);
+    };
+    // A manifest that replaces another one keeps its chunks. All others go
+    // first, so that not both versions take memory.
+    std::vector<digest> replaced;
+    for (const requested_version& entry : requested_) {
+        if (is_requested(entry.version))
+            continue;
+        if (is_replaced(entry.version))
+            replaced.push_back(entry.version);
+        else
+            drop(entry.version);
+    }
     requested_ = std::move(valid);
     decisions_.set_requested(requested_, steady::now());
     for (const requested_version& entry : requested_) {
@@ -181,11 +199,8 @@
             accept_known(entry.version, known.mapped());
     }
     known_manifests_.clear();
-    // Last, so that a manifest that replaces another one can keep its chunks.
-    for (const digest& version : obsolete) {
-        store_.drop(version);
-        reported_complete_.erase(version);
-    }
+    for (const digest& version : replaced)
+        drop(version);
     update();
 }
 
