Let every reader of answers have statuses that are none of HTTP

Cause: the tests of MIXED met the caller and the client that all readers share, not each reader, and no status of odd characters.

--- a/tests/broken_heads.cpp
+++ b/tests/broken_heads.cpp
@@ -71,7 +71,7 @@
         "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n"
         "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
         "Content-Length: 2\r\n\r\nok"};
-    for (const char* status : {"000", "001", "099", "101", "600", "999"})
+    for (const char* status : {"000", "001", "099", "101", "600", "999", "ab!"})
         answers.push_back(std::string("HTTP/1.1 ") + status +
                           " Odd\r\nX-Server-Stamp: s\r\n"
                           "Content-Length: 2\r\n\r\nok");
