Forget settled manifests in one step

Cause: manifest_review listed its versions only so that its one user could look each up and forget it. Change: forget_if in place of versions and forget. Result: the tests of manifests pass; the test of a complete version now also shows that another one is kept.

--- a/include/ospreystage/weights/manifest_review.hpp
+++ b/include/ospreystage/weights/manifest_review.hpp
@@ -3,6 +3,7 @@
 #include <ospreystage/core/clock.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -48,8 +49,9 @@
     /// Records that a peer has another manifest of `version`.
     void on_conflict(std::uint64_t version);
 
-    /// Forgets a version that is complete or no longer planned.
-    void forget(std::uint64_t version);
+    /// Forgets the versions for which `is_settled` returns true: those that are
+    /// complete or no longer planned.
+    void forget_if(const std::function<bool(std::uint64_t)>& is_settled);
 
     // ---- Decision ----------------------------------------------------------
 
@@ -62,9 +64,6 @@
     /// its manifest has been accepted.
     [[nodiscard]] bool is_doubted(std::uint64_t version) const;
 
-    /// Returns the versions whose manifest may still be doubted.
-    [[nodiscard]] std::vector<std::uint64_t> versions() const;
-
   private:
     struct record {
         std::uint64_t corrupt_chunks = 0; ///< Total when it was accepted.
--- a/src/weights/manifest_review.cpp
+++ b/src/weights/manifest_review.cpp
@@ -31,8 +31,10 @@
         found->second.has_conflict = true;
 }
 
-void manifest_review::forget(std::uint64_t version) {
-    records_.erase(version);
+void manifest_review::forget_if(
+    const std::function<bool(std::uint64_t)>& is_settled) {
+    std::erase_if(records_,
+                  [&](const auto& entry) { return is_settled(entry.first); });
 }
 
 std::vector<manifest_review::doubt>
@@ -56,11 +58,4 @@
     return found != records_.end() && found->second.is_doubted;
 }
 
-std::vector<std::uint64_t> manifest_review::versions() const {
-    std::vector<std::uint64_t> result;
-    for (const auto& [version, known] : records_)
-        result.push_back(version);
-    return result;
-}
-
 } // namespace ospreystage
--- a/tests/manifest_review.cpp
+++ b/tests/manifest_review.cpp
@@ -76,7 +76,9 @@
 TEST_CASE("manifest review - a complete version is no longer doubted") {
     manifest_review review;
     review.on_accepted(version, source::peer, 0, start);
-    review.forget(version);
-    CHECK(review.due(100, start + seconds(60)).empty());
-    CHECK(review.versions().empty());
+    review.on_accepted(version + 1, source::peer, 0, start);
+    review.forget_if([](std::uint64_t each) { return each == version; });
+    const auto due = review.due(100, start + seconds(60));
+    REQUIRE(due.size() == 1);
+    CHECK(due.front().version == version + 1);
 }
