Choose the readers of other regions in a function of its own

Cause: set_entries built the list of all regions' readers, of which startup_sources cut the first two at each poll; three tests started their feeds with the same nine lines.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -83,9 +83,9 @@
 
     /// Sets the names of the entries of this entry's region, and those of other
     /// regions by region.
-    void set_entries(
-        std::vector<std::string> names,
-        std::map<std::string, std::vector<std::string>> remote_names = {});
+    void set_entries(std::vector<std::string> names,
+                     const std::map<std::string, std::vector<std::string>>&
+                         remote_names = {});
 
     /// Records a state from another entry that was read from the store at
     /// `read_at`.
@@ -121,7 +121,7 @@
     bool is_reader_ = false; ///< Not before the entries are known.
     bool is_store_failing_ = false;
     std::vector<std::string> order_; ///< Entries of the region, by rank.
-    /// The first reader of each other region, in the order in which to ask.
+    /// The first readers of other regions that may be asked after the start.
     std::vector<std::string> remote_readers_;
     std::size_t tier_ = 1; ///< Of this entry.
     std::optional<instant> state_read_at_;
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <utility>
 
 namespace ospreystage {
@@ -15,6 +16,25 @@
 /// Factor from the entries up to a tier to those up to the next one.
 constexpr std::size_t tier_growth = 4;
 
+/// Returns the first reader of some regions, at most `count`, none of which is
+/// empty. Entries ask different regions, by the order of `self`.
+std::vector<std::string> first_readers(
+    const std::map<std::string, std::vector<std::string>>& names_by_region,
+    const std::string& self, std::size_t count) {
+    std::vector<std::string> regions;
+    regions.reserve(names_by_region.size());
+    for (const auto& [region, names] : names_by_region)
+        regions.push_back(region);
+    regions = rendezvous_order(self, std::move(regions));
+    regions.resize(std::min(count, regions.size()));
+    std::vector<std::string> readers;
+    readers.reserve(regions.size());
+    for (const std::string& region : regions)
+        readers.push_back(
+            rendezvous_order(ranking_key, names_by_region.at(region)).front());
+    return readers;
+}
+
 } // namespace
 
 feed_selection::feed_selection(std::string self, const options& limits,
@@ -72,12 +92,8 @@
 }
 
 std::vector<std::string> feed_selection::startup_sources(instant now) const {
-    if (!is_reader_ || !may_answer_first(now))
-        return {};
-    const auto count =
-        std::min(limits_.startup_sources, remote_readers_.size());
-    return {remote_readers_.begin(),
-            remote_readers_.begin() + static_cast<std::ptrdiff_t>(count)};
+    return is_reader_ && may_answer_first(now) ? remote_readers_
+                                               : std::vector<std::string>();
 }
 
 milliseconds feed_selection::retry_pause() const noexcept {
@@ -91,18 +107,9 @@
 
 void feed_selection::set_entries(
     std::vector<std::string> names,
-    std::map<std::string, std::vector<std::string>> remote_names) {
-    std::vector<std::string> regions;
-    regions.reserve(remote_names.size());
-    for (const auto& [region, entries] : remote_names)
-        regions.push_back(region);
-    remote_readers_.clear();
-    // By an order of its own, so that entries which start together ask others.
-    for (const std::string& region :
-         rendezvous_order(self_, std::move(regions)))
-        remote_readers_.push_back(
-            rendezvous_order(ranking_key, std::move(remote_names.at(region)))
-                .front());
+    const std::map<std::string, std::vector<std::string>>& remote_names) {
+    remote_readers_ =
+        first_readers(remote_names, self_, limits_.startup_sources);
     // An entry that is not registered yet, or not any more, counts itself as
     // the last one.
     const bool is_registered =
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -140,7 +140,7 @@
     absl::erase_if(answers_, [&](const auto& each) {
         return !copy_.entries().contains(each.first);
     });
-    selection_.set_entries(std::move(names), std::move(remote_names));
+    selection_.set_entries(std::move(names), remote_names);
 }
 
 void site_feed::schedule_poll() {
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -58,6 +58,19 @@
     return {self, {}, start};
 }
 
+/// Starts feeds; returns false if one of them fails.
+bool start_all(const std::vector<site_feed*>& feeds) {
+    error failure;
+    return value_or_error(
+               [&]() -> leaf::result<bool> {
+                   for (site_feed* feed : feeds)
+                       BOOST_LEAF_CHECK(feed->start());
+                   return true;
+               },
+               failure)
+        .has_value();
+}
+
 const std::vector<std::string> five_entries{"e-1", "e-2", "e-3", "e-4", "e-5"};
 
 } // namespace
@@ -452,14 +465,7 @@
     site_feed lone(core, client, copy,
                    {"lone", "north", {"127.0.0.3", port}, {}},
                    [](const site_copy::applied_parts&) {});
-    error failure;
-    REQUIRE(value_or_error(
-        [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(elsewhere.start());
-            BOOST_LEAF_CHECK(lone.start());
-            return true;
-        },
-        failure));
+    REQUIRE(start_all({&elsewhere, &lone}));
     running_kernel running(core);
     running.ask([&] {
         lone.on_entries_changed();
@@ -488,16 +494,9 @@
                        [&](const site_copy::applied_parts&) { ++updates; });
     running_kernel running(core);
     running.ask([&] {
-        error failure;
-        const auto listening = value_or_error(
-            [&]() -> leaf::result<bool> {
-                BOOST_LEAF_CHECK(reader.start());
-                BOOST_LEAF_CHECK(follower.start());
-                return true;
-            },
-            failure);
+        const bool listening = start_all({&reader, &follower});
         follower.on_entries_changed();
-        return listening.has_value();
+        return listening;
     });
     CHECK(running.until([&] { return copy.revisions().servers == 10; },
                         seconds(2)));
@@ -660,15 +659,8 @@
                            for (const site_document& each : applied.documents)
                                received.push_back(each);
                        });
-    error failure;
-    REQUIRE(value_or_error(
-        [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(reader.start());
-            BOOST_LEAF_CHECK(follower.start());
-            follower.on_entries_changed();
-            return true;
-        },
-        failure));
+    REQUIRE(start_all({&reader, &follower}));
+    follower.on_entries_changed();
     running_kernel running(core);
     CHECK(running.until([&] { return received.size() == 2; }, seconds(2)));
     running.ask([&] {
