Let documents take their time on the link in simulated time

Cause: in tests/state_delay answers of the store took no time, so that no test met a document that is still on its way.

--- a/tests/state_delay.cpp
+++ b/tests/state_delay.cpp
@@ -154,6 +154,36 @@
     check(changes, bound);
 }
 
+/// Changes a configuration of `size` bytes, which crosses the link of a region
+/// in 0.16 s a copy if it has 400 kB.
+void check_large_configuration(std::size_t size) {
+    constexpr std::uint64_t link_rate = 3'400'000;
+    constexpr int changes = 5;
+    for (const milliseconds bound : bounds)
+        for (milliseconds phase{0}; phase < seconds(2);
+             phase += 6 * phase_step) {
+            simulated_site site({.entries = 12, .bound = bound});
+            site.put_configuration(1, size);
+            site.run_for(warm_up + phase);
+            site.store().set_link_rate(link_rate);
+            const std::uint64_t sent_before = site.store().sent_bytes();
+            milliseconds longest{};
+            for (std::uint64_t version = 2; version < 2 + changes; ++version) {
+                const instant changed = site.now();
+                site.put_configuration(version, size);
+                site.run_for(bound);
+                longest =
+                    std::max(longest, site.configured_after(version, changed));
+            }
+            const std::uint64_t sent = site.store().sent_bytes() - sent_before;
+            // Each change reaches two readers, coded as base64.
+            const std::uint64_t needed = 2 * changes * size * 4 / 3;
+            CAPTURE(bound.count(), phase.count(), longest.count(), sent);
+            CHECK(longest <= allowed(bound));
+            CHECK(sent < needed * 5 / 4);
+        }
+}
+
 } // namespace
 
 TEST_CASE("state delay - without an outage, changes take effect in time") {
@@ -208,6 +238,18 @@
     }
 }
 
+// Both guard against entries that take a large configuration, which is on its
+// way over the link of their region, for an outage and all read it themselves.
+TEST_CASE("state delay - a configuration of 400 kB that takes its time on the "
+          "link to the store takes effect in time and only readers read it") {
+    check_large_configuration(400'000);
+}
+
+TEST_CASE("state delay - a configuration of 1.2 MB that takes its time on the "
+          "link to the store takes effect in time and only readers read it") {
+    check_large_configuration(1'200'000);
+}
+
 TEST_CASE("state delay - while one reader is without the store, changes take "
           "effect in time") {
     for (const milliseconds bound : bounds)
--- a/tests/support/simulated_site.cpp
+++ b/tests/support/simulated_site.cpp
@@ -118,10 +118,12 @@
 
 // ---- Changes ---------------------------------------------------------------
 
-void simulated_site::put_configuration(std::uint64_t version) {
+void simulated_site::put_configuration(std::uint64_t version,
+                                       std::size_t padding) {
     store_->put(
         "op/config",
-        fmt::format(R"({{"version":{},"routes":[],"services":[]}})", version));
+        fmt::format(R"({{"version":{},"routes":[],"services":[],"note":"{}"}})",
+                    version, std::string(padding, 'x')));
 }
 
 void simulated_site::put_server(const std::string& id, bool is_draining) {
--- a/tests/support/simulated_site.hpp
+++ b/tests/support/simulated_site.hpp
@@ -49,7 +49,8 @@
 
     // ---- Changes -----------------------------------------------------------
 
-    void put_configuration(std::uint64_t version);
+    /// `padding` is a number of bytes by which it is larger.
+    void put_configuration(std::uint64_t version, std::size_t padding = 0);
     void put_server(const std::string& id, bool is_draining = false);
     void remove_server(const std::string& id) {
         store_->erase("servers/" + id);
--- a/tests/support/simulated_store.cpp
+++ b/tests/support/simulated_store.cpp
@@ -8,7 +8,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace ospreystage::testing {
@@ -23,6 +25,8 @@
 constexpr milliseconds round_trip{10};
 constexpr milliseconds slow_answer{300};
 constexpr milliseconds expiry_interval{50};
+/// Answers cross a link in parts of this size.
+constexpr std::size_t part_bytes = 16 * 1024;
 
 http_response json_answer(const json& body) {
     return text_response("application/json", body.dump());
@@ -121,6 +125,12 @@
     answer_watches();
 }
 
+// ---- Link ------------------------------------------------------------------
+
+void simulated_store::set_link_rate(std::uint64_t bytes_per_second) {
+    link_rate_ = bytes_per_second;
+}
+
 // ---- Faults ----------------------------------------------------------------
 
 void simulated_store::set_fault(std::size_t client, store_fault fault) {
@@ -213,7 +223,34 @@
     if (client.generation != origin.generation)
         return;
     response.fields.push_back({"Store-Era", "1"});
-    client.server.respond(origin.exchange, response);
+    sent_bytes_ += response.body.size();
+    if (link_rate_)
+        send_over_link(origin, std::move(response));
+    else
+        client.server.respond(origin.exchange, response);
+}
+
+void simulated_store::send_over_link(const call_origin& origin,
+                                     http_response response) {
+    const auto body = std::make_shared<std::string>(std::move(response.body));
+    response.body.clear();
+    link_free_at_ = std::max(link_free_at_, steady::now());
+    for (std::size_t begin = 0; begin < body->size(); begin += part_bytes) {
+        const std::size_t size = std::min(part_bytes, body->size() - begin);
+        link_free_at_ += std::chrono::nanoseconds(seconds(1)) * size /
+                         static_cast<std::int64_t>(*link_rate_);
+        core_.after(
+            "store", link_free_at_ - steady::now(),
+            [this, origin, response, body, begin, size] {
+                web_server& server = clients_[origin.client]->server;
+                if (begin == 0)
+                    server.begin(origin.exchange, response, body->size());
+                server.write(origin.exchange,
+                             std::string_view(*body).substr(begin, size));
+                if (begin + size == body->size())
+                    server.finish(origin.exchange);
+            });
+    }
 }
 
 http_response simulated_store::range(const std::string& prefix) const {
--- a/tests/support/simulated_store.hpp
+++ b/tests/support/simulated_store.hpp
@@ -39,6 +39,17 @@
              std::uint64_t lease = 0);
     void erase(const std::string& key);
 
+    // ---- Link --------------------------------------------------------------
+
+    /// Lets answers cross one link after the other at this rate, as they do on
+    /// the link of a region. They take no time unless this is called.
+    void set_link_rate(std::uint64_t bytes_per_second);
+
+    /// Returns the size of all answers so far.
+    [[nodiscard]] std::uint64_t sent_bytes() const noexcept {
+        return sent_bytes_;
+    }
+
     // ---- Faults ------------------------------------------------------------
 
     void set_fault(std::size_t client, store_fault fault);
@@ -92,6 +103,8 @@
                     const http_request& request);
     void answer(const call_origin& origin, const http_request& request);
     void respond(const call_origin& origin, http_response response);
+    /// Sends an answer in parts, as the link has room for them.
+    void send_over_link(const call_origin& origin, http_response response);
     [[nodiscard]] http_response range(const std::string& prefix) const;
     [[nodiscard]] http_response transact(const std::string& body);
     [[nodiscard]] http_response keep(std::uint64_t id);
@@ -107,6 +120,9 @@
     std::map<std::string, item> items_;
     std::vector<event> history_;
     std::int64_t revision_ = 1;
+    std::uint64_t sent_bytes_ = 0;
+    std::optional<std::uint64_t> link_rate_; ///< Bytes a second.
+    instant link_free_at_{};
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t next_lease_ = 1;
     std::vector<pending_watch> watches_;
