Take ports of test processes from below the range of outgoing connections

Change: free_port uses free_ports, which stays below that range and gives each port to one caller only.

--- a/tests/support/local_node.cpp
+++ b/tests/support/local_node.cpp
@@ -1,8 +1,5 @@
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include <tests/support/free_ports.hpp>
 #include <tests/support/local_node.hpp>
-#include <unistd.h>
 
 #include <stdexcept>
 
@@ -20,16 +17,10 @@
 }
 
 std::uint16_t free_port() {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(local);
-    if (bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) != 0)
-        throw std::runtime_error("cannot bind a free port on 127.0.0.1");
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size);
-    close(descriptor);
-    return ntohs(local.sin_port);
+    const std::vector<std::uint16_t> ports = free_ports(1);
+    if (ports.empty())
+        throw std::runtime_error("no free port on 127.0.0.1");
+    return ports.front();
 }
 
 local_node::local_node(const std::string& name, std::uint16_t port,
