Wait for readers that are receiving documents

What callers saw: requests arrived late at their servers while a large configuration spread, and went on after callers had left (GONE). Cause: while a large document is on the link to its readers, their state grows older than the other entries of the region let it; these take this for an outage and read the same document over the same link, which makes every reader later. Change: a reader says in its answers to other entries that documents are arriving (Ospreystage-Receiving); entries then wait up to 2 s beyond the age at which they would turn to the store. An answer that says so counts for 0.8 s, two rounds of asking both readers.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -24,6 +24,10 @@
 /// after its return the store first meets the readers, and the others get its
 /// state from them. A reader whose own reads fail, or whose state grows older
 /// than they let it, asks the other readers.
+///
+/// While a reader is receiving large documents, its state is old although the
+/// store is well. The others wait for it then: their own reads would send the
+/// same documents over the same link.
 class feed_selection {
   public:
     struct options {
@@ -44,6 +48,12 @@
         /// Pause after a failed read in the first tier after the readers; four
         /// times as long with each further one.
         milliseconds tier_retry_pause{800};
+        /// Time for which an answer that says that a reader is receiving
+        /// documents counts. The other reader may be next on the same link and
+        /// is asked in turn with it.
+        milliseconds receiving_timeout{800};
+        /// Longest time beyond the allowed age to wait for such a reader.
+        milliseconds max_receiving_time{2000};
     };
 
     feed_selection(std::string self, const options& limits, instant started);
@@ -76,6 +86,9 @@
         return is_reader_ && is_store_failing_;
     }
 
+    /// Returns true if documents are arriving from the store at this entry.
+    [[nodiscard]] bool is_receiving() const noexcept { return is_receiving_; }
+
     /// Returns the shortest pause after a read of the store that has failed.
     [[nodiscard]] milliseconds retry_pause() const noexcept;
 
@@ -94,6 +107,14 @@
     /// Records a read of the store by this entry that began at `read_at`.
     void on_store_read(bool has_failed, instant read_at);
 
+    /// Records whether documents are arriving from the store at this entry.
+    void set_receiving(bool is_receiving) noexcept {
+        is_receiving_ = is_receiving;
+    }
+
+    /// Records that a reader has said that it is receiving documents.
+    void on_reader_receiving(instant now) { reader_receiving_at_ = now; }
+
     /// Records that another entry asked for the state.
     void on_request(instant now);
 
@@ -120,12 +141,14 @@
     instant started_;
     bool is_reader_ = false; ///< Not before the entries are known.
     bool is_store_failing_ = false;
+    bool is_receiving_ = false;
     std::vector<std::string> order_; ///< Entries of the region, by rank.
     /// The first readers of other regions that may be asked after the start.
     std::vector<std::string> remote_readers_;
     std::size_t tier_ = 1; ///< Of this entry.
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
+    std::optional<instant> reader_receiving_at_;
 };
 
 } // namespace ospreystage
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -49,8 +49,12 @@
 }
 
 milliseconds feed_selection::overdue(instant now) const {
-    const instant due = state_read_at_ ? *state_read_at_ + limits_.max_age
-                                       : started_ + limits_.startup_grace;
+    instant due = state_read_at_ ? *state_read_at_ + limits_.max_age
+                                 : started_ + limits_.startup_grace;
+    if (reader_receiving_at_)
+        due = std::max(
+            due, std::min(due + limits_.max_receiving_time,
+                          *reader_receiving_at_ + limits_.receiving_timeout));
     return std::chrono::floor<milliseconds>(now - due);
 }
 
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -31,6 +31,10 @@
 /// the answer, that all of them do. Entries of earlier releases do not send it.
 constexpr const char* documents_field = "Ospreystage-Documents";
 constexpr const char* compressed_documents = "zlib";
+/// In an answer, that documents are arriving from the store at the sender.
+/// Entries of earlier releases do not send it.
+constexpr const char* receiving_field = "Ospreystage-Receiving";
+constexpr const char* receiving_documents = "documents";
 /// Longest such time that counts, so that its beginning can be represented.
 constexpr milliseconds max_unbroken = std::chrono::hours(24);
 constexpr milliseconds poll_interval{200};
@@ -302,6 +306,8 @@
     changes->unchanged_servers = read_digest(response.fields);
     changes->servers_unbroken = read_unbroken(response.fields);
     read_eras(response.fields, changes->revisions);
+    if (field_value(response.fields, receiving_field) == receiving_documents)
+        selection_.on_reader_receiving(steady::now());
     const site_copy::applied_parts applied =
         copy_.apply(*changes, requested_at, source);
     source_record& answer = answers_[source];
@@ -348,6 +354,8 @@
              std::to_string(changes.servers_unbroken->count())});
     if (is_compressed)
         response.fields.push_back({documents_field, compressed_documents});
+    if (selection_.is_receiving())
+        response.fields.push_back({receiving_field, receiving_documents});
     return response;
 }
 
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -348,6 +348,26 @@
     CHECK(pauses[8] == milliseconds(3200));
 }
 
+// Guards against entries that all read a large document which a reader is
+// already receiving over the same link.
+TEST_CASE("feed selection - entries whose readers are receiving documents wait "
+          "for them, but not forever") {
+    feed_selection selection = make_selection("e-0");
+    selection.set_entries({"e-1", "e-2"});
+    REQUIRE_FALSE(selection.is_reader());
+    selection.on_state(start);
+    // The last answer of a reader that says so counts for 0.8 s.
+    selection.on_reader_receiving(start + milliseconds(1600));
+    CHECK_FALSE(selection.reads_store(start + milliseconds(2400)));
+    CHECK(selection.sources(start + milliseconds(2400)).size() == 2);
+    CHECK(selection.reads_store(start + milliseconds(2401)));
+    for (milliseconds passed{2000}; passed < seconds(4);
+         passed += milliseconds(200))
+        selection.on_reader_receiving(start + passed);
+    CHECK_FALSE(selection.reads_store(start + seconds(4)));
+    CHECK(selection.reads_store(start + milliseconds(4001)));
+}
+
 TEST_CASE("feed selection - a reader whose reads fail asks the other reader") {
     for (const std::string& name : five_entries) {
         feed_selection selection = make_selection(name);
