Let others answer first from when they are known

Cause: the time in which others may answer first began with the process, and the first request waited for a tick of 200 ms; an entry that learned of the others after that tick read the store's older copy without having asked. Change: the time begins when the entries are known, and readers of other regions are asked at once, once.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -39,7 +39,8 @@
         milliseconds max_reader_age{1000};
         /// Time after a request of another entry in which this entry reads.
         milliseconds requester_timeout{2000};
-        /// Time after the start in which other entries may answer first.
+        /// Time in which other entries may answer first: after the start, and
+        /// after the entries are known.
         milliseconds startup_grace{400};
         /// Other regions of which a reader asks a reader after its start.
         std::size_t startup_sources = 2;
@@ -100,6 +101,12 @@
                      const std::map<std::string, std::vector<std::string>>&
                          remote_names = {});
 
+    /// Records that the other entries are known; later calls change nothing.
+    void on_entries_known(instant now) {
+        if (!entries_known_at_)
+            entries_known_at_ = now;
+    }
+
     /// Records a state from another entry that was read from the store at
     /// `read_at`.
     void on_state(instant read_at);
@@ -149,6 +156,7 @@
     std::optional<instant> state_read_at_;
     std::optional<instant> requested_at_;
     std::optional<instant> reader_receiving_at_;
+    std::optional<instant> entries_known_at_;
 };
 
 } // namespace ospreystage
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -62,7 +62,7 @@
 /// the store may lack after it has returned from an older copy.
 bool feed_selection::may_answer_first(instant now) const {
     return !state_read_at_ && (order_.size() > 1 || !remote_readers_.empty()) &&
-           now - started_ < limits_.startup_grace;
+           now - entries_known_at_.value_or(started_) < limits_.startup_grace;
 }
 
 bool feed_selection::reads_store(instant now) const {
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -145,6 +145,11 @@
         return !copy_.entries().contains(each.first);
     });
     selection_.set_entries(std::move(names), remote_names);
+    if (std::exchange(has_entries_, true))
+        return;
+    const instant now = steady::now();
+    selection_.on_entries_known(now);
+    request_startup_sources(now);
 }
 
 void site_feed::schedule_poll() {
@@ -172,8 +177,7 @@
         return;
     if (!is_outdated_) {
         request_from_next(selection_.sources(now), now);
-        for (const std::string& source : selection_.startup_sources(now))
-            request_from_next({source}, now);
+        request_startup_sources(now);
         return;
     }
     // The first tier takes over from the readers, but these have the state
@@ -183,6 +187,11 @@
         request_from_next(selection_.sources(now), now);
 }
 
+void site_feed::request_startup_sources(instant now) {
+    for (const std::string& source : selection_.startup_sources(now))
+        request_from_next({source}, now);
+}
+
 void site_feed::request_from_next(const std::vector<std::string>& sources,
                                   instant now) {
     const auto source = choose_source(sources, now);
--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -451,6 +451,20 @@
     CHECK(selection.reads_store(start + milliseconds(360)));
 }
 
+// Guards against an entry that learns of the others late, and then has no time
+// left to ask them before it takes the state of the store.
+TEST_CASE("feed selection - other entries may answer first for some time after "
+          "they are known") {
+    feed_selection selection = make_selection("e-1");
+    selection.set_entries({"e-1"}, {{"a", {"a-1"}}});
+    selection.on_entries_known(start + milliseconds(300));
+    CHECK_FALSE(selection.reads_store(start + milliseconds(699)));
+    CHECK(selection.startup_sources(start + milliseconds(699)).size() == 1);
+    CHECK(selection.reads_store(start + milliseconds(700)));
+    selection.on_entries_known(start + seconds(2));
+    CHECK(selection.reads_store(start + seconds(2)));
+}
+
 // Guards against entries that all turn to the store when they start together:
 // an entry that is asked reads it.
 TEST_CASE("feed selection - only readers ask other regions, and only readers "
@@ -495,6 +509,35 @@
                         seconds(2)));
 }
 
+// Guards against a first request that comes too late for an answer before the
+// entry reads the store. An entry that has not started sends no other request.
+TEST_CASE("site feed - an entry that is alone in its region asks others as "
+          "soon as it knows them") {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    site_copy copy;
+    for (site_copy* each : {&source, &copy}) {
+        each->on_entry({"lone", {"127.0.0.3", 80}, "north"});
+        each->on_entry({"elsewhere", {"127.0.0.2", 80}, "south"});
+    }
+    site_feed elsewhere(core, client, source,
+                        {"elsewhere", "south", {"127.0.0.2", port}, {}},
+                        [](const site_copy::applied_parts&) {});
+    site_feed lone(core, client, copy,
+                   {"lone", "north", {"127.0.0.3", port}, {}},
+                   [](const site_copy::applied_parts&) {});
+    REQUIRE(start_all({&elsewhere}));
+    running_kernel running(core);
+    running.ask([&] {
+        lone.on_entries_changed();
+        return true;
+    });
+    CHECK(running.until([&] { return copy.revisions() == source.revisions(); },
+                        seconds(2)));
+}
+
 TEST_CASE("site feed - a copy follows the reader that answers") {
     const std::uint16_t port = support::free_ports(1).front();
     kernel core;
