Let entries without a state wait for their readers

What callers saw: after a loss of power of the large site, requests were sent on after callers had left (GONE); this cause is suspected, see the postmortem. Cause: entries that start together ask each other by lists that are not complete yet, whoever is asked reads the store, and the first tier turns to it as soon as the readers do. Change: an entry without a state that knows the others reads the store one interval after the readers, and not because it was asked; it asks both readers, either of which may be receiving. Result: 'state delay - when all entries start, only readers read a configuration' fails before at 400 kB and 1.2 MB and passes: two copies.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -140,6 +140,9 @@
     /// Returns the tier of a rank in the order of entries; readers are in 0.
     [[nodiscard]] std::size_t tier_of(std::size_t rank) const noexcept;
     [[nodiscard]] bool may_answer_first(instant now) const;
+    /// Returns when an entry without a state should have one: the readers read
+    /// the store first.
+    [[nodiscard]] instant startup_due() const;
     /// Returns for how long the state has been too old; negative if it is not.
     [[nodiscard]] milliseconds overdue(instant now) const;
 
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -48,9 +48,15 @@
     return tier;
 }
 
+instant feed_selection::startup_due() const {
+    const instant due =
+        entries_known_at_.value_or(started_) + limits_.startup_grace;
+    return order_.empty() || is_reader_ ? due : due + limits_.tier_interval;
+}
+
 milliseconds feed_selection::overdue(instant now) const {
-    instant due = state_read_at_ ? *state_read_at_ + limits_.max_age
-                                 : started_ + limits_.startup_grace;
+    instant due =
+        state_read_at_ ? *state_read_at_ + limits_.max_age : startup_due();
     if (reader_receiving_at_)
         due = std::max(
             due, std::min(due + limits_.max_receiving_time,
@@ -68,7 +74,11 @@
 bool feed_selection::reads_store(instant now) const {
     if (is_reader_)
         return !may_answer_first(now);
-    if (requested_at_ && now - *requested_at_ <= limits_.requester_timeout)
+    // After a start, others ask by lists that are not complete yet. What this
+    // entry gets from the readers is passed on to them soon enough.
+    const bool waits_for_readers = !state_read_at_ && !order_.empty();
+    if (!waits_for_readers && requested_at_ &&
+        now - *requested_at_ <= limits_.requester_timeout)
         return true;
     const auto turn =
         limits_.tier_interval * static_cast<std::int64_t>(tier_ - 1);
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -177,6 +177,10 @@
         return;
     if (!is_outdated_) {
         request_from_next(selection_.sources(now), now);
+        // Without a state, whichever reader has one first, or is receiving one.
+        if (!age)
+            for (const std::string& reader : selection_.readers())
+                request_from_next({reader}, now);
         request_startup_sources(now);
         return;
     }
--- a/tests/state_delay.cpp
+++ b/tests/state_delay.cpp
@@ -154,10 +154,12 @@
     check(changes, bound);
 }
 
+/// Bytes a second of the link of a region that large configurations cross.
+constexpr std::uint64_t large_link_rate = 3'400'000;
+
 /// Changes a configuration of `size` bytes, which crosses the link of a region
 /// in 0.16 s a copy if it has 400 kB.
 void check_large_configuration(std::size_t size) {
-    constexpr std::uint64_t link_rate = 3'400'000;
     constexpr int changes = 5;
     for (const milliseconds bound : bounds)
         for (milliseconds phase{0}; phase < seconds(2);
@@ -165,7 +167,7 @@
             simulated_site site({.entries = 12, .bound = bound});
             site.put_configuration(1, size);
             site.run_for(warm_up + phase);
-            site.store().set_link_rate(link_rate);
+            site.store().set_link_rate(large_link_rate);
             const std::uint64_t sent_before = site.store().sent_bytes();
             milliseconds longest{};
             for (std::uint64_t version = 2; version < 2 + changes; ++version) {
@@ -184,6 +186,27 @@
         }
 }
 
+/// Starts all entries of a region with a configuration of `size` bytes.
+void check_common_start(std::size_t size) {
+    constexpr std::size_t entries = 12;
+    constexpr milliseconds bound{2000};
+    simulated_site site(
+        {.entries = entries, .late_entries = entries, .bound = bound});
+    site.put_configuration(1, size);
+    site.store().set_link_rate(large_link_rate);
+    site.run_for(seconds(1));
+    const std::uint64_t sent_before = site.store().sent_bytes();
+    const instant started = site.now();
+    for (std::size_t entry = 0; entry < entries; ++entry)
+        site.start(entry);
+    site.run_for(seconds(6));
+    CAPTURE(size);
+    CHECK(site.configured_after(1, started) <= allowed(bound));
+    // Two readers get it, coded as base64.
+    const std::uint64_t needed = 2 * size * 4 / 3;
+    CHECK(site.store().sent_bytes() - sent_before < needed * 5 / 4);
+}
+
 } // namespace
 
 TEST_CASE("state delay - without an outage, changes take effect in time") {
@@ -250,6 +273,19 @@
     check_large_configuration(1'200'000);
 }
 
+// Both guard against entries that all read a large configuration when they
+// start together, as after a loss of power, and fill the link of their region.
+TEST_CASE("state delay - when all entries start, only readers read a "
+          "configuration of 400 kB, which takes effect in time") {
+    check_common_start(100'000);
+    check_common_start(400'000);
+}
+
+TEST_CASE("state delay - when all entries start, only readers read a "
+          "configuration of 1.2 MB, which takes effect in time") {
+    check_common_start(1'200'000);
+}
+
 TEST_CASE("state delay - while one reader is without the store, changes take "
           "effect in time") {
     for (const milliseconds bound : bounds)
