Send no request whose deadline passed during a stall

What callers saw: nothing was reported; found by reading every send that waits. A server got a request after its caller had left (GONE). Cause: events of connections are handled before timers, and the deadline was known to its timer alone. After a stall, a connection that opened meanwhile was used first. Change: may_send and place look at the deadline. Result: 'gateway - a request whose deadline passes while the process stands still is not sent' fails before (one arrival, 504) and passes (none, 503).

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -243,6 +243,11 @@
 
 void gateway::place(exchange_id exchange) {
     request_record& record = *find(exchange);
+    // After a stall, this may run before the timer of the deadline.
+    if (steady::now() >= record.deadline) {
+        on_deadline(exchange);
+        return;
+    }
     if (is_quarantined(record)) {
         log_quarantined(record);
         refuse(exchange, quarantine_reason(record), quarantine_retry_after);
@@ -370,7 +375,7 @@
 
 bool gateway::may_send(const request_record& record,
                        const placement& chosen) const {
-    return !is_quarantined(record) &&
+    return steady::now() < record.deadline && !is_quarantined(record) &&
            selector_.may_send(selection_of(record), chosen, steady::now());
 }
 
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -435,3 +435,28 @@
     for (const auto& result : fixture.send_requests(4))
         CHECK(result.response.body == "sound");
 }
+
+// Guards against a request that is sent after its caller has left: after a
+// stall, events of connections are handled before the timer of the deadline.
+TEST_CASE("gateway - a request whose deadline passes while the process stands "
+          "still is not sent") {
+    gateway_fixture fixture;
+    std::atomic<int> arrivals{0};
+    const scripted_server server([&](const std::string&) {
+        ++arrivals;
+        return scripted_answer{make_response(200, "", "ok")};
+    });
+    fixture.add_route(request_kind::idempotent, false, milliseconds(200));
+    fixture.add_servers({server.endpoint()});
+    // While the connection to the server is being opened.
+    fixture.on_placing = [&] {
+        fixture.core.after("test", milliseconds(0), [] {
+            std::this_thread::sleep_for(milliseconds(400));
+        });
+    };
+    const auto result = fixture.send_request("GET");
+    // What has been sent arrives meanwhile.
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(result.response.status == 503);
+    CHECK(arrivals == 0);
+}
