Simplify the start of the feed between entries

Cause: the end of the time in which others answer first was computed twice, whether the entries are known was kept twice, and two loops sent a request to each of several sources. Change: grace_end, waits_for_readers and request_from_all; on_entries_known says whether they had been known.

--- a/include/ospreystage/fleet/feed_selection.hpp
+++ b/include/ospreystage/fleet/feed_selection.hpp
@@ -101,11 +101,9 @@
                      const std::map<std::string, std::vector<std::string>>&
                          remote_names = {});
 
-    /// Records that the other entries are known; later calls change nothing.
-    void on_entries_known(instant now) {
-        if (!entries_known_at_)
-            entries_known_at_ = now;
-    }
+    /// Records that the other entries are known. Returns false, and changes
+    /// nothing, if they have been before.
+    bool on_entries_known(instant now);
 
     /// Records a state from another entry that was read from the store at
     /// `read_at`.
@@ -139,7 +137,11 @@
     [[nodiscard]] std::vector<std::string> others_of(std::size_t tier) const;
     /// Returns the tier of a rank in the order of entries; readers are in 0.
     [[nodiscard]] std::size_t tier_of(std::size_t rank) const noexcept;
+    /// Returns until when other entries may answer first.
+    [[nodiscard]] instant grace_end() const;
     [[nodiscard]] bool may_answer_first(instant now) const;
+    /// Returns true if this entry has no state yet and knows its readers.
+    [[nodiscard]] bool waits_for_readers() const noexcept;
     /// Returns when an entry without a state should have one: the readers read
     /// the store first.
     [[nodiscard]] instant startup_due() const;
--- a/include/ospreystage/fleet/site_feed.hpp
+++ b/include/ospreystage/fleet/site_feed.hpp
@@ -71,7 +71,8 @@
 
     void schedule_poll();
     void poll();
-    void request_startup_sources(instant now);
+    /// Requests the state from each source without an open request.
+    void request_from_all(const std::vector<std::string>& sources, instant now);
     void request_from_next(const std::vector<std::string>& sources,
                            instant now);
     /// Logs the sources once the state is too old.
@@ -98,7 +99,6 @@
     absl::flat_hash_map<std::string, source_record> answers_;
     absl::flat_hash_map<std::string, compressed_text> compressed_; ///< By key.
     bool is_outdated_ = false;
-    bool has_entries_ = false; ///< The entries have been known once.
     /// Readers that another one has overtaken are asked again from then on.
     absl::flat_hash_map<std::string, instant> avoided_until_;
 };
--- a/src/fleet/feed_selection.cpp
+++ b/src/fleet/feed_selection.cpp
@@ -48,10 +48,17 @@
     return tier;
 }
 
+instant feed_selection::grace_end() const {
+    return entries_known_at_.value_or(started_) + limits_.startup_grace;
+}
+
+bool feed_selection::waits_for_readers() const noexcept {
+    return !state_read_at_ && !is_reader_ && !order_.empty();
+}
+
 instant feed_selection::startup_due() const {
-    const instant due =
-        entries_known_at_.value_or(started_) + limits_.startup_grace;
-    return order_.empty() || is_reader_ ? due : due + limits_.tier_interval;
+    return waits_for_readers() ? grace_end() + limits_.tier_interval
+                               : grace_end();
 }
 
 milliseconds feed_selection::overdue(instant now) const {
@@ -68,7 +75,7 @@
 /// the store may lack after it has returned from an older copy.
 bool feed_selection::may_answer_first(instant now) const {
     return !state_read_at_ && (order_.size() > 1 || !remote_readers_.empty()) &&
-           now - entries_known_at_.value_or(started_) < limits_.startup_grace;
+           now < grace_end();
 }
 
 bool feed_selection::reads_store(instant now) const {
@@ -76,8 +83,7 @@
         return !may_answer_first(now);
     // After a start, others ask by lists that are not complete yet. What this
     // entry gets from the readers is passed on to them soon enough.
-    const bool waits_for_readers = !state_read_at_ && !order_.empty();
-    if (!waits_for_readers && requested_at_ &&
+    if (!waits_for_readers() && requested_at_ &&
         now - *requested_at_ <= limits_.requester_timeout)
         return true;
     const auto turn =
@@ -138,6 +144,13 @@
     order_ = std::move(order);
 }
 
+bool feed_selection::on_entries_known(instant now) {
+    if (entries_known_at_)
+        return false;
+    entries_known_at_ = now;
+    return true;
+}
+
 void feed_selection::on_state(instant read_at) {
     if (!state_read_at_ || *state_read_at_ < read_at)
         state_read_at_ = read_at;
--- a/src/fleet/site_feed.cpp
+++ b/src/fleet/site_feed.cpp
@@ -145,11 +145,9 @@
         return !copy_.entries().contains(each.first);
     });
     selection_.set_entries(std::move(names), remote_names);
-    if (std::exchange(has_entries_, true))
-        return;
     const instant now = steady::now();
-    selection_.on_entries_known(now);
-    request_startup_sources(now);
+    if (selection_.on_entries_known(now))
+        request_from_all(selection_.startup_sources(now), now);
 }
 
 void site_feed::schedule_poll() {
@@ -179,9 +177,8 @@
         request_from_next(selection_.sources(now), now);
         // Without a state, whichever reader has one first, or is receiving one.
         if (!age)
-            for (const std::string& reader : selection_.readers())
-                request_from_next({reader}, now);
-        request_startup_sources(now);
+            request_from_all(selection_.readers(), now);
+        request_from_all(selection_.startup_sources(now), now);
         return;
     }
     // The first tier takes over from the readers, but these have the state
@@ -191,8 +188,9 @@
         request_from_next(selection_.sources(now), now);
 }
 
-void site_feed::request_startup_sources(instant now) {
-    for (const std::string& source : selection_.startup_sources(now))
+void site_feed::request_from_all(const std::vector<std::string>& sources,
+                                 instant now) {
+    for (const std::string& source : sources)
         request_from_next({source}, now);
 }
 
