--- a/tests/site_feed.cpp
+++ b/tests/site_feed.cpp
@@ -71,6 +71,37 @@
         .has_value();
 }
 
+/// Checks that an entry alone in its region, which polls if it `is_started`,
+/// takes the state of an entry of another region.
+void check_lone_entry(bool is_started) {
+    const std::uint16_t port = support::free_ports(1).front();
+    kernel core;
+    web_client client(core);
+    site_copy source = make_copy(steady::now());
+    site_copy copy;
+    for (site_copy* each : {&source, &copy}) {
+        each->on_entry({"lone", {"127.0.0.3", 80}, "north"});
+        each->on_entry({"elsewhere", {"127.0.0.2", 80}, "south"});
+    }
+    site_feed elsewhere(core, client, source,
+                        {"elsewhere", "south", {"127.0.0.2", port}, {}},
+                        [](const site_copy::applied_parts&) {});
+    site_feed lone(core, client, copy,
+                   {"lone", "north", {"127.0.0.3", port}, {}},
+                   [](const site_copy::applied_parts&) {});
+    std::vector<site_feed*> started{&elsewhere};
+    if (is_started)
+        started.push_back(&lone);
+    REQUIRE(start_all(started));
+    running_kernel running(core);
+    running.ask([&] {
+        lone.on_entries_changed();
+        return true;
+    });
+    CHECK(running.until([&] { return copy.revisions() == source.revisions(); },
+                        seconds(2)));
+}
+
 const std::vector<std::string> five_entries{"e-1", "e-2", "e-3", "e-4", "e-5"};
 
 } // namespace
@@ -484,58 +515,14 @@
 
 TEST_CASE("site feed - an entry that is alone in its region takes the state of "
           "another one after its start") {
-    const std::uint16_t port = support::free_ports(1).front();
-    kernel core;
-    web_client client(core);
-    site_copy source = make_copy(steady::now());
-    site_copy copy;
-    for (site_copy* each : {&source, &copy}) {
-        each->on_entry({"lone", {"127.0.0.3", 80}, "north"});
-        each->on_entry({"elsewhere", {"127.0.0.2", 80}, "south"});
-    }
-    site_feed elsewhere(core, client, source,
-                        {"elsewhere", "south", {"127.0.0.2", port}, {}},
-                        [](const site_copy::applied_parts&) {});
-    site_feed lone(core, client, copy,
-                   {"lone", "north", {"127.0.0.3", port}, {}},
-                   [](const site_copy::applied_parts&) {});
-    REQUIRE(start_all({&elsewhere, &lone}));
-    running_kernel running(core);
-    running.ask([&] {
-        lone.on_entries_changed();
-        return true;
-    });
-    CHECK(running.until([&] { return copy.revisions() == source.revisions(); },
-                        seconds(2)));
+    check_lone_entry(true);
 }
 
 // Guards against a first request that comes too late for an answer before the
 // entry reads the store. An entry that has not started sends no other request.
 TEST_CASE("site feed - an entry that is alone in its region asks others as "
           "soon as it knows them") {
-    const std::uint16_t port = support::free_ports(1).front();
-    kernel core;
-    web_client client(core);
-    site_copy source = make_copy(steady::now());
-    site_copy copy;
-    for (site_copy* each : {&source, &copy}) {
-        each->on_entry({"lone", {"127.0.0.3", 80}, "north"});
-        each->on_entry({"elsewhere", {"127.0.0.2", 80}, "south"});
-    }
-    site_feed elsewhere(core, client, source,
-                        {"elsewhere", "south", {"127.0.0.2", port}, {}},
-                        [](const site_copy::applied_parts&) {});
-    site_feed lone(core, client, copy,
-                   {"lone", "north", {"127.0.0.3", port}, {}},
-                   [](const site_copy::applied_parts&) {});
-    REQUIRE(start_all({&elsewhere}));
-    running_kernel running(core);
-    running.ask([&] {
-        lone.on_entries_changed();
-        return true;
-    });
-    CHECK(running.until([&] { return copy.revisions() == source.revisions(); },
-                        seconds(2)));
+    check_lone_entry(false);
 }
 
 TEST_CASE("site feed - a copy follows the reader that answers") {
