Share the answers whose status is none of HTTP

Cause: two test files listed such answers, and one lacked 001. Change: answers_without_status in tests/support; every reader gets all of them and the one that is followed by a 200.

--- a/tests/answer_readers.cpp
+++ b/tests/answer_readers.cpp
@@ -80,19 +80,6 @@
     return out;
 }
 
-/// Returns whole answers whose status is none of HTTP, the last one followed by
-/// a whole answer on the same connection.
-std::vector<scripted_answer> answers_without_status(const std::string& body) {
-    std::vector<scripted_answer> out;
-    for (const char* status : {"000", "099", "101", "600", "999", "ab!"})
-        out.push_back({fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}"
-                                   "\r\n\r\n{}",
-                                   status, body.size(), body)});
-    out.push_back({"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" +
-                   with_length(body, body.size())});
-    return out;
-}
-
 /// Reads an answer; returns true if the reader took it for whole.
 using reader = std::function<bool(const address& server)>;
 
@@ -112,7 +99,8 @@
         CAPTURE(answer.bytes, answer.resets);
         CHECK_FALSE(read_from(answer));
     }
-    for (const scripted_answer& answer : answers_without_status(body)) {
+    for (const scripted_answer& answer :
+         testing::answers_without_status("", body)) {
         CAPTURE(answer.bytes);
         CHECK_FALSE(read_from(answer));
     }
--- a/tests/broken_heads.cpp
+++ b/tests/broken_heads.cpp
@@ -64,19 +64,8 @@
 
 namespace {
 
-/// Answers whose status is none of HTTP, or that of a change of protocol that
-/// nobody has asked for.
-std::vector<std::string> answers_without_status() {
-    std::vector<std::string> answers{
-        "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n"
-        "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
-        "Content-Length: 2\r\n\r\nok"};
-    for (const char* status : {"000", "001", "099", "101", "600", "999", "ab!"})
-        answers.push_back(std::string("HTTP/1.1 ") + status +
-                          " Odd\r\nX-Server-Stamp: s\r\n"
-                          "Content-Length: 2\r\n\r\nok");
-    return answers;
-}
+const std::vector<scripted_answer> answers_without_status =
+    testing::answers_without_status("X-Server-Stamp: s\r\n", "ok");
 
 } // namespace
 
@@ -86,14 +75,14 @@
           "and ends its connection at once") {
     const request_kind kind =
         GENERATE(request_kind::non_idempotent, request_kind::streaming);
-    for (const std::string& answer : answers_without_status()) {
+    for (const scripted_answer& answer : answers_without_status) {
         const scripted_server server(
-            [&](const std::string&) { return scripted_answer{answer}; });
+            [&](const std::string&) { return answer; });
         gateway_fixture fixture;
         fixture.add_route(kind, false);
         fixture.add_servers({server.endpoint()});
         const auto result = fixture.send_request();
-        INFO(answer);
+        INFO(answer.bytes);
         CHECK(result.end == call_end::complete);
         CHECK(result.response.status == 502);
         CHECK(result.response.body.find("ok") == std::string::npos);
@@ -106,9 +95,8 @@
 
 TEST_CASE("broken heads - a request that may run again goes to another server "
           "after an answer whose status is none of HTTP") {
-    for (const std::string& answer : answers_without_status()) {
-        const scripted_server odd(
-            [&](const std::string&) { return scripted_answer{answer}; });
+    for (const scripted_answer& answer : answers_without_status) {
+        const scripted_server odd([&](const std::string&) { return answer; });
         const scripted_server sound([](const std::string&) {
             return scripted_answer{testing::make_response(
                 200, "X-Server-Stamp: sound\r\n", "sound")};
@@ -116,7 +104,7 @@
         gateway_fixture fixture;
         fixture.add_route(request_kind::idempotent, false);
         fixture.add_servers({odd.endpoint(), sound.endpoint()});
-        INFO(answer);
+        INFO(answer.bytes);
         for (const auto& result : fixture.send_requests(4)) {
             CHECK(result.response.status == 200);
             CHECK(result.response.body == "sound");
@@ -127,9 +115,9 @@
 // Guards against the other readers of answers, which share the client.
 TEST_CASE("broken heads - no reader takes an answer whose status is none of "
           "HTTP for complete") {
-    for (const std::string& answer : answers_without_status()) {
+    for (const scripted_answer& answer : answers_without_status) {
         const scripted_server server(
-            [&](const std::string&) { return scripted_answer{answer}; });
+            [&](const std::string&) { return answer; });
         kernel core;
         web_client client(core);
         call_end ended = call_end::complete;
@@ -139,7 +127,7 @@
                          core.stop();
                      });
         core.run();
-        INFO(answer);
+        INFO(answer.bytes);
         CHECK(ended == call_end::malformed);
     }
 }
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -1,6 +1,7 @@
 #include "scripted_server.hpp"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -135,4 +136,17 @@
     }
 }
 
+std::vector<scripted_answer> answers_without_status(const std::string& fields,
+                                                    const std::string& body) {
+    const auto answer = [&](const std::string& status) {
+        return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}",
+                           status, fields, body.size(), body);
+    };
+    std::vector<scripted_answer> answers{
+        {"HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n" + answer("200 OK")}};
+    for (const char* status : {"000", "001", "099", "101", "600", "999", "ab!"})
+        answers.push_back({answer(std::string(status) + " Odd")});
+    return answers;
+}
+
 } // namespace ospreystage::testing
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -62,4 +62,10 @@
     std::thread thread_;
 };
 
+/// Returns whole answers whose status is none of HTTP, or that of a change of
+/// protocol that nobody has asked for. One of them is followed by a 200 on the
+/// same connection. `fields` are whole header lines.
+[[nodiscard]] std::vector<scripted_answer>
+answers_without_status(const std::string& fields, const std::string& body);
+
 } // namespace ospreystage::testing
