review: name the record in each case, end what a script starts

A script that Python could not load exited with 1, as if the rule were broken; a script that failed or was ended left its workers and its crowd running; the internal ports were not known to be free; and record.txt was named by the shared stand-in alone.

Each case names its record. A broken rule has an exit code of its own, which run.sh turns into 1.

--- a/review/beyond-3/cold.py
+++ b/review/beyond-3/cold.py
@@ -147,5 +147,5 @@
     return f"FAILBACK: {text}" if busiest > BOUND else None
 
 
-osp.play(CASE, case, {"hall-a": "region-a", "hall-b": "region-b",
-                      "hall-c": "region-c"})
+osp.play(CASE / "record.txt", case,
+         {"hall-a": "region-a", "hall-b": "region-b", "hall-c": "region-c"})
--- a/review/beyond-3/pause.py
+++ b/review/beyond-3/pause.py
@@ -106,4 +106,4 @@
     return f"BUDGET: {text}" if len(arrived) > ALLOWED else None
 
 
-osp.play(CASE, case)
+osp.play(CASE / "record.txt", case)
--- a/review/standin-3/ospreysite.py
+++ b/review/standin-3/ospreysite.py
@@ -37,10 +37,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`."""
+    """Writes what was sent, answered and run to a file of the case."""
 
-    def __init__(self, folder):
-        self.file = open(folder / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.lock = threading.Lock()
         self.began = time.monotonic()
 
@@ -56,6 +56,28 @@
         return probe.getsockname()[1]
 
 
+def is_free(port, hosts):
+    """Returns true if a port is free on all hosts, by TCP and by UDP."""
+    for host in hosts:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(type=kind) as probe:
+                try:
+                    probe.bind((host, port))
+                except OSError:
+                    return False
+    return True
+
+
+def free_internal_ports(hosts, count=16):
+    """Returns the first of some ports in a row that are free on all hosts."""
+    for _ in range(200):
+        first = free_port()
+        if first + count < 65535 and \
+                all(is_free(first + i, hosts) for i in range(count)):
+            return first
+    raise CannotRun("no free ports")
+
+
 def mac_of(body):
     return hashlib.sha256(MAC_KEY + body).hexdigest()
 
@@ -560,7 +582,7 @@
                        if key in os.environ}
         environment["OSPREYSTAGE_NODE_FILE"] = str(self.file)
         with open(self.site.folder / f"{self.name}.log", "ab") as log:
-            self.process = subprocess.Popen(
+            self.process = self.site.spawn(
                 [str(program)] + command[1:], cwd=ROOT, env=environment,
                 stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.site.record(f"entry {self.name} started")
@@ -614,17 +636,26 @@
 class Site:
     """The whole deployment; ends every process that it started."""
 
-    def __init__(self, folder, regions=None):
-        self.case = pathlib.Path(folder).resolve()
-        self.record = Record(self.case)
+    # Entries get the addresses 127.0.0.11 and the next ones.
+    HOSTS = [f"127.0.0.{number}" for number in range(11, 15)]
+
+    def __init__(self, record, regions=None):
+        self.record = Record(record)
+        self.processes = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="ospreystage-"))
         self.regions = regions or {"hall-a": "region-a"}
-        self.port = 20000 + os.getpid() % 20000
+        self.port = free_internal_ports(self.HOSTS)
         self.store = Store()
         self.entries = []
         self.next_request = 0
         self.lock = threading.Lock()
 
+    def spawn(self, command, **options):
+        """Starts a process that ends with the deployment at the latest."""
+        process = subprocess.Popen(command, **options)
+        self.processes.append(process)
+        return process
+
     def entry(self, name, host, zone="hall-a", settings=None):
         entry = Entry(self, name, host, zone, settings)
         self.entries.append(entry)
@@ -643,10 +674,10 @@
             return f"{prefix}{self.next_request:06d}"
 
     def close(self):
-        for entry in self.entries:
-            if entry.process and entry.process.poll() is None:
-                entry.process.kill()
-                entry.process.wait()
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
         self.store.stop()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
@@ -654,20 +685,32 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(folder, case, regions=None):
-    """Runs a case: 1 if it returns a broken rule, 0 if not, 2 if it fails."""
-    site = Site(folder, regions)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+# Exit codes of a script. Python ends with 1 itself if it can't load a script, so
+# that a broken rule has another code; run.sh turns it into 1.
+HELD, CANNOT_RUN, BROKEN = 0, 2, 10
+
+
+def stop(*_):
+    raise SystemExit(CANNOT_RUN)
+
+
+def play(record, case, regions=None):
+    """Plays a case with its record in the file `record`, and exits."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
+    code = CANNOT_RUN
+    site = Site(record, regions)
     try:
         broken = case(site)
         text = broken or "the rule held"
         site.record(f"result: {text}")
         print(f"trouble={int(TROUBLE)}: {text}")
-        code = 1 if broken else 0
-    except Exception as problem:  # Anything unforeseen is no verdict.
+        code = BROKEN if broken else HELD
+    except (Exception, SystemExit) as problem:  # No verdict.
         site.record(f"could not run: {problem!r}")
         print(f"could not run: {problem!r}")
-        code = 2
     finally:
         site.close()
-    sys.exit(code)
+    sys.stdout.flush()
+    # Threads that still wait for an answer do not delay the end.
+    os._exit(code)
