Ask each request whether it may outlast a stop

A stopping entry refused requests by a flag that a check every 50 ms set, so that it took what it could not finish until the check ran. The same was so of a loop that read the signal late (all times counted from the reading), of a grace_s that was raised during the stop (read anew at each check), and of requests that no server had run and that were sent to the next one shortly before the end. Nor did the flag ask how long a request may last: it refused those that fit.

The gateway now has two times: until the first, every request is accepted, as before; from then on only one whose deadline is not after the second, where requests are ended. It is asked on arrival and before each first sending, so that no timer is involved. The times count from the end of the wait before the one in which the signal was read, and the end never moves back. A body that is still arriving at the end is refused with 503.

The product's gateway.close became gateway.stop; the test that used it now passes a stop that has ended, and refuses as much as before.

--- a/include/ospreystage/core/kernel.hpp
+++ b/include/ospreystage/core/kernel.hpp
@@ -99,6 +99,13 @@
     /// Cancels a timer; has no effect if it has fired (kernel thread).
     void cancel(timer_id timer);
 
+    /// Returns the time since which everything that the loop handles now has
+    /// happened: the end of the wait before the last one. A loop that is late
+    /// learns from it how late it may be (kernel thread).
+    [[nodiscard]] instant events_since() const noexcept {
+        return events_since_;
+    }
+
     /// Schedules work for the end of this iteration of the loop, after all
     /// ready events, tasks and timers and before the next wait (kernel
     /// thread). Runs it immediately if `run` has returned.
@@ -177,6 +184,8 @@
         timer_index_;
     absl::flat_hash_map<int, std::shared_ptr<descriptor_handler>> watched_;
     std::vector<task> turn_end_;
+    instant last_wait_ended_ = steady::now();
+    instant events_since_ = last_wait_ended_;
     bool run_ended_ = false; ///< `run` has run its last `turn_end_` tasks.
     std::uint64_t next_timer_ = 1;
     int epoll_descriptor_ = -1;
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -92,6 +92,10 @@
     /// until there are no connections.
     void drain();
 
+    /// Refuses the requests that have arrived in part, with a time to retry;
+    /// they are not passed to `requested`.
+    void refuse_unfinished(const std::string& reason, milliseconds retry_after);
+
     // ---- Responses ---------------------------------------------------------
 
     /// Sends a complete response.
@@ -159,7 +163,7 @@
     void on_drained(std::uint64_t id);
     void parse(std::uint64_t id);
     void refuse(std::uint64_t id, std::uint16_t status,
-                const std::string& reason, const std::string& target);
+                const std::string& reason, milliseconds retry_after);
     void complete(std::uint64_t id);
     void drop(std::uint64_t id);
     void drain(std::uint64_t id);
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -47,6 +47,15 @@
     data_centre_view data_centres;
 };
 
+/// Times of a gateway that is stopping.
+struct stop_schedule {
+    /// Until then every request is accepted: callers may not know of the stop.
+    instant accepts_until{};
+    /// Requests in progress are ended then. From `accepts_until` on, only those
+    /// are accepted whose deadline is not later.
+    instant ends_at{};
+};
+
 /// Forwards callers' requests to backend servers and returns the responses.
 ///
 /// A request ends in exactly one of: the server's complete response; a refusal,
@@ -82,8 +91,10 @@
     /// Replaces the retry limits of every service.
     void set_retry_limits(const retry_window::options& limits);
 
-    /// Refuses new requests from now on; those in progress continue.
-    void close() noexcept { is_closed_ = true; }
+    /// Refuses the requests that may not be finished by the end of a stop.
+    /// Those in progress continue, but are not sent for the first time any
+    /// more. May be called again with an earlier end.
+    void stop(const stop_schedule& schedule) noexcept { stopping_ = schedule; }
 
     /// Answers every request in progress: one that has not been sent to a
     /// server as not run, the others as failed. Streams that have begun are
@@ -178,6 +189,9 @@
     };
 
     [[nodiscard]] request_record* find(exchange_id exchange);
+    [[nodiscard]] bool may_outlast_stop(instant deadline) const;
+    [[nodiscard]] bool is_left_to_others(const request_record& record,
+                                         std::uint32_t waiting_attempts) const;
     void refuse_unrouted(exchange_id exchange, const caller_request& caller,
                          const char* reason, milliseconds retry_after);
     void route_request(exchange_id exchange, http_request request,
@@ -296,7 +310,7 @@
     server_end_detector server_ends_;
     retry_window::options retry_limits_;
     web_server* server_ = nullptr;
-    bool is_closed_ = false;
+    std::optional<stop_schedule> stopping_;
     std::mt19937_64 random_;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<request_record>>
         requests_;
--- a/src/core/kernel.cpp
+++ b/src/core/kernel.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <exception>
 #include <thread>
+#include <utility>
 
 namespace ospreystage {
 
@@ -204,6 +205,9 @@
     run_turn_end();
     const int count = epoll_wait(epoll_descriptor_, ready.data(),
                                  static_cast<int>(ready.size()), wait_ms);
+    // A wait that a signal interrupts reports no events.
+    if (count >= 0)
+        events_since_ = std::exchange(last_wait_ended_, steady::now());
     for (int index = 0; index < count; ++index) {
         const epoll_event& event = ready[static_cast<std::size_t>(index)];
         if (event.data.fd == wake_descriptor_) {
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -3,6 +3,7 @@
 #include <ospreystage/http/web_server.hpp>
 #include <ospreystage/network/socket_address.hpp>
 
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -43,8 +44,8 @@
 constexpr milliseconds replaceable_idle_time{1000};
 constexpr std::uint16_t status_timeout = 408;
 constexpr std::uint16_t status_unavailable = 503;
-/// Retry time of requests that are refused for lack of memory, in seconds.
-constexpr const char* memory_retry_after = "1";
+/// Retry time of requests that are refused for lack of memory.
+constexpr milliseconds memory_retry_after{1000};
 /// Shortest time between two log lines about bounds that were reached.
 constexpr milliseconds bound_log_interval{1000};
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -156,6 +157,16 @@
         drop(id);
 }
 
+void web_server::refuse_unfinished(const std::string& reason,
+                                   milliseconds retry_after) {
+    std::vector<std::uint64_t> unfinished;
+    for (const auto& [id, record] : connections_)
+        if (record->parser && !record->is_busy && !record->is_refused)
+            unfinished.push_back(id);
+    for (const std::uint64_t id : unfinished)
+        refuse(id, status_unavailable, reason, retry_after);
+}
+
 // ---- Connections -----------------------------------------------------------
 
 void web_server::pause_accepting() {
@@ -263,7 +274,7 @@
     input.erase(0, progress.consumed);
     if (!progress.failure.empty()) {
         refuse(id, progress.failure_status, progress.failure,
-               record.parser->request().target);
+               memory_retry_after);
         return;
     }
     update_charge(record);
@@ -300,21 +311,25 @@
 }
 
 void web_server::refuse(std::uint64_t id, std::uint16_t status,
-                        const std::string& reason, const std::string& target) {
+                        const std::string& reason, milliseconds retry_after) {
     ++refused_;
     log_event(log_level::info, "request_malformed",
               {{"status", status}, {"error", reason}});
     connection_record& record = *connections_.at(id);
     http_response response;
     if (handlers_.describe_refusal) {
-        response = handlers_.describe_refusal(status, reason, target);
+        response = handlers_.describe_refusal(status, reason,
+                                              record.parser->request().target);
     } else {
         response.fields.push_back({"Content-Type", "text/plain"});
         response.body = reason + "\n";
     }
     response.status = status;
     if (status == status_unavailable)
-        response.fields.push_back({"Retry-After", memory_retry_after});
+        response.fields.push_back(
+            {"Retry-After",
+             fmt::format("{:.3f}",
+                         std::chrono::duration<double>(retry_after).count())});
     record.socket.write(encode_response(response, false));
     // The connection is closed later: closing it with unread input sends a
     // reset, which may discard the response before the caller has read it.
@@ -465,8 +480,7 @@
     ++closed_for_memory_;
     log_bound("memory", record.memory());
     if (!record.is_busy && !record.is_refused && record.parser) {
-        refuse(id, status, "memory limit reached",
-               record.parser->request().target);
+        refuse(id, status, "memory limit reached", memory_retry_after);
         return;
     }
     record.socket.abort();
@@ -506,8 +520,8 @@
     if (record == nullptr)
         return;
     if (record->parser)
-        refuse(id, 408, "request not received in time",
-               record->parser->request().target);
+        refuse(id, status_timeout, "request not received in time",
+               memory_retry_after);
     else
         drop(id);
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -49,7 +49,9 @@
 constexpr milliseconds silent_check_delay{400};
 /// Delay of a retry after a possible crash, so that the crash is judged first.
 constexpr milliseconds crash_retry_delay{25};
-/// Retry delay when this entry is stopping: the caller should use another one.
+/// Refusal of requests that this entry may not finish before it stops, and
+/// their retry delay: the caller should use another entry.
+constexpr const char* stopping_reason = "entry is stopping";
 constexpr milliseconds stopping_retry_after{50};
 /// Interval between two checks for idle and outdated attempts.
 constexpr milliseconds attempt_check_interval{100};
@@ -149,11 +151,6 @@
 
 void gateway::on_request(exchange_id exchange, http_request request) {
     const caller_request caller = protocol_.read_request(request);
-    if (is_closed_) {
-        refuse_unrouted(exchange, caller, "entry is stopping",
-                        stopping_retry_after);
-        return;
-    }
     const routing_decision decision =
         routes_.decide(caller.host, request.target, caller.key);
     if (const auto* routed = std::get_if<routed_request>(&decision)) {
@@ -182,7 +179,23 @@
     server_->respond(exchange, response);
 }
 
-/// Refuses a request that has not been routed.
+/// Returns true if this entry is stopping and may end before a request whose
+/// deadline this is.
+bool gateway::may_outlast_stop(instant deadline) const {
+    return stopping_ && deadline > stopping_->ends_at &&
+           steady::now() >= stopping_->accepts_until;
+}
+
+/// Returns true if a request should be refused rather than sent, since no
+/// server can have run it and this entry may end before it. `waiting_attempts`
+/// count as sent but wait for a connection.
+bool gateway::is_left_to_others(const request_record& record,
+                                std::uint32_t waiting_attempts) const {
+    return record.possible_runs == waiting_attempts &&
+           may_outlast_stop(record.deadline);
+}
+
+/// Refuses a request that has not been accepted.
 void gateway::refuse_unrouted(exchange_id exchange,
                               const caller_request& caller, const char* reason,
                               milliseconds retry_after) {
@@ -197,6 +210,16 @@
                             const caller_request& caller,
                             const routed_request& routed) {
     const instant now = steady::now();
+    const milliseconds timeout = routed.matched_route->timeout > milliseconds(0)
+                                     ? routed.matched_route->timeout
+                                     : default_time_left;
+    const milliseconds caller_timeout = caller.time_left.value_or(timeout);
+    const instant deadline = now + std::min(timeout, caller_timeout);
+    if (may_outlast_stop(deadline)) {
+        refuse_unrouted(exchange, caller, stopping_reason,
+                        stopping_retry_after);
+        return;
+    }
     auto record = std::make_unique<request_record>();
     std::uniform_real_distribution<double> draw(0, 1);
     record->service =
@@ -216,15 +239,11 @@
     record->arrived = now;
     record->request = with_shared_body(std::move(request));
     record->caller = caller;
-    const milliseconds timeout = routed.matched_route->timeout > milliseconds(0)
-                                     ? routed.matched_route->timeout
-                                     : default_time_left;
-    const milliseconds caller_timeout = caller.time_left.value_or(timeout);
     record->is_late =
         static_cast<double>(caller_timeout.count()) <
             static_cast<double>(timeout.count()) * fresh_time_share &&
         timeout - caller_timeout > record->target_latency;
-    record->deadline = now + std::min(timeout, caller_timeout);
+    record->deadline = deadline;
     record->deadline_timer =
         core_.after(service_name, record->deadline - now,
                     [this, exchange] { on_deadline(exchange); });
@@ -253,6 +272,10 @@
         refuse(exchange, quarantine_reason(record), quarantine_retry_after);
         return;
     }
+    if (is_left_to_others(record, 0)) {
+        refuse(exchange, stopping_reason, stopping_retry_after);
+        return;
+    }
     if (!record.description) {
         refuse(exchange, "service is not described", default_retry_after);
         return;
@@ -320,7 +343,8 @@
     const bool is_granted = std::holds_alternative<permit_granted>(decision);
     metrics_.count(
         fmt::format("ospreystage_permits_total{{granted=\"{}\"}}", is_granted));
-    if (is_granted && may_send(*find(exchange), chosen)) {
+    if (is_granted && may_send(*find(exchange), chosen) &&
+        !is_left_to_others(*find(exchange), 0)) {
         send(exchange, chosen);
         return;
     }
@@ -428,7 +452,8 @@
     options.timeout = metadata.time_left + call_timeout_margin;
     options.echoed_field = protocol_.id_field;
     options.may_send = [this, exchange, chosen] {
-        return may_send(*find(exchange), chosen);
+        const request_record& waiting = *find(exchange);
+        return may_send(waiting, chosen) && !is_left_to_others(waiting, 1);
     };
     call_handlers handlers;
     const std::uint32_t attempt = ++record.last_attempt;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -211,13 +211,75 @@
     });
     fixture.add_route(request_kind::non_idempotent, false);
     fixture.add_servers({server.endpoint()});
-    fixture.tested_gateway.close();
+    fixture.tested_gateway.stop({steady::now(), steady::now()});
     const auto result = fixture.send_request();
     CHECK(result.response.status == 503);
     CHECK(find_field(result.response.fields, "Retry-After") != nullptr);
     CHECK(runs == 0);
 }
 
+// Such a request was passed on until a timer had run, and cut at the end.
+TEST_CASE("gateway - a stopping entry refuses at once and untouched what may "
+          "outlast it, and serves what fits") {
+    gateway_fixture fixture;
+    int runs = 0;
+    const scripted_server server([&](const std::string&) {
+        ++runs;
+        return scripted_answer{make_response(200, "", "done"), false};
+    });
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_servers({server.endpoint()});
+    const instant now = steady::now();
+    fixture.tested_gateway.stop({now, now + seconds(2)});
+    const auto results =
+        fixture.send_requests({http_fields{{"X-Request-Deadline", "2500"}},
+                               http_fields{{"X-Request-Deadline", "500"}}});
+    CHECK(results.front().response.status == 503);
+    CHECK(find_field(results.front().response.fields, "Retry-After") !=
+          nullptr);
+    CHECK(results.front().duration < milliseconds(200));
+    CHECK(results.back().response.status == 200);
+    CHECK(runs == 1);
+}
+
+TEST_CASE("gateway - a stopping entry accepts everything until callers know of "
+          "the stop") {
+    gateway_fixture fixture;
+    const scripted_server server([&](const std::string&) {
+        return scripted_answer{make_response(200, "", "done"), false};
+    });
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_servers({server.endpoint()});
+    const instant now = steady::now();
+    fixture.tested_gateway.stop({now + seconds(2), now + seconds(2)});
+    CHECK(fixture.send_request().response.status == 200);
+}
+
+// The next attempt would be cut, and the caller could not send it again.
+TEST_CASE("gateway - a stopping entry does not send a request that no server "
+          "has run to another one if it may outlast the stop") {
+    gateway_fixture fixture;
+    int runs = 0;
+    const auto refuse = [&](const std::string&) {
+        ++runs;
+        return scripted_answer{
+            .bytes = "",
+            .delayed_bytes = make_response(503, "X-Not-Executed: 1\r\n", ""),
+            .delay = milliseconds(150)};
+    };
+    const scripted_server refusing(refuse);
+    const scripted_server other(refuse);
+    fixture.add_route(request_kind::non_idempotent, false);
+    fixture.add_servers({refusing.endpoint(), other.endpoint()});
+    const instant now = steady::now();
+    fixture.tested_gateway.stop(
+        {now + milliseconds(100), now + milliseconds(2000)});
+    const auto result = fixture.send_request();
+    CHECK(result.response.status == 503);
+    CHECK(result.response.body == "entry is stopping\n");
+    CHECK(runs == 1);
+}
+
 namespace {
 
 scripted_answer limited_answer(const char* per_second) {
--- a/tests/kernel.cpp
+++ b/tests/kernel.cpp
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <optional>
 #include <stdexcept>
+#include <thread>
 
 using namespace ospreystage;
 
@@ -52,3 +54,31 @@
     core.run_while([] { return true; });
     CHECK(turns == stopped_at);
 }
+
+TEST_CASE("kernel - an event that a late loop handles has happened after the "
+          "time that it gives for the event") {
+    kernel core;
+    std::array<int, 2> pipe_ends{};
+    REQUIRE(pipe(pipe_ends.data()) == 0);
+    instant written{};
+    instant last_turn{};
+    core.after("test", milliseconds(5), [&] {
+        // The event comes while the loop is held up.
+        last_turn = steady::now();
+        REQUIRE(write(pipe_ends[1], "x", 1) == 1);
+        written = steady::now();
+        std::this_thread::sleep_for(milliseconds(60));
+    });
+    std::optional<instant> since;
+    core.watch(pipe_ends[0], EPOLLIN, [&](std::uint32_t) {
+        since = core.events_since();
+        core.stop();
+    });
+    core.after("test", seconds(5), [&] { core.stop(); });
+    core.run();
+    REQUIRE(since);
+    CHECK(*since <= written);
+    CHECK(*since > last_turn - milliseconds(50));
+    close(pipe_ends[0]);
+    close(pipe_ends[1]);
+}
--- a/tests/system_platform.cpp
+++ b/tests/system_platform.cpp
@@ -408,22 +408,24 @@
 namespace {
 
 /// Configures a route of requests that may not be repeated, to one server.
-void put_unsafe_route(platform_store& store, const address& server) {
+void put_unsafe_route(platform_store& store, const address& server,
+                      std::size_t slots = 4) {
     store.put("op/config",
               R"({"version":3,"services":[{"name":"desk"}],"routes":[{
                   "name":"r","hostname":"a.example","path_prefix":"/x/",
                   "service":"desk","kind":"unsafe","timeout_ms":20000,
                   "target_latency_ms":500,"max_attempts":1}]})");
     store.put("servers/i-1", fmt::format(R"({{"service":"desk","address":"{}",
-                              "zone":"hall-a","slots":4,"state":"ready"}})",
-                                         to_string(server)));
+                              "zone":"hall-a","slots":{},"state":"ready"}})",
+                                         to_string(server), slots));
 }
 
-std::string make_post(const std::string& id) {
+std::string make_post(const std::string& id,
+                      milliseconds time_left = seconds(20)) {
     return fmt::format("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
-                       "X-Request-Id: {}\r\nX-Request-Deadline: 20000\r\n"
+                       "X-Request-Id: {}\r\nX-Request-Deadline: {}\r\n"
                        "Content-Length: 2\r\n\r\nok",
-                       id);
+                       id, time_left.count());
 }
 
 } // namespace
@@ -485,6 +487,142 @@
     CHECK(entry.wait() == 0);
 }
 
+namespace {
+
+/// Callers may use an entry's cached address for this long after it was
+/// stopped.
+constexpr milliseconds address_lifetime{3000};
+
+/// What became of the requests that callers sent on kept connections to a
+/// stopping entry once its address was no longer valid.
+struct late_requests {
+    int refused = 0;       ///< With a time to retry.
+    int passed_on = 0;     ///< Although they would not end before the entry.
+    int short_refused = 0; ///< Although they would.
+};
+
+/// Stops an entry, which runs again `stall` after the signal, and sends it a
+/// request each millisecond around the end of `address_lifetime`, by turns one
+/// that the server answers at once and one that it does not answer before the
+/// entry's end.
+late_requests send_late_requests(milliseconds stall) {
+    constexpr std::size_t callers = 240;
+    constexpr milliseconds lead{60};
+    constexpr milliseconds short_time{400};
+    constexpr milliseconds answer_timeout{1000};
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const scripted_server server([&](const std::string& request) {
+        return scripted_answer{
+            request.find("X-Request-Id: long") == std::string::npos ? whole
+                                                                    : ""};
+    });
+    platform_store store;
+    put_unsafe_route(store, server.endpoint(), callers);
+    entry_process entry(store, "bounds.grace_s=8\n");
+    REQUIRE(await_ready(entry));
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (std::size_t index = 0; index < callers; ++index) {
+        connections.push_back(std::make_unique<raw_connection>(entry.front()));
+        connections.back()->send(make_post("first"));
+        REQUIRE(connections.back()->read_until("\r\n\r\nok").find(" 200 ") !=
+                std::string::npos);
+    }
+    if (stall > milliseconds(0))
+        entry.child().freeze();
+    const instant stopped = steady::now();
+    entry.child().terminate();
+    if (stall > milliseconds(0)) {
+        std::this_thread::sleep_for(stall);
+        entry.child().thaw();
+    }
+    std::vector<instant> sent_at(callers);
+    for (std::size_t index = 0; index < callers; ++index) {
+        std::this_thread::sleep_until(stopped + address_lifetime - lead +
+                                      milliseconds(index));
+        sent_at[index] = steady::now();
+        connections[index]->send(index % 2 == 0 ? make_post("short", short_time)
+                                                : make_post("long"));
+    }
+    late_requests result;
+    for (std::size_t index = 0; index < callers; ++index) {
+        // The signal is sent just after the time that is taken for it.
+        if (sent_at[index] < stopped + address_lifetime + milliseconds(2))
+            continue;
+        const std::string answer =
+            connections[index]->read_until("\r\n\r\n", answer_timeout);
+        const bool is_refused =
+            answer.find("HTTP/1.1 503 ") == 0 &&
+            answer.find("Retry-After: ") != std::string::npos;
+        // Others are closed before they are read.
+        const bool is_open = answer.empty() && !connections[index]->has_ended();
+        result.refused += is_refused ? 1 : 0;
+        result.short_refused += is_refused && index % 2 == 0 ? 1 : 0;
+        result.passed_on += is_open && index % 2 == 1 ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+// Requests were passed on and cut if they came between the end of the address's
+// lifetime and the next check of a timer, or while that was late.
+TEST_CASE("platform entry - no request that comes too late to be finished is "
+          "passed on and cut by a stop, and none that fits is refused") {
+    const late_requests result = send_late_requests(milliseconds(0));
+    CHECK(result.passed_on == 0);
+    CHECK(result.short_refused == 0);
+}
+
+TEST_CASE("platform entry - no request is passed on and cut by a stop whose "
+          "signal was read late") {
+    const late_requests result = send_late_requests(milliseconds(400));
+    CHECK(result.passed_on == 0);
+    CHECK(result.short_refused == 0);
+}
+
+// What is accepted for the longer time is cut if the platform keeps to the time
+// that held at the signal.
+TEST_CASE("platform entry - a time to stop that is raised during a stop does "
+          "not let it accept what it may not finish") {
+    std::atomic<int> runs{0};
+    const scripted_server silent([&](const std::string&) {
+        ++runs;
+        return scripted_answer{""};
+    });
+    platform_store store;
+    put_unsafe_route(store, silent.endpoint());
+    entry_process entry(store, "bounds.grace_s=3\n");
+    REQUIRE(await_ready(entry));
+    raw_connection caller(entry.front());
+    entry.child().terminate();
+    REQUIRE(entry.await_output("draining"));
+    entry.write_settings(store, "bounds.grace_s=20\n");
+    entry.child().hang_up();
+    REQUIRE(entry.await_output("\"taken\":[\"bounds.grace_s\"]"));
+    std::this_thread::sleep_for(milliseconds(2000));
+    caller.send(make_post("late", seconds(10)));
+    CHECK(caller.read_all().find("HTTP/1.1 503 ") == 0);
+    CHECK(runs == 0);
+    CHECK(entry.wait() == 0);
+}
+
+TEST_CASE("platform entry - a request whose body is still arriving at the end "
+          "of a stop is refused and not cut") {
+    platform_store store;
+    put_unsafe_route(store, {"127.0.0.1", 1});
+    entry_process entry(store, "bounds.grace_s=2\n");
+    REQUIRE(await_ready(entry));
+    raw_connection caller(entry.front());
+    entry.child().terminate();
+    std::this_thread::sleep_for(milliseconds(1000));
+    const std::string request = make_post("unfinished");
+    caller.send(std::string_view(request).substr(0, request.size() - 1));
+    const std::string answer = caller.read_all();
+    CHECK(answer.find("HTTP/1.1 503 ") == 0);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(entry.wait() == 0);
+}
+
 TEST_CASE("platform entry - memory stays flat while hundreds of servers send "
           "bytes without end") {
     constexpr int servers = 40;
