Refuse requests whose transfer coding is not chunked alone

The parser's library ignores a Transfer-Encoding whose last coding is not chunked and takes the message for one without a body; nothing checked the field, which is removed before the request goes on.

The codings are judged when the head is complete: 400 where the end of the body is not known (RFC 9112, section 6.3) and in HTTP/1.0, 501 for chunks of a body in another coding, which would be passed on without it. The connection is closed after the refusal.

--- a/include/ospreystage/http/message_parser.hpp
+++ b/include/ospreystage/http/message_parser.hpp
@@ -16,8 +16,8 @@
     std::size_t consumed = 0; ///< Bytes to remove from the input.
     bool is_complete = false; ///< The message is complete.
     std::string failure;      ///< Parse error, or empty.
-    /// Response status for the error: 400, 413 (body too large) or 431 (header
-    /// too large).
+    /// Response status for the error: 400, 413 (body too large), 431 (header
+    /// too large) or 501 (transfer coding not supported).
     std::uint16_t failure_status = 400;
 };
 
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -1,5 +1,8 @@
 #include <ospreystage/http/message_parser.hpp>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <fmt/format.h>
@@ -7,6 +10,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <utility>
+#include <vector>
 
 namespace ospreystage {
 
@@ -27,16 +31,47 @@
 constexpr int max_status = 599;
 /// Answers only a request to change the protocol, which is never sent.
 constexpr int status_switching_protocols = 101;
+constexpr std::uint16_t status_not_implemented = 501;
 
 /// A body grows by this part of its size.
 constexpr std::size_t body_growth_divisor = 4;
 /// Memory of a parser without a request.
 constexpr std::size_t parser_bytes = 512;
 
+/// The only transfer coding that is understood.
+constexpr const char* chunked_coding = "chunked";
+
 std::string to_text(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
 
+/// Transfer codings of a message (RFC 9112, section 6.1).
+enum class transfer_coding : std::uint8_t {
+    none,
+    chunked,
+    unsupported, ///< Chunks of a body in another coding.
+    unframed,    ///< The end of the body is not known.
+};
+
+transfer_coding transfer_coding_of(const http_fields& fields) {
+    std::vector<std::string> codings;
+    for (const http_field& field : fields)
+        if (is_same_field(field.name, "Transfer-Encoding"))
+            for (const absl::string_view coding :
+                 absl::StrSplit(field.value, ','))
+                codings.emplace_back(absl::StripAsciiWhitespace(coding));
+    if (codings.empty())
+        return transfer_coding::none;
+    const auto is_chunked = [](const std::string& coding) {
+        return absl::EqualsIgnoreCase(coding, chunked_coding);
+    };
+    if (!is_chunked(codings.back()) ||
+        std::count_if(codings.begin(), codings.end(), is_chunked) > 1)
+        return transfer_coding::unframed;
+    return codings.size() == 1 ? transfer_coding::chunked
+                               : transfer_coding::unsupported;
+}
+
 /// Callbacks that requests and responses share.
 template <bool IsRequest>
 class parser_base : public beast_http::basic_parser<IsRequest> {
@@ -48,15 +83,15 @@
 
     virtual http_fields& fields() = 0;
     virtual void append_body(text body) = 0;
-    virtual void on_head_complete() {}
+    virtual void on_head_complete(error_code&) {}
 
     void on_field_impl(beast_http::field, text name, text value,
                        error_code&) override {
         fields().push_back({to_text(name), to_text(value)});
     }
-    void on_header_impl(error_code&) override {
+    void on_header_impl(error_code& problem) override {
         is_head_complete = true;
-        on_head_complete();
+        on_head_complete(problem);
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>&,
                            error_code&) override {}
@@ -116,6 +151,8 @@
 struct request_parser::state final : parser_base<true> {
     http_request request;
     std::size_t max_header_bytes = 0;
+    /// Of a head that is refused; 0: as for any malformed request.
+    std::uint16_t failure_status = 0;
 
     http_fields& fields() override { return request.fields; }
     std::size_t fields_bytes = 0;
@@ -132,7 +169,17 @@
         fields_bytes += sizeof(http_field) + name_text.size() + value.size();
         parser_base::on_field_impl(name, name_text, value, problem);
     }
-    void on_head_complete() override { request.keep_alive = keep_alive(); }
+    void on_head_complete(error_code& problem) override {
+        request.keep_alive = keep_alive();
+        const transfer_coding coding = transfer_coding_of(request.fields);
+        if (coding == transfer_coding::unsupported)
+            failure_status = status_not_implemented;
+        // HTTP/1.0 has no transfer codings.
+        if (coding == transfer_coding::unsupported ||
+            coding == transfer_coding::unframed ||
+            (coding == transfer_coding::chunked && !request.accepts_chunks))
+            problem = beast_http::error::bad_transfer_encoding;
+    }
 
     void on_request_impl(beast_http::verb, text method, text target,
                          int version, error_code&) override {
@@ -158,7 +205,11 @@
 request_parser& request_parser::operator=(request_parser&&) noexcept = default;
 
 parse_progress request_parser::feed(std::string_view input) {
-    return feed_parser(*state_, input, state_->max_header_bytes);
+    parse_progress progress =
+        feed_parser(*state_, input, state_->max_header_bytes);
+    if (state_->failure_status != 0)
+        progress.failure_status = state_->failure_status;
+    return progress;
 }
 
 bool request_parser::is_head_complete() const noexcept {
@@ -185,7 +236,7 @@
         if (on_body)
             on_body({body.data(), body.size()});
     }
-    void on_head_complete() override {
+    void on_head_complete(error_code&) override {
         response.keep_alive = keep_alive();
         if (chunked())
             response.framing = http_framing::chunked;
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -358,3 +358,76 @@
     CHECK(contains(idle.read_until("/a:"), "200 OK"));
     CHECK(contains(sending.read_until("/b:body"), "200 OK"));
 }
+
+namespace {
+
+/// Returns a request whose body, framed by `framing`, quotes another request.
+std::string make_quoting_request(const std::string& framing) {
+    const std::string quoted = "POST /quoted HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: 2\r\n\r\nno";
+    return "POST /sent HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n" + quoted;
+}
+
+} // namespace
+
+// The parser took such a request for one without a body, and what it quoted ran
+// as a request that nobody had sent.
+TEST_CASE(
+    "web server - a body whose transfer coding does not end in chunked is "
+    "refused and not run as a request of its own") {
+    const std::vector<std::string> framings{
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: \"chunked\"\r\n",
+        "Transfer-Encoding: chunked;q=1\r\n",
+        "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"};
+    echo_server echo;
+    const running_kernel running(echo.core);
+    for (const std::string& framing : framings) {
+        INFO(framing);
+        raw_connection caller(echo.local);
+        caller.send(make_quoting_request(framing));
+        const std::string answer = caller.read_all();
+        CHECK(answer.find("HTTP/1.1 400 ") == 0);
+        CHECK(caller.has_ended());
+    }
+    CHECK(echo.requests == 0);
+}
+
+// The body would be passed on without its other codings.
+TEST_CASE("web server - a body in chunks of another coding is refused and not "
+          "passed on as if it had none") {
+    echo_server echo;
+    const running_kernel running(echo.core);
+    for (const char* fields :
+         {"Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n"}) {
+        raw_connection caller(echo.local);
+        caller.send(fmt::format("POST /sent HTTP/1.1\r\nHost: x\r\n{}\r\n"
+                                "2\r\nok\r\n0\r\n\r\n",
+                                fields));
+        CHECK(caller.read_all().find("HTTP/1.1 501 ") == 0);
+        CHECK(caller.has_ended());
+    }
+    CHECK(echo.requests == 0);
+}
+
+TEST_CASE("web server - the spelling of chunked does not matter") {
+    echo_server echo;
+    const running_kernel running(echo.core);
+    for (const char* value : {"chunked", "Chunked", " CHUNKED\t"}) {
+        raw_connection caller(echo.local);
+        caller.send(fmt::format("POST /a HTTP/1.1\r\nHost: x\r\n"
+                                "Transfer-Encoding: {}\r\n\r\n"
+                                "2\r\nok\r\n0\r\n\r\n",
+                                value));
+        CHECK(contains(caller.read_until("/a:ok"), "200 OK"));
+    }
+}
