Drop the trailer fields of chunked messages

A caller's trailer fields were appended to the fields of its request and passed on to the server, where they could pass for fields of the head, since the parser reports both alike.

RFC 9110, section 6.5.1, lets a recipient discard them, and none is used here. Fields that follow the head are no longer kept, of responses neither.

Evidence: the test failed before (the request had the field X-Tenant of its trailer) and passes now.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -87,7 +87,9 @@
 
     void on_field_impl(beast_http::field, text name, text value,
                        error_code&) override {
-        fields().push_back({to_text(name), to_text(value)});
+        // Trailer fields are not part of the head (RFC 9110, section 6.5.1).
+        if (!is_head_complete)
+            fields().push_back({to_text(name), to_text(value)});
     }
     void on_header_impl(error_code& problem) override {
         is_head_complete = true;
@@ -166,7 +168,9 @@
     }
     void on_field_impl(beast_http::field name, text name_text, text value,
                        error_code& problem) override {
-        fields_bytes += sizeof(http_field) + name_text.size() + value.size();
+        if (!is_head_complete)
+            fields_bytes +=
+                sizeof(http_field) + name_text.size() + value.size();
         parser_base::on_field_impl(name, name_text, value, problem);
     }
     void on_head_complete(error_code& problem) override {
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -431,3 +431,24 @@
         CHECK(contains(caller.read_until("/a:ok"), "200 OK"));
     }
 }
+
+// Trailer fields follow the body, where a caller may quote anything.
+TEST_CASE("web server - trailer fields of a request are not taken for fields "
+          "of its head") {
+    echo_server echo;
+    http_fields received;
+    echo.on_request = [&](exchange_id exchange, const http_request& request) {
+        received = request.fields;
+        echo.server.respond(exchange, {});
+    };
+    {
+        const running_kernel running(echo.core);
+        raw_connection caller(echo.local);
+        caller.send("POST /a HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nok\r\n0\r\nX-Tenant: other\r\n\r\n");
+        CHECK(contains(caller.read_until("\r\n\r\n"), "200 OK"));
+    }
+    CHECK(find_field(received, "Host") != nullptr);
+    CHECK(find_field(received, "X-Tenant") == nullptr);
+}
