Send no body with a response to HEAD

The server wrote a response's body whatever the method of its request was; answers in parts ended with a last chunk, and those of a server were passed on with Content-Length: 0.

The server remembers that a request is HEAD and sends the head alone, with the length that GET would get or that the server stated; 204 and 304 have neither a body nor a length.

--- a/include/ospreystage/http/message.hpp
+++ b/include/ospreystage/http/message.hpp
@@ -60,7 +60,7 @@
     std::string body;
     bool keep_alive = true; ///< The peer permits reuse of the connection.
     http_framing framing = http_framing::length; ///< Of a received response.
-    /// `Content-Length` of a received response.
+    /// `Content-Length` of a received response, also of one to HEAD.
     std::optional<std::uint64_t> content_length;
 };
 
@@ -106,11 +106,22 @@
 [[nodiscard]] std::string encode_request(const http_request& request,
                                          const std::string& host);
 
-/// Encodes a response with its whole body, framed by `Content-Length`. Adds
-/// `Connection: close` unless `keep_alive`.
+/// Encodes a response with its whole body, framed by `Content-Length`; without
+/// both if its status rules out a body. Adds `Connection: close` unless
+/// `keep_alive`.
 [[nodiscard]] std::string encode_response(const http_response& response,
                                           bool keep_alive);
 
+/// Returns true if a response with this status never has a body (RFC 9112,
+/// section 6.3).
+[[nodiscard]] bool is_bodiless(std::uint16_t status) noexcept;
+
+/// Encodes a response to HEAD, which has no body: the head that GET would get.
+/// `Content-Length` is that of the body or else `content_length`, if there is
+/// any.
+[[nodiscard]] std::string encode_head_response(const http_response& response,
+                                               bool keep_alive);
+
 /// Encodes the head of a response whose body follows: of `body_bytes` bytes
 /// with `http_framing::length`, see `encode_chunk` for `http_framing::chunked`.
 [[nodiscard]] std::string encode_head(const http_response& response,
--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -29,7 +29,8 @@
 ///
 /// Requests of one connection are handled one at a time, in order. Each is
 /// passed to `requested` once; the owner responds by `respond`, or by `begin`,
-/// any number of `write` and then `finish` or `abort`.
+/// any number of `write` and then `finish` or `abort`. The body of a response
+/// to HEAD is not sent.
 class web_server {
   public:
     /// Returns the response to a request that cannot be parsed or is not
@@ -126,10 +127,12 @@
         std::unique_ptr<request_parser> parser;
         exchange_id exchange{};
         instant accepted_at{};
-        bool is_used = false; ///< A request has arrived.
-        bool is_busy = false; ///< A request is in progress.
+        bool is_used = false;         ///< A request has arrived.
+        bool is_busy = false;         ///< A request is in progress.
+        bool is_head_request = false; ///< Its response has no body.
         /// Of its response, if that is sent in parts.
         http_framing framing = http_framing::chunked;
+        bool has_body = true;           ///< Of its response, if sent in parts.
         std::uint64_t unsent_bytes = 0; ///< Of `http_framing::length`.
         bool keep_alive = true;
         /// `Expect` was looked up, once per request.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -33,6 +33,18 @@
     }
 }
 
+std::string encode_status_and_fields(const http_response& response,
+                                     bool keep_alive) {
+    std::string out = fmt::format("HTTP/1.1 {} {}\r\n", response.status,
+                                  response.reason.empty()
+                                      ? reason_phrase(response.status)
+                                      : std::string_view(response.reason));
+    append_fields(out, response.fields);
+    if (!keep_alive)
+        out += "Connection: close\r\n";
+    return out;
+}
+
 } // namespace
 
 const char* to_string(http_framing framing) noexcept {
@@ -130,21 +142,36 @@
     return encode_request_head(request, host) + body_of(request);
 }
 
+bool is_bodiless(std::uint16_t status) noexcept {
+    constexpr std::uint16_t first_final = 200;
+    constexpr std::uint16_t no_content = 204;
+    constexpr std::uint16_t not_modified = 304;
+    return status < first_final || status == no_content ||
+           status == not_modified;
+}
+
 std::string encode_response(const http_response& response, bool keep_alive) {
+    if (is_bodiless(response.status))
+        return encode_status_and_fields(response, keep_alive) + "\r\n";
     return encode_head(response, http_framing::length, keep_alive,
                        response.body.size()) +
            response.body;
 }
 
+std::string encode_head_response(const http_response& response,
+                                 bool keep_alive) {
+    const std::uint64_t body_bytes = response.body.empty()
+                                         ? response.content_length.value_or(0)
+                                         : response.body.size();
+    if (body_bytes > 0 && !is_bodiless(response.status))
+        return encode_head(response, http_framing::length, keep_alive,
+                           body_bytes);
+    return encode_status_and_fields(response, keep_alive) + "\r\n";
+}
+
 std::string encode_head(const http_response& response, http_framing framing,
                         bool keep_alive, std::uint64_t body_bytes) {
-    std::string out = fmt::format("HTTP/1.1 {} {}\r\n", response.status,
-                                  response.reason.empty()
-                                      ? reason_phrase(response.status)
-                                      : std::string_view(response.reason));
-    append_fields(out, response.fields);
-    if (!keep_alive)
-        out += "Connection: close\r\n";
+    std::string out = encode_status_and_fields(response, keep_alive);
     if (framing == http_framing::chunked)
         out += "Transfer-Encoding: chunked\r\n";
     if (framing == http_framing::length)
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -42,6 +42,7 @@
 /// A connection without a request that may give way to a new one at the limit
 /// of connections.
 constexpr milliseconds replaceable_idle_time{1000};
+constexpr const char* head_method = "HEAD";
 constexpr std::uint16_t status_timeout = 408;
 constexpr std::uint16_t status_unavailable = 503;
 /// Retry time of requests that are refused for lack of memory.
@@ -302,6 +303,7 @@
     update_charge(record);
     record.is_expect_checked = false;
     record.is_busy = true;
+    record.is_head_request = request.method == head_method;
     record.framing = request.accepts_chunks ? http_framing::chunked
                                             : http_framing::connection;
     record.keep_alive = request.keep_alive && !is_draining_;
@@ -330,7 +332,9 @@
             {"Retry-After",
              fmt::format("{:.3f}",
                          std::chrono::duration<double>(retry_after).count())});
-    record.socket.write(encode_response(response, false));
+    record.socket.write(record.parser->request().method == head_method
+                            ? encode_head_response(response, false)
+                            : encode_response(response, false));
     // The connection is closed later: closing it with unread input sends a
     // reset, which may discard the response before the caller has read it.
     record.socket.shutdown_output();
@@ -542,7 +546,10 @@
     const std::uint64_t id =
         exchanges_.at(static_cast<std::uint64_t>(exchange));
     record->keep_alive = record->keep_alive && !is_draining_;
-    record->socket.write(encode_response(response, record->keep_alive));
+    record->socket.write(
+        record->is_head_request
+            ? encode_head_response(response, record->keep_alive)
+            : encode_response(response, record->keep_alive));
     complete(id);
 }
 
@@ -554,15 +561,21 @@
     if (body_bytes)
         record->framing = http_framing::length;
     record->unsent_bytes = body_bytes.value_or(0);
-    record->keep_alive = record->keep_alive && !is_draining_ &&
-                         record->framing != http_framing::connection;
-    record->socket.write(encode_head(head, record->framing, record->keep_alive,
-                                     record->unsent_bytes));
+    record->has_body = !record->is_head_request && !is_bodiless(head.status);
+    // Without a body, the end of the connection marks nothing.
+    record->keep_alive =
+        record->keep_alive && !is_draining_ &&
+        (!record->has_body || record->framing != http_framing::connection);
+    record->socket.write(is_bodiless(head.status)
+                             ? encode_response(head, record->keep_alive)
+                             : encode_head(head, record->framing,
+                                           record->keep_alive,
+                                           record->unsent_bytes));
 }
 
 bool web_server::write(exchange_id exchange, std::string_view data) {
     connection_record* record = find(exchange);
-    if (record == nullptr || data.empty())
+    if (record == nullptr || data.empty() || !record->has_body)
         return true;
     if (record->framing == http_framing::chunked)
         record->socket.write(encode_chunk(data));
@@ -581,11 +594,12 @@
     connection_record* record = find(exchange);
     if (record == nullptr)
         return;
-    if (record->framing == http_framing::length && record->unsent_bytes > 0) {
+    if (record->has_body && record->framing == http_framing::length &&
+        record->unsent_bytes > 0) {
         abort(exchange);
         return;
     }
-    if (record->framing == http_framing::chunked)
+    if (record->has_body && record->framing == http_framing::chunked)
         record->socket.write(last_chunk);
     complete(exchanges_.at(static_cast<std::uint64_t>(exchange)));
 }
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -452,3 +453,101 @@
     CHECK(find_field(received, "Host") != nullptr);
     CHECK(find_field(received, "X-Tenant") == nullptr);
 }
+
+namespace {
+
+/// Sends HEAD and then GET on one connection; returns what was received.
+std::string head_then_get(echo_server& echo) {
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send("HEAD /h HTTP/1.1\r\nHost: x\r\n\r\n"
+                "GET /g HTTP/1.1\r\nHost: x\r\n\r\n");
+    return caller.read_until("/g:");
+}
+
+/// Returns true if the text is an answer without a body, and another answer
+/// right after it.
+bool has_no_first_body(const std::string& text) {
+    const std::size_t end = text.find("\r\n\r\n");
+    return end != std::string::npos &&
+           text.substr(end + 4).find("HTTP/1.1 200 ") == 0;
+}
+
+} // namespace
+
+// The caller reads such a body as the begin of its next answer.
+TEST_CASE("web server - an answer to HEAD has no body") {
+    echo_server echo;
+    const std::string text = head_then_get(echo);
+    INFO(text);
+    CHECK(has_no_first_body(text));
+    // As for GET.
+    CHECK(contains(text.substr(0, text.find("\r\n\r\n")), "Content-Length: 3"));
+}
+
+TEST_CASE("web server - an answer to HEAD in parts has neither a body nor a "
+          "last chunk") {
+    for (const bool has_length : {false, true}) {
+        echo_server echo;
+        echo.on_request = [&](exchange_id exchange,
+                              const http_request& request) {
+            const std::string body = request.target + ":";
+            if (has_length)
+                echo.server.begin(exchange, {}, body.size());
+            else
+                echo.server.begin(exchange, {});
+            echo.server.write(exchange, body);
+            echo.server.finish(exchange);
+        };
+        const std::string text = head_then_get(echo);
+        INFO(text);
+        CHECK(has_no_first_body(text));
+    }
+}
+
+TEST_CASE("web server - the length of an answer to HEAD is that of its "
+          "server") {
+    echo_server echo;
+    echo.on_request = [&](exchange_id exchange, const http_request& request) {
+        http_response response;
+        if (request.method == "HEAD")
+            response.content_length = 1234;
+        else
+            response.body = request.target + ":";
+        echo.server.respond(exchange, response);
+    };
+    const std::string text = head_then_get(echo);
+    INFO(text);
+    CHECK(has_no_first_body(text));
+    CHECK(contains(text, "Content-Length: 1234"));
+}
+
+TEST_CASE("web server - an answer whose status rules out a body has neither a "
+          "body nor a length") {
+    for (const std::uint16_t status : std::array<std::uint16_t, 2>{204, 304}) {
+        echo_server echo;
+        echo.on_request = [&](exchange_id exchange,
+                              const http_request& request) {
+            http_response response;
+            response.body = request.target + ":";
+            if (request.method == "HEAD")
+                response.status = status;
+            echo.server.respond(exchange, response);
+        };
+        const std::string text = head_then_get(echo);
+        INFO(text);
+        CHECK(has_no_first_body(text));
+        CHECK_FALSE(
+            contains(text.substr(0, text.find("\r\n\r\n")), "Content-Length"));
+    }
+}
+
+TEST_CASE("web server - the refusal of a HEAD request has no body") {
+    echo_server echo({.max_body_bytes = 10});
+    const running_kernel running(echo.core);
+    raw_connection caller(echo.local);
+    caller.send("HEAD /h HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n");
+    const std::string text = caller.read_all();
+    REQUIRE(text.find("HTTP/1.1 413 ") == 0);
+    CHECK(text.find("\r\n\r\n") == text.size() - 4);
+}
