Let unfinished requests give way at the bound of connections

At its bound the server stopped accepting, and only connections without a request gave way; unfinished ones stayed for the header timeout of 3 s and for another second while their refusal could be read.

Connections that wait for their callers now give way to new ones, those that have waited longest first: unfinished requests after 0.5 s without progress or 1 s in all, with a 503 that holds, since they were not passed on. The backlog is larger than such a crowd.

--- a/include/ospreystage/http/web_server.hpp
+++ b/include/ospreystage/http/web_server.hpp
@@ -69,8 +69,8 @@
 
     // ---- Modifiers ---------------------------------------------------------
 
-    /// Sets the number of connections at which accepting pauses; 0: not
-    /// limited.
+    /// Sets the number of connections at which a new one takes the place of one
+    /// that waits for its caller, or else waits itself; 0: not limited.
     void set_max_connections(std::size_t count) noexcept {
         max_connections_ = count;
     }
@@ -157,7 +157,11 @@
     void schedule_relief();
     void relieve();
     void end_slow_connections(instant now);
+    void schedule_room();
     void make_room(instant now);
+    [[nodiscard]] static bool may_give_way(const connection_record& record,
+                                           instant now);
+    void give_way(std::uint64_t id);
     void close_for_memory(std::uint64_t id, std::uint16_t status);
     void log_bound(const char* bound, std::size_t value);
     static void await_input(connection_record& record, milliseconds timeout);
@@ -191,6 +195,8 @@
     instant bound_logged_at_{};
     std::uint64_t unlogged_bounds_ = 0;
     bool is_accepting_paused_ = false;
+    bool is_room_scheduled_ = false;
+    instant room_made_at_{};
     bool is_relief_scheduled_ = false;
     int listener_ = -1;
     bool is_draining_ = false;
--- a/src/http/web_server.cpp
+++ b/src/http/web_server.cpp
@@ -20,7 +20,8 @@
 namespace {
 
 constexpr const char* service_name = "web_server";
-constexpr int listen_backlog = 1024;
+/// The system's own limit may be lower. Callers wait here behind a crowd.
+constexpr int listen_backlog = 4096;
 /// Pending output of a caller beyond which its response is paused.
 constexpr std::size_t max_unread_bytes = 64 * 1024;
 /// Interval between two checks for connections past their deadline.
@@ -39,9 +40,18 @@
 /// closed after this time without progress. A third of the usual header
 /// timeout of 3 s.
 constexpr milliseconds stalled_time{1000};
-/// A connection without a request that may give way to a new one at the limit
-/// of connections.
+/// At the limit of connections, new ones take the place of connections that
+/// have waited this long for a request, and of unfinished requests that have
+/// made no progress for this long or have not been complete within that time.
 constexpr milliseconds replaceable_idle_time{1000};
+constexpr milliseconds replaceable_stalled_time{500};
+constexpr milliseconds replaceable_unfinished_time{1000};
+/// Interval at which connections give way, and the part of all that does so at
+/// a time.
+constexpr milliseconds make_room_interval{50};
+constexpr std::size_t replaced_share_divisor = 4;
+/// Retry time of requests that have given way.
+constexpr milliseconds crowd_retry_after{1000};
 constexpr const char* head_method = "HEAD";
 constexpr std::uint16_t status_timeout = 408;
 constexpr std::uint16_t status_unavailable = 503;
@@ -188,6 +198,7 @@
         if (max_connections_ > 0 && connections_.size() >= max_connections_) {
             log_bound("connections", connections_.size());
             pause_accepting();
+            schedule_room();
             return;
         }
         const int descriptor =
@@ -462,16 +473,60 @@
     }
 }
 
-/// Drops connections without a request in favour of new ones.
+void web_server::schedule_room() {
+    if (std::exchange(is_room_scheduled_, true))
+        return;
+    const auto delay = std::max<std::chrono::nanoseconds>(
+        room_made_at_ + make_room_interval - steady::now(),
+        std::chrono::nanoseconds(0));
+    core_.after(service_name, delay, [this] {
+        is_room_scheduled_ = false;
+        make_room(steady::now());
+        resume_accepting();
+    });
+}
+
+/// Returns true if a connection that waits for its caller should give way to a
+/// new one.
+bool web_server::may_give_way(const connection_record& record, instant now) {
+    if (record.is_busy || record.socket.pending_bytes() > 0)
+        return false;
+    const auto waited = now - record.waiting_since;
+    if (!record.parser && !record.is_refused)
+        return waited >= replaceable_idle_time;
+    const auto stalled =
+        now - std::max(record.waiting_since, record.progressed_at);
+    return stalled >= replaceable_stalled_time ||
+           waited >= replaceable_unfinished_time;
+}
+
+/// Closes connections that wait for their callers in favour of new ones, those
+/// that have waited longest first.
 void web_server::make_room(instant now) {
-    std::vector<std::uint64_t> idle;
+    room_made_at_ = now;
+    std::vector<std::pair<instant, std::uint64_t>> waiting;
     for (const auto& [id, record] : connections_)
-        if (!record->is_busy && !record->is_refused && !record->parser &&
-            record->socket.pending_bytes() == 0 &&
-            now - record->waiting_since >= replaceable_idle_time)
-            idle.push_back(id);
-    for (const std::uint64_t id : idle)
-        drop(id);
+        if (may_give_way(*record, now))
+            waiting.emplace_back(record->waiting_since, id);
+    std::sort(waiting.begin(), waiting.end());
+    const std::size_t most = connections_.size() / replaced_share_divisor + 1;
+    waiting.resize(std::min(waiting.size(), most));
+    for (const auto& [since, id] : waiting)
+        give_way(id);
+}
+
+/// Closes a connection that waits for its caller, unless what it waits for lies
+/// unread in the socket. An unfinished request is refused first.
+void web_server::give_way(std::uint64_t id) {
+    connections_.at(id)->socket.read_available();
+    const auto found = connections_.find(id);
+    if (found == connections_.end() ||
+        !may_give_way(*found->second, steady::now()))
+        return;
+    if (found->second->parser)
+        refuse(id, status_unavailable, "too many connections",
+               crowd_retry_after);
+    drop(id);
 }
 
 /// Refuses a request that has not been passed on, with `status`; closes the
--- a/tests/web_server.cpp
+++ b/tests/web_server.cpp
@@ -551,3 +551,28 @@
     REQUIRE(text.find("HTTP/1.1 413 ") == 0);
     CHECK(text.find("\r\n\r\n") == text.size() - 4);
 }
+
+// Such requests kept their places until the header timeout, and nobody else
+// got one.
+TEST_CASE("web server - unfinished requests that hold all connections do not "
+          "shut ordinary callers out") {
+    constexpr std::size_t connections = 20;
+    constexpr std::size_t crowd_size = 30;
+    echo_server echo;
+    echo.server.set_max_connections(connections);
+    const running_kernel running(echo.core);
+    std::vector<std::unique_ptr<raw_connection>> crowd;
+    for (std::size_t index = 0; index < crowd_size; ++index) {
+        crowd.push_back(std::make_unique<raw_connection>(echo.local));
+        crowd.back()->send("POST /crowd HTTP/1.1\r\nHost: x\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "40\r\nunfinished");
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    raw_connection caller(echo.local);
+    caller.send(get_request);
+    CHECK(contains(caller.read_until("/a:", seconds(2)), "200 OK"));
+    CHECK(echo.requests == 1);
+    // The promise holds: nothing of them runs.
+    CHECK(crowd.front()->read_until("\r\n\r\n").find("HTTP/1.1 503 ") == 0);
+}
