Keep a pause that a server states before its new start is listed

The pause had been kept for the start that the list showed when the request was sent.

A pause that was stated since the list before, or in the last heartbeat before that, is taken over by the later start that a list shows first. Earlier ones, and leaving, are not.

The two tests need the new call.

--- a/include/ospreystage/serving/backend_availability.hpp
+++ b/include/ospreystage/serving/backend_availability.hpp
@@ -33,7 +33,8 @@
 /// the backoff that `backend_load` infers from failures. They hold for one
 /// start of the server, for which leaving is final: neither a list that shows
 /// it as ready nor an answer without the statement reverts it. The next start
-/// under the same id is free of both.
+/// under the same id is free of both, but for a pause that it may have stated
+/// itself before it was listed.
 class backend_availability {
   public:
     struct options {
@@ -43,6 +44,9 @@
         /// Statements of servers that are not listed are kept for this long,
         /// because an older list may show them again.
         milliseconds retention{600'000};
+        /// A server that starts again is listed as the start before for up to
+        /// this long.
+        milliseconds listing_delay{1200};
     };
 
     explicit backend_availability(const options& limits);
@@ -75,6 +79,11 @@
     void on_answer(const server_start& server,
                    const availability_statement& statement, instant now);
 
+    /// Handles a list of servers. A pause that was stated so late that the
+    /// start listed now may have stated it holds for that one.
+    void on_list(const std::vector<const backend_server*>& servers,
+                 instant now);
+
     /// Drops what servers stated that have not been listed for a while.
     void retain(const absl::flat_hash_set<std::string>& listed, instant now);
 
@@ -83,6 +92,7 @@
         std::int64_t started_unix_ms = 0;
         std::optional<instant> leaving_since;
         instant paused_until{};
+        instant pause_stated_at{}; ///< That which ends last.
         instant last_listed{};
     };
 
@@ -93,6 +103,7 @@
     options limits_;
     std::mt19937_64 random_;
     absl::flat_hash_map<std::string, server_record> records_; ///< By id.
+    std::optional<instant> last_list_; ///< Nothing was listed before.
 };
 
 } // namespace ospreystage
--- a/src/serving/backend_availability.cpp
+++ b/src/serving/backend_availability.cpp
@@ -117,6 +117,7 @@
     }
     if (statement.pause && now + *statement.pause > record.paused_until) {
         record.paused_until = now + *statement.pause;
+        record.pause_stated_at = now;
         log_event(log_level::info, "server_paused",
                   {{"server", server.id},
                    {"started_unix_ms", server.started_unix_ms},
@@ -125,6 +126,32 @@
     }
 }
 
+void backend_availability::on_list(
+    const std::vector<const backend_server*>& servers, instant now) {
+    // Starts that this list shows first may have begun since then.
+    const instant unlisted_since =
+        last_list_.value_or(now) - limits_.listing_delay;
+    last_list_ = now;
+    for (const backend_server* server : servers) {
+        const auto found = records_.find(server->id);
+        if (found == records_.end())
+            continue;
+        server_record& record = found->second;
+        if (server->started_unix_ms <= record.started_unix_ms ||
+            record.paused_until <= now ||
+            record.pause_stated_at < unlisted_since)
+            continue;
+        record.started_unix_ms = server->started_unix_ms;
+        record.leaving_since.reset();
+        log_event(
+            log_level::info, "server_paused",
+            {{"server", server->id},
+             {"started_unix_ms", server->started_unix_ms},
+             {"source", "earlier start"},
+             {"pause_ms", (record.paused_until - now) / milliseconds(1)}});
+    }
+}
+
 void backend_availability::retain(
     const absl::flat_hash_set<std::string>& listed, instant now) {
     absl::erase_if(records_, [&](auto& item) {
--- a/tests/backend_availability.cpp
+++ b/tests/backend_availability.cpp
@@ -51,6 +51,60 @@
     CHECK(tested.may_send(restarted.start(), later + seconds(1)));
 }
 
+// The entry knows the start of an answer only from the list, which may still
+// show the one before.
+TEST_CASE("backend availability - a pause that a server states after a new "
+          "start is not forgotten when the list shows that start") {
+    backend_availability tested({.listing_delay = milliseconds(1200)});
+    backend_server server;
+    server.id = "a";
+    server.started_unix_ms = 1000;
+    backend_server restarted = server;
+    restarted.started_unix_ms = 2000;
+    instant now = start;
+    tested.on_list({&server}, now);
+    // Stated by the new start.
+    tested.on_answer(server.start(), pause(seconds(4)), now);
+    const instant end = now + seconds(4);
+    now += milliseconds(700);
+    SECTION("soon listed") {
+        tested.on_list({&server}, now);
+        now += milliseconds(200);
+    }
+    SECTION("listed after an outage of the store") {
+        now += seconds(2);
+    }
+    tested.on_list({&restarted}, now);
+    CHECK_FALSE(tested.may_send(restarted.start(), end - milliseconds(1)));
+    CHECK(tested.select({&restarted}, end - milliseconds(1)).next_available ==
+          end);
+    CHECK(tested.may_send(restarted.start(), end));
+}
+
+TEST_CASE("backend availability - a pause and leaving of a start that ended "
+          "before the next one do not hold for that one") {
+    backend_availability tested({.listing_delay = milliseconds(1200)});
+    backend_server server;
+    server.id = "a";
+    server.started_unix_ms = 1000;
+    backend_server restarted = server;
+    restarted.started_unix_ms = 2000;
+    instant now = start;
+    tested.on_list({&server}, now);
+    SECTION("a pause that was stated too early") {
+        tested.on_answer(server.start(), pause(seconds(30)), now);
+        now += milliseconds(1400);
+        tested.on_list({&server}, now);
+    }
+    SECTION("leaving, which is never taken over") {
+        tested.on_answer(server.start(), {true, milliseconds(100), false}, now);
+    }
+    now += milliseconds(100);
+    tested.on_list({&restarted}, now);
+    CHECK(tested.select({&restarted}, now).available.size() == 1);
+    CHECK_FALSE(tested.select({&restarted}, now).has_leaving);
+}
+
 TEST_CASE("backend availability - leaving and pauses are kept per server") {
     backend_availability tested({.last_resort_time = seconds(1)});
     const std::vector<backend_server> servers{
