Doubt an answer that ends with its connection if its server has ended

Unless the server shows by then that it goes on, a connection to it is tried; one that is refused shows that the server has ended. The stream then goes on at another server from its last event, which also tells if it had been whole; what may not run again is cut, and a plain answer repeated or failed. Servers that are leaving end after their answers and are believed.

--- a/include/ospreystage/serving/backend_availability.hpp
+++ b/include/ospreystage/serving/backend_availability.hpp
@@ -67,6 +67,9 @@
     /// that grows with the pause.
     [[nodiscard]] milliseconds retry_after(instant next_available, instant now);
 
+    /// Returns true if the server has stated that it is leaving.
+    [[nodiscard]] bool is_leaving(const server_start& server) const;
+
     [[nodiscard]] std::size_t leaving() const noexcept;
     [[nodiscard]] std::size_t pausing(instant now) const noexcept;
 
--- a/include/ospreystage/serving/gateway.hpp
+++ b/include/ospreystage/serving/gateway.hpp
@@ -118,6 +118,9 @@
         /// Time of the call's last data; of an event stream, of its last event.
         instant last_received{};
         bool is_paused = false; ///< Reading waits for the caller.
+        /// The connection has ended; whether the answer is whole is not known
+        /// yet.
+        bool is_end_in_doubt = false;
         /// The response; its body stays empty while it is forwarded.
         http_response head;
         bool is_event_stream = false;
@@ -180,6 +183,8 @@
         bool has_response_begun = false; ///< Head sent to the caller.
         bool is_body_forwarded = false;  ///< A plain body, as it arrives.
         std::optional<std::uint64_t> last_event_id;
+        /// The stream may have been whole when it was resumed.
+        bool may_be_whole = false;
         /// The caller has received an event without an id.
         bool has_unnumbered_event = false;
         /// Numbered events that the caller has received, and whether each id
@@ -228,6 +233,10 @@
     [[nodiscard]] static const char* event_defect(const request_record& record,
                                                   const stream_event& event);
     void on_call_ended(exchange_id exchange, call_end end);
+    void on_answer_ended(exchange_id exchange, call_end end);
+    [[nodiscard]] const backend_server*
+    doubted_server(const request_record& record) const;
+    void judge_end(exchange_id exchange, const backend_server& server);
     void log_answer_end(const request_record& record, call_end end);
     [[nodiscard]] static const char*
     stream_defect(const attempt_record& attempt);
--- a/include/ospreystage/serving/server_end_detector.hpp
+++ b/include/ospreystage/serving/server_end_detector.hpp
@@ -16,8 +16,8 @@
 
 namespace ospreystage {
 
-/// Finds out whether a server whose answer broke off has ended, or goes on and
-/// has closed one connection only.
+/// Finds out whether a server whose answer broke off, or ended with its
+/// connection, has ended, or goes on and has closed one connection only.
 ///
 /// A server that has ended accepts no connection. If nothing else shows that it
 /// goes on, a connection is opened and closed again without a request.
@@ -41,6 +41,9 @@
             ended;
     };
 
+    /// Called once with whether a server has ended.
+    using verdict_handler = std::function<void(bool has_ended)>;
+
     server_end_detector(kernel& core, web_client& client, handlers owner);
 
     /// Records that an answer of `server` broke off. Without an endpoint, the
@@ -49,6 +52,12 @@
                    const std::optional<address>& endpoint, suspect broken,
                    instant now);
 
+    /// Finds out whether a server that closed a connection in order at `now`
+    /// has ended. Without an answer in time from its VM, that is not known, and
+    /// the server counts as going on.
+    void on_closed(const std::string& server, const address& endpoint,
+                   instant now, verdict_handler verdict);
+
   private:
     struct broken_server {
         std::optional<address> endpoint;
@@ -57,7 +66,7 @@
     };
 
     void check(const std::string& server);
-    void connect(const std::string& server, const address& endpoint);
+    void connect(const address& endpoint, std::function<void(call_end)> done);
     void on_ended(const std::string& server);
 
     kernel& core_;
--- a/include/ospreystage/serving/server_selector.hpp
+++ b/include/ospreystage/serving/server_selector.hpp
@@ -71,6 +71,11 @@
     /// Counts a refusal that a caller gets.
     void count(const selection_refusal& refusal);
 
+    /// Returns true if the server has stated that it is leaving.
+    [[nodiscard]] bool is_leaving(const server_start& server) const {
+        return availability_.is_leaving(server);
+    }
+
     /// Records what an answer of a server states about its availability.
     void on_availability(const server_start& server,
                          const availability_statement& statement, instant now);
--- a/src/serving/backend_availability.cpp
+++ b/src/serving/backend_availability.cpp
@@ -69,6 +69,11 @@
             (!record->leaving_since || is_last_resort(*record, now)));
 }
 
+bool backend_availability::is_leaving(const server_start& server) const {
+    const server_record* record = find(server);
+    return record != nullptr && record->leaving_since.has_value();
+}
+
 milliseconds backend_availability::retry_after(instant next_available,
                                                instant now) {
     const auto remaining = std::max(
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -758,6 +758,57 @@
     log_answer_end(*record, end);
     // A probe reaches one server.
     record->is_probe = false;
+    const backend_server* doubted =
+        end == call_end::complete ? doubted_server(*record) : nullptr;
+    if (doubted != nullptr)
+        judge_end(exchange, *doubted);
+    else
+        on_answer_ended(exchange, end);
+}
+
+/// Returns the server of an answer that ended with its connection, or null if
+/// nothing speaks against the answer. The close is in order also if the server
+/// was killed; one that is leaving ends only after its answers.
+const backend_server*
+gateway::doubted_server(const request_record& record) const {
+    if (record.head.framing != http_framing::connection ||
+        protocol_.is_not_run(record.head) ||
+        (record.is_event_stream && stream_defect(record) != nullptr))
+        return nullptr;
+    const backend_server* listed = servers_.find(record.server);
+    const bool is_leaving = listed == nullptr || listed->is_draining ||
+                            selector_.is_leaving(record.pace.server);
+    return is_leaving ? nullptr : listed;
+}
+
+/// Holds the end of an answer back until it is known whether its server has
+/// ended; the answer then counts as broken off.
+void gateway::judge_end(exchange_id exchange, const backend_server& server) {
+    request_record& record = *find(exchange);
+    record.is_end_in_doubt = true;
+    server_ends_.on_closed(
+        record.server, server.endpoint, steady::now(),
+        [this, exchange, number = record.number](bool has_ended) {
+            request_record* found = find(exchange);
+            if (found == nullptr || found->number != number ||
+                !found->is_end_in_doubt)
+                return;
+            found->is_end_in_doubt = false;
+            if (has_ended) {
+                metrics_.count("ospreystage_answers_doubted_total");
+                log_event(log_level::info, "answer_doubted",
+                          {{"request", found->caller.id},
+                           {"server", found->server},
+                           {"reason", "server has ended"}});
+                found->may_be_whole = found->is_event_stream;
+            }
+            on_answer_ended(exchange, has_ended ? call_end::truncated
+                                                : call_end::complete);
+        });
+}
+
+void gateway::on_answer_ended(exchange_id exchange, call_end end) {
+    request_record* record = find(exchange);
     if (record->is_event_stream) {
         on_stream_ended(exchange, end);
         return;
@@ -867,7 +918,11 @@
         !record.resumed_after ||
         (record.attempt_event_id &&
          *record.attempt_event_id >= *record.resumed_after);
-    if (defect == nullptr && !has_reached_caller)
+    // A stream that was whole has no more events.
+    const bool confirms_end = record.may_be_whole &&
+                              record.events_received == 0 &&
+                              record.head.framing != http_framing::connection;
+    if (defect == nullptr && !has_reached_caller && !confirms_end)
         defect = "resumed stream ended before it went on";
     if (defect == nullptr) {
         // An answer that ends with its connection may have been broken off.
@@ -953,8 +1008,8 @@
 /// server for so long that another one should be tried.
 bool gateway::is_silent(const request_record& record, instant now) const {
     // The server cannot send while the caller does not read.
-    if (!record.call || record.is_paused || !may_run_again(record) ||
-        record.possible_runs >= record.max_attempts)
+    if (!record.call || record.is_end_in_doubt || record.is_paused ||
+        !may_run_again(record) || record.possible_runs >= record.max_attempts)
         return false;
     const auto expected_gap =
         record.has_response_begun ? record.target_gap : record.target_latency;
@@ -1218,7 +1273,8 @@
 /// open and read.
 bool gateway::is_open_at(const attempt_record& attempt,
                          const std::string& server, instant at) {
-    return attempt.call && attempt.server == server && !attempt.is_paused &&
+    return attempt.call && !attempt.is_end_in_doubt &&
+           attempt.server == server && !attempt.is_paused &&
            attempt.head.status != no_head_status && attempt.head_at < at;
 }
 
--- a/src/serving/server_end_detector.cpp
+++ b/src/serving/server_end_detector.cpp
@@ -31,30 +31,51 @@
     core_.after(service_name, check_delay, [this, server] { check(server); });
 }
 
+void server_end_detector::on_closed(const std::string& server,
+                                    const address& endpoint, instant now,
+                                    verdict_handler verdict) {
+    core_.after(service_name, check_delay,
+                [this, server, endpoint, now, verdict = std::move(verdict)] {
+                    if (owner_.goes_on(server, now)) {
+                        verdict(false);
+                        return;
+                    }
+                    const instant started = steady::now();
+                    connect(endpoint, [verdict, started](call_end end) {
+                        const bool is_refused =
+                            end == call_end::not_connected &&
+                            steady::now() - started < connect_timeout;
+                        verdict(is_refused);
+                    });
+                });
+}
+
 void server_end_detector::check(const std::string& server) {
     const broken_server& record = broken_.at(server);
     if (owner_.goes_on(server, record.at))
         broken_.erase(server);
     else if (record.endpoint)
-        connect(server, *record.endpoint);
+        connect(*record.endpoint, [this, server](call_end end) {
+            if (end == call_end::not_connected)
+                on_ended(server);
+            else
+                broken_.erase(server);
+        });
     else
         on_ended(server);
 }
 
-void server_end_detector::connect(const std::string& server,
-                                  const address& endpoint) {
+/// Opens a connection and closes it without a request. `done` gets
+/// `not_connected` if there is none in time.
+void server_end_detector::connect(const address& endpoint,
+                                  std::function<void(call_end)> done) {
     call_options options;
     options.reuse = false;
     options.connect_timeout = connect_timeout;
     options.timeout = connect_timeout;
     options.may_send = [] { return false; };
     call_handlers handlers;
-    handlers.ended = [this, server](call_end end) {
-        if (end == call_end::not_connected)
-            on_ended(server);
-        else
-            broken_.erase(server);
-    };
+    handlers.ended = std::move(done);
     client_.start(endpoint, http_request{}, options, std::move(handlers));
 }
 
--- a/tests/broken_answers.cpp
+++ b/tests/broken_answers.cpp
@@ -5,7 +5,11 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <string>
 #include <thread>
 #include <vector>
@@ -129,6 +133,141 @@
     CHECK(failed.runs == 1);
 }
 
+namespace {
+
+/// Server process that is killed while it answers its only request: nobody
+/// listens at its address any more, and its connection closes in order.
+class killed_server {
+  public:
+    explicit killed_server(std::string answer)
+        : listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(local);
+        auto* raw = reinterpret_cast<sockaddr*>(&local);
+        REQUIRE(bind(listener_, raw, size) == 0);
+        REQUIRE(listen(listener_, 1) == 0);
+        REQUIRE(getsockname(listener_, raw, &size) == 0);
+        port_ = ntohs(local.sin_port);
+        thread_ = std::thread([this, bytes = std::move(answer)] {
+            const int connection = accept(listener_, nullptr, nullptr);
+            close(listener_);
+            std::array<char, 4096> buffer{};
+            std::string request;
+            while (request.find("\r\n\r\n") == std::string::npos) {
+                const ssize_t count =
+                    read(connection, buffer.data(), buffer.size());
+                if (count <= 0)
+                    break;
+                request.append(buffer.data(), static_cast<std::size_t>(count));
+            }
+            const ssize_t sent = write(connection, bytes.data(), bytes.size());
+            is_sent_ = sent == static_cast<ssize_t>(bytes.size());
+            close(connection);
+        });
+    }
+    ~killed_server() {
+        thread_.join();
+        CHECK(is_sent_);
+    }
+    killed_server(const killed_server&) = delete;
+    killed_server& operator=(const killed_server&) = delete;
+
+    [[nodiscard]] address endpoint() const { return {"127.0.0.1", port_}; }
+
+  private:
+    int listener_;
+    std::uint16_t port_ = 0;
+    bool is_sent_ = false;
+    std::thread thread_;
+};
+
+/// Sends a request whose first server is killed after the bytes; a second one
+/// answers with `other`.
+broken_stream_result run_killed_server(const std::string& bytes,
+                                       const std::string& other,
+                                       request_kind kind, bool is_resumable) {
+    broken_stream_result result;
+    const scripted_server second([&](const std::string& request) {
+        ++result.runs;
+        result.second_request = request;
+        return scripted_answer{other};
+    });
+    const killed_server first(bytes);
+    gateway_fixture fixture;
+    fixture.add_route(kind, is_resumable);
+    // The first one alone, so that it is chosen.
+    fixture.add_servers({first.endpoint()});
+    fixture.core.after("list", milliseconds(5), [&] {
+        fixture.add_servers({first.endpoint(), second.endpoint()});
+    });
+    result.caller =
+        fixture.send_request(kind == request_kind::idempotent ? "GET" : "POST");
+    return result;
+}
+
+} // namespace
+
+// The end of the connection was taken for the end of the stream.
+TEST_CASE("broken answers - a stream without length or chunks whose server is "
+          "killed between two events is resumed and not passed on as "
+          "complete") {
+    const auto result = run_killed_server(unframed_stream(event_text(1, 3)),
+                                          make_event_stream(4, 6, true),
+                                          request_kind::streaming, true);
+    CHECK(result.caller.end == call_end::complete);
+    CHECK(result.caller.response.body == event_text(1, 6));
+    CHECK(result.runs == 1);
+    CHECK(result.second_request.find("Last-Event-Id: 3\r\n") !=
+          std::string::npos);
+}
+
+TEST_CASE("broken answers - a stream without length or chunks whose server is "
+          "killed between two events and may not resume is cut") {
+    const auto result = run_killed_server(unframed_stream(event_text(1, 3)),
+                                          make_event_stream(4, 6, true),
+                                          request_kind::streaming, false);
+    CHECK(result.caller.end == call_end::truncated);
+    CHECK(result.caller.response.body == event_text(1, 3));
+    CHECK(result.runs == 0);
+}
+
+TEST_CASE("broken answers - a whole stream without length or chunks whose "
+          "server ends after it is confirmed by another one") {
+    const auto result = run_killed_server(unframed_stream(event_text(1, 3)),
+                                          make_event_stream(4, 3, true),
+                                          request_kind::streaming, true);
+    CHECK(result.caller.end == call_end::complete);
+    CHECK(result.caller.response.body == event_text(1, 3));
+    CHECK(result.runs == 1);
+}
+
+TEST_CASE("broken answers - a plain body without length or chunks whose server "
+          "is killed is not passed on as complete") {
+    const std::string part = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\nhal";
+    const std::string whole = make_response(200, "", "half and half");
+    const auto repeated =
+        run_killed_server(part, whole, request_kind::idempotent, false);
+    CHECK(repeated.caller.response.status == 200);
+    CHECK(repeated.caller.response.body == "half and half");
+    const auto failed =
+        run_killed_server(part, whole, request_kind::non_idempotent, false);
+    CHECK(failed.caller.response.status == 502);
+    CHECK(failed.runs == 0);
+}
+
+TEST_CASE("broken answers - answers without length or chunks whose server goes "
+          "on are passed on as complete, once") {
+    for (const bool is_resumable : {false, true}) {
+        const auto result = run_broken_stream(
+            {unframed_stream(event_text(1, 3)), true}, is_resumable);
+        CHECK(result.caller.end == call_end::complete);
+        CHECK(result.caller.response.body == event_text(1, 3));
+        CHECK(result.runs == 1);
+    }
+}
+
 TEST_CASE("broken answers - a stream that is reset between two events is "
           "broken in each framing") {
     for (const std::string& answer :
