Model requests, state and weights on links that become narrow

`ospreystage_bench links` plays VMs, entries and an origin in simulated time. Nothing of the product is changed.

--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -5,6 +5,7 @@
 #include <tests/bench/decisions.hpp>
 #include <tests/bench/distribution.hpp>
 #include <tests/bench/limits.hpp>
+#include <tests/bench/links.hpp>
 #include <tests/bench/quickstart.hpp>
 #include <tests/bench/requests.hpp>
 
@@ -21,6 +22,7 @@
     ospreystage::bench::add_decisions(app, status);
     ospreystage::bench::add_claims(app, status);
     ospreystage::bench::add_limits(app, status);
+    ospreystage::bench::add_links(app, status);
     CLI11_PARSE(app, argc, argv);
     return status;
 }
