Learn nothing of a server if no connection can be opened

Whether a server has ended is found out by a connection to it.

Without a free connection the entry learns nothing, and the server counts as going on.

--- a/include/ospreystage/http/web_client.hpp
+++ b/include/ospreystage/http/web_client.hpp
@@ -118,6 +118,10 @@
     [[nodiscard]] bool has_free_connection(const address& server,
                                            std::size_t limit) const;
 
+    /// Returns true if a new connection can be opened: there are fewer than
+    /// allowed, or one of them is idle and can be closed.
+    [[nodiscard]] bool can_connect() const;
+
     /// Returns true if an open connection to `server` carries no call.
     [[nodiscard]] bool has_idle_connection(const address& server) const;
 
--- a/src/http/web_client.cpp
+++ b/src/http/web_client.cpp
@@ -220,6 +220,12 @@
            has_idle_connection(server);
 }
 
+bool web_client::can_connect() const {
+    return max_connections_ == 0 || connections_.size() < max_connections_ ||
+           std::any_of(idle_.begin(), idle_.end(),
+                       [](const auto& item) { return !item.second.empty(); });
+}
+
 bool web_client::has_idle_connection(const address& server) const {
     const auto available = idle_.find(to_string(server));
     return available != idle_.end() && !available->second.empty();
--- a/src/serving/server_end_detector.cpp
+++ b/src/serving/server_end_detector.cpp
@@ -66,9 +66,14 @@
 }
 
 /// Opens a connection and closes it without a request. `done` gets
-/// `not_connected` if there is none in time.
+/// `not_connected` if the server does not accept it in time.
 void server_end_detector::connect(const address& endpoint,
                                   std::function<void(call_end)> done) {
+    // Without a connection of its own, the entry learns nothing of the server.
+    if (!client_.can_connect()) {
+        done(call_end::withheld);
+        return;
+    }
     call_options options;
     options.reuse = false;
     options.connect_timeout = connect_timeout;
